--- a/choice/choice.go
+++ b/choice/choice.go
@@ -555,7 +555,8 @@
 		return
 	}
 	delete(b.calls, e.Name)
-	if e.Status != OK || e.Elapsed > b.set.CounterTimeout/2 { // crowded
+	failed := e.Status != OK && e.Status != Error     // a spoilt answer is one: neither crowd nor silence
+	if failed || e.Elapsed > b.set.CounterTimeout/2 { // crowded
 		b.floor = min(max(b.floor*2, b.stake/4), 8*b.stake)
 	} else if b.floor *= 0.95; b.floor < b.stake/16 {
 		b.floor = 0
@@ -563,14 +564,14 @@
 	if b.fails == 0 {
 		b.silentAt = now
 	}
-	if e.Status != OK {
+	if failed {
 		b.callAfter = now + b.set.CounterTimeout<<min(b.fails, 5)
 		b.fails++
 	}
-	if e.Status == OK && b.silent(now) { // its silence was no crowd: calls are not scarce for that
+	if !failed && b.silent(now) { // its silence was no crowd: calls are not scarce for that
 		b.backAt, b.floor = now, min(b.floor, b.stake/4)
 	}
-	if then(now, e); e.Status == OK {
+	if then(now, e); !failed {
 		b.fails = 0
 	}
 }
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -258,3 +258,21 @@
 		t.Errorf("floor %v while silent, %v after, the mean loss is %v", scarce, b.floor, b.stake)
 	}
 }
+
+// A spoilt answer of the counter tells no total, but no silence either: its units count as added, and it is asked on.
+func TestSpoiltAnswersAreNoSilence(t *testing.T) {
+	b, rec := start(t, nil)
+	now, id := 10*time.Second, uint32(1)
+	for range 8 {
+		call := spend(t, b, rec, "rated", id, now)
+		before := len(rec.counts)
+		b.Counted(now, Counted{Name: call.name, Status: Error})
+		if len(rec.counts) > before && rec.counts[before].add > 0 {
+			t.Errorf("%v added again", rec.counts[before])
+		}
+		now, id = now+3*time.Second, id+100
+	}
+	if b.silent(now) || !b.callable(now) || b.floor > 0 {
+		t.Errorf("silent %v, callable %v, floor %v", b.silent(now), b.callable(now), b.floor)
+	}
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -5,8 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 
 	"asterwell/internal/protocol"
@@ -58,6 +60,37 @@
 	return c, nil
 }
 
+// RereadConfig is ReadConfig for a gateway that runs: there the file's discovery
+// goes before LB_DISCOVERY, which tells where it was at the start.
+func RereadConfig(env func(string) string) (*Config, error) {
+	return ReadConfig(func(key string) string {
+		if key == "LB_DISCOVERY" {
+			return ""
+		}
+		return env(key)
+	})
+}
+
+// reload is the configuration with what can change while it is in use. The seed
+// and the known list are for a start, and the rest needs one.
+func (c *Config) reload(next *Config) *Config {
+	now := *c
+	now.Discovery = next.Discovery
+	if next.Counter != "" {
+		now.Counter = next.Counter
+	}
+	log.Printf("event=reload discovery=%s counter=%s", now.Discovery, now.Counter)
+	for key, same := range map[string]bool{
+		"name": c.Name == next.Name, "listen": c.Listen == next.Listen, "limits": c.Limits == next.Limits,
+		"settings": reflect.DeepEqual(c.Settings, next.Settings),
+	} {
+		if !same {
+			log.Printf("event=reload key=%s what=%q", key, "changed, takes effect at the next start")
+		}
+	}
+	return &now
+}
+
 func parseConfig(text []byte, env func(string) string) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -21,6 +21,10 @@
 
 // Main runs a gateway until it is told to end, and returns its exit code.
 func Main() int {
+	// From the start: until it is caught, SIGHUP ends a program.
+	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	cfg, err := ReadConfig(os.Getenv)
 	if err != nil {
@@ -33,9 +37,7 @@
 		return 2
 	}
 	log.SetPrefix(cfg.Name + " ")
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-	if err := Run(cfg, op, term); err != nil {
+	if err := Run(cfg, op, Signals{term, hup, func() (*Config, error) { return RereadConfig(os.Getenv) }}); err != nil {
 		log.Printf("event=exit error=%q", err)
 		return 1
 	}
@@ -64,8 +66,15 @@
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
 }
 
-// Run serves until a signal comes on term, and then until all is answered.
-func Run(cfg *Config, op *Operator, term <-chan os.Signal) error {
+// Signals are what a running gateway is told.
+type Signals struct {
+	Term   <-chan os.Signal // end
+	Hup    <-chan os.Signal // the configuration has changed
+	Reread func() (*Config, error)
+}
+
+// Run serves until it is told to end, and then until all is answered.
+func Run(cfg *Config, op *Operator, told Signals) error {
 	cfg.Limits.apply()
 	// Half of the descriptors are for clients, a third for servers; the rest
 	// are the counter's, discovery's, the listeners' and the run time's.
@@ -86,11 +95,13 @@
 	fleet := protocol.NewFleet(transport.PeerOptions{Connect: orDefault(set.ConnectTimeout, time.Second),
 		Idle: orDefault(set.IdleClose, 10*time.Second) / 2, Sockets: transport.NewSockets(servers)}, set.Reports)
 	hands := routing.Hands{Fleet: fleet}
+	var counter *protocol.Counter
 	var core *routing.Core
 	wired := make(chan struct{}) // parts start before the core that they tell
 	if set.Counter {
-		hands.Counter = protocol.NewCounter(cfg.Counter, orDefault(set.CounterTimeout, 50*time.Millisecond),
+		counter = protocol.NewCounter(cfg.Counter, orDefault(set.CounterTimeout, 50*time.Millisecond),
 			func(name string, s choice.Status, total float64) { <-wired; core.Counted(name, s, total) })
+		hands.Counter = counter
 	}
 	watch := &watcher{}
 	hands.Watcher = watch
@@ -137,18 +148,32 @@
 
 	totals := time.NewTicker(10 * time.Second)
 	defer totals.Stop()
+	var last <-chan time.Time // checks whether all is answered
 	for {
 		select {
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case <-totals.C:
 			report(core.Stats(), listeners)
-		case <-term:
-			leaving.Store(true)
-			log.Printf("event=leaving open=%d", core.Stats().Open)
-			time.Sleep(staysFor)
-			for drain(listeners) > 0 || core.Stats().Open > 0 {
-				time.Sleep(5 * time.Millisecond)
+		case <-told.Hup:
+			next, err := told.Reread()
+			if err != nil {
+				log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
+				continue
+			}
+			cfg = cfg.reload(next)
+			watch.d.Move(cfg.Discovery)
+			if counter != nil {
+				counter.Move(cfg.Counter)
+			}
+		case <-told.Term:
+			if !leaving.Swap(true) {
+				log.Printf("event=leaving open=%d", core.Stats().Open)
+				last = time.After(staysFor)
+			}
+		case <-last:
+			if last = time.After(5 * time.Millisecond); drain(listeners) > 0 || core.Stats().Open > 0 {
+				continue
 			}
 			report(core.Stats(), listeners)
 			return nil
--- a/internal/protocol/counter.go
+++ b/internal/protocol/counter.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"log"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,7 +26,8 @@
 	box   *actor.Box[any]
 	told  func(name string, status choice.Status, total float64)
 
-	line    *line
+	line    *line   // takes calls
+	old     []*line // to addresses left since: their answers are still read
 	dialing bool
 	queue   []*count // wait for the connection
 }
@@ -42,21 +46,35 @@
 	out   []byte
 	fresh int // of calls, those at the end that are in out
 	heard time.Time
+	done  bool
 }
 
 type (
 	lineUp struct {
-		nc  net.Conn
-		err error
+		addr string
+		nc   net.Conn
+		err  error
 	}
 	answer struct {
 		line  *line
+		kind  kind
 		total float64
-		err   error // of the call
-		lost  error // of the connection
+		err   error
 	}
 )
 
+// kind is what an answer says.
+type kind int
+
+const (
+	sum     kind = iota // added, and the total
+	pong                // to a ping
+	busy                // turned away: nothing added
+	refused             // no such call: nothing added
+	spoilt              // it can't be read, nor can what follows it: added, for all that is known
+	broken              // the connection has ended
+)
+
 const (
 	deadAfter = time.Second     // a connection silent for so long while calls wait is given up
 	pingAfter = 2 * time.Second // the counter closes idle connections, and a call that crosses that is lost
@@ -77,6 +95,10 @@
 	c.box.Put(&count{name: name, wire: resp("CNT.ADD", name, num, ms), until: time.Now().Add(c.limit)})
 }
 
+// Move calls the counter at another address from now on. What has been written
+// to the old one is not repeated there; its answers are read out.
+func (c *Counter) Move(addr string) { c.box.Put(move(addr)) }
+
 // resp is a RESP2 array of bulk strings.
 func resp(words ...string) []byte {
 	w := append(strconv.AppendInt([]byte("*"), int64(len(words)), 10), '\r', '\n')
@@ -94,6 +116,8 @@
 			switch m := m.(type) {
 			case *count:
 				c.add(m)
+			case move:
+				c.move(string(m))
 			case lineUp:
 				c.up(m)
 			case answer:
@@ -111,13 +135,13 @@
 	if len(c.queue) > 0 {
 		next = c.queue[0].until
 	}
-	if c.line != nil {
-		if len(c.line.calls) > 0 {
-			if dead := c.line.heard.Add(deadAfter); dead.Before(next) {
+	for _, l := range c.lines() {
+		if len(l.calls) > 0 {
+			if dead := l.heard.Add(deadAfter); dead.Before(next) {
 				next = dead
 			}
 		}
-		for _, k := range c.line.calls {
+		for _, k := range l.calls {
 			if !k.ended {
 				if k.until.Before(next) {
 					next = k.until
@@ -129,6 +153,36 @@
 	return max(0, time.Until(next))
 }
 
+// lines are the connections that calls may wait on.
+func (c *Counter) lines() []*line {
+	if c.line == nil {
+		return c.old
+	}
+	return append(slices.Clip(c.old), c.line)
+}
+
+func (c *Counter) move(addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.dialing = addr, false
+	if l := c.line; l != nil {
+		written := len(l.calls) - l.fresh
+		c.queue = append(c.queue, l.calls[written:]...)
+		l.calls, l.out, l.fresh = l.calls[:written], nil, 0
+		c.line, c.old = nil, append(c.old, l)
+		c.retire(l)
+	}
+	c.dial()
+}
+
+// retire ends a connection that takes no more calls and owes no more answers.
+func (c *Counter) retire(l *line) {
+	if l != c.line && len(l.calls) == 0 {
+		c.drop(l, 0, choice.Timeout)
+	}
+}
+
 func (c *Counter) add(k *count) {
 	if c.line == nil {
 		c.queue = append(c.queue, k)
@@ -148,13 +202,20 @@
 		return
 	}
 	c.dialing = true
+	addr := c.addr
 	go func() {
-		nc, err := net.DialTimeout("tcp", c.addr, c.limit)
-		c.box.Put(lineUp{nc, err})
+		nc, err := net.DialTimeout("tcp", addr, c.limit)
+		c.box.Put(lineUp{addr, nc, err})
 	}()
 }
 
 func (c *Counter) up(m lineUp) {
+	if m.addr != c.addr || c.line != nil { // moved meanwhile
+		if m.err == nil {
+			m.nc.Close()
+		}
+		return
+	}
 	c.dialing = false
 	if m.err != nil {
 		log.Printf("event=counter what=connect error=%q", m.err)
@@ -167,12 +228,12 @@
 	l := &line{nc: m.nc, heard: time.Now()}
 	c.line = l
 	go func() {
-		in := bufio.NewReaderSize(l.nc, 4096)
+		in := bufio.NewReaderSize(l.nc, maxLine)
 		for {
 			a := read(in)
 			a.line = l
 			c.box.Put(a)
-			if a.lost != nil {
+			if a.kind >= spoilt {
 				return
 			}
 		}
@@ -183,67 +244,94 @@
 	c.queue = nil
 }
 
-var errAnswer = errors.New("not an answer")
+// maxLine is the longest line taken, and maxBulk the longest total.
+const (
+	maxLine = 512
+	maxBulk = 64
+)
 
-// read takes one reply. It keeps the connection's errors apart from the call's.
+// read takes one reply. Only what the protocol knows proves anything: of any
+// other the amount counts as added, and what follows it can't be trusted.
 func read(in *bufio.Reader) answer {
-	text, err := in.ReadString('\n')
-	text = strings.TrimSuffix(strings.TrimSuffix(text, "\n"), "\r")
-	if err != nil || text == "" {
-		return answer{lost: errors.Join(errAnswer, err)}
+	line, err := in.ReadSlice('\n')
+	if err != nil && err != bufio.ErrBufferFull {
+		return answer{kind: broken, err: err}
+	}
+	text, whole := strings.CutSuffix(string(line), "\r\n")
+	unreadable := answer{kind: spoilt, err: fmt.Errorf("not an answer: %.60q", line)}
+	if !whole || text == "" {
+		return unreadable
 	}
-	switch text[0] {
+	switch word, _, _ := strings.Cut(text[1:], " "); text[0] {
 	case '-':
-		return answer{err: errors.New(text[1:])}
+		switch word {
+		case "BUSY":
+			return answer{kind: busy}
+		case "ERR":
+			return answer{kind: refused, err: errors.New(text[1:])}
+		}
+		return unreadable
 	case '+':
-		return answer{}
+		if word == "PONG" {
+			return answer{kind: pong}
+		}
+		return unreadable
 	case ':':
 		text = text[1:]
 	case '$':
 		n, err := strconv.Atoi(text[1:])
-		if err != nil || n < 0 || n > 512 {
-			return answer{lost: errAnswer}
+		if err != nil || n < 1 || n > maxBulk {
+			return unreadable
 		}
 		bulk := make([]byte, n+2)
 		if _, err := io.ReadFull(in, bulk); err != nil {
-			return answer{lost: err}
+			return answer{kind: broken, err: err}
+		}
+		if text, whole = strings.CutSuffix(string(bulk), "\r\n"); !whole {
+			return unreadable
 		}
-		text = string(bulk[:n])
 	default:
-		return answer{lost: errAnswer}
+		return unreadable
 	}
 	total, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return answer{lost: errAnswer}
+	if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
+		return unreadable
 	}
-	return answer{total: total}
+	return answer{kind: sum, total: total}
 }
 
 // answered takes the reply to the oldest call, be it late.
 func (c *Counter) answered(m answer) {
 	l := m.line
-	if l != c.line {
-		return // of a connection given up
+	if l.done {
+		return // given up
 	}
-	if m.lost == nil && len(l.calls) == l.fresh {
-		m.lost = errAnswer // nobody asked
+	owed := len(l.calls) > l.fresh
+	if m.kind < spoilt && (!owed || l.calls[0].ping != (m.kind == pong)) {
+		m.kind, m.err = spoilt, errors.New("nobody asked for that")
 	}
-	if m.lost != nil {
-		c.drop(l.fresh)
+	switch m.kind {
+	case broken:
+		c.drop(l, l.fresh, choice.Timeout)
+		return
+	case spoilt: // the counter works: that is no silence
+		log.Printf("event=counter what=spoilt calls=%d error=%q", len(l.calls)-l.fresh, m.err)
+		c.drop(l, l.fresh, choice.Error)
 		return
 	}
 	l.heard = time.Now()
 	k := l.calls[0]
 	l.calls = l.calls[1:]
-	switch {
-	case m.err == nil:
-		c.end(k, choice.OK, m.total)
-	case strings.HasPrefix(m.err.Error(), "BUSY"):
+	switch m.kind {
+	case busy:
 		c.end(k, choice.Full, 0)
-	default: // it knows no such call: nothing was added
+	case refused:
 		log.Printf("event=counter what=refused name=%s error=%q", k.name, m.err)
 		c.end(k, choice.ConnectFailed, 0)
+	default:
+		c.end(k, choice.OK, m.total)
 	}
+	c.retire(l)
 }
 
 // flush writes the calls that have gathered, in one go.
@@ -268,19 +356,23 @@
 		}
 		unsent--
 	}
-	c.drop(unsent)
+	c.drop(l, unsent, choice.Timeout)
 }
 
-// drop gives the connection up. The last unsent of its calls did not go out.
-func (c *Counter) drop(unsent int) {
-	l := c.line
-	c.line = nil
+// drop gives a connection up. The last unsent of its calls did not go out; the
+// others end with status, and may have been added.
+func (c *Counter) drop(l *line, unsent int, status choice.Status) {
+	l.done = true
+	if l == c.line {
+		c.line = nil
+	}
+	c.old = slices.DeleteFunc(c.old, func(x *line) bool { return x == l })
 	l.nc.Close()
 	for i, k := range l.calls {
 		if i >= len(l.calls)-unsent {
 			c.end(k, choice.ConnectFailed, 0)
 		} else {
-			c.end(k, choice.Timeout, 0)
+			c.end(k, status, 0)
 		}
 	}
 }
@@ -298,21 +390,20 @@
 		c.end(c.queue[0], choice.ConnectFailed, 0)
 		c.queue = c.queue[1:]
 	}
-	if c.line == nil {
-		return
-	}
-	for _, k := range c.line.calls {
-		if now.Before(k.until) {
-			break
+	for _, l := range c.lines() {
+		for _, k := range l.calls {
+			if now.Before(k.until) {
+				break
+			}
+			c.end(k, choice.Timeout, 0)
+		}
+		switch idle := now.Sub(l.heard); {
+		case len(l.calls) > 0 && idle >= deadAfter:
+			log.Printf("event=counter what=%q calls=%d", "silent, connecting anew", len(l.calls))
+			c.drop(l, l.fresh, choice.Timeout)
+		case len(l.calls) == 0 && idle >= pingAfter:
+			c.add(&count{wire: resp("PING"), until: now.Add(c.limit), ping: true})
+			c.flush()
 		}
-		c.end(k, choice.Timeout, 0)
-	}
-	switch idle := now.Sub(c.line.heard); {
-	case len(c.line.calls) > 0 && idle >= deadAfter:
-		log.Printf("event=counter what=%q calls=%d", "silent, connecting anew", len(c.line.calls))
-		c.drop(c.line.fresh)
-	case len(c.line.calls) == 0 && idle >= pingAfter:
-		c.add(&count{wire: resp("PING"), until: now.Add(c.limit), ping: true})
-		c.flush()
 	}
 }
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -65,17 +66,41 @@
 type Discovery struct {
 	opt     DiscoveryOptions
 	news    func(routing.News)
-	box     *actor.Box[bool]
+	box     *actor.Box[any]
 	on      bool
+	whole   bool // the next call asks for the whole list
 	version int64
-	ids     map[string]uint32 // the module's numbers for servers
-	conn    *transport.Conn
+	ids     map[string]uint32 // the module's numbers for the servers on the list
+	lastID  uint32
+	ask     *ask            // under way
+	conn    *transport.Conn // of the last one, if it may carry another
+	pause   time.Duration   // after the next failure
+	after   time.Time       // no call before
 }
 
+// ask is one call. It runs beside the actor, which can break it off.
+type ask struct {
+	path string
+	mu   sync.Mutex
+	conn *transport.Conn
+	off  bool
+}
+
+type (
+	watch bool
+	move  string
+	told  struct {
+		ask  *ask
+		list List
+		err  error
+	}
+)
+
 // NewDiscovery returns an actor that tells its news through news. The watch
 // begins at once, or once asked for.
 func NewDiscovery(opt DiscoveryOptions, known List, onDemand bool, news func(routing.News)) *Discovery {
-	d := &Discovery{opt: opt, news: news, box: actor.NewBox[bool](), on: !onDemand, ids: map[string]uint32{}}
+	d := &Discovery{opt: opt, news: news, box: actor.NewBox[any](), on: !onDemand, whole: true,
+		ids: map[string]uint32{}, pause: firstPause}
 	n := d.take(known, true)
 	n.Saved = true
 	news(n)
@@ -83,7 +108,12 @@
 }
 
 // Watch starts or stops the watch.
-func (d *Discovery) Watch(on bool) { d.box.Put(on) }
+func (d *Discovery) Watch(on bool) { d.box.Put(watch(on)) }
+
+// Move goes on at another address. What the old one still has to say counts no
+// more: the call that waits there is broken off, and the new one is asked for
+// the whole list at once.
+func (d *Discovery) Move(addr string) { d.box.Put(move(addr)) }
 
 // The waits between failed calls. Nothing is told of servers that come, drain
 // or leave meanwhile, so they are short.
@@ -92,71 +122,130 @@
 	mostPause  = 320 * time.Millisecond
 )
 
-// Run watches until stop is closed; it notices that between two calls.
+// Run watches until stop is closed.
 func (d *Discovery) Run(stop <-chan struct{}) {
-	pause, whole := firstPause, true
+	defer func() { d.breakOff() }()
+	go func() { <-stop; d.box.Put(nil) }()
 	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
-		wait := time.Duration(0)
-		if !d.on {
-			wait = -1
-		}
-		for _, on := range d.box.Take(wait) {
-			d.on = on
-		}
-		if !d.on {
-			continue
-		}
-		path := "/api/targets"
-		if !whole {
-			path += "?from=" + strconv.FormatInt(d.version, 10) + "&hold_ms=" + strconv.FormatInt(d.opt.Hold.Milliseconds(), 10)
+		wait := time.Duration(-1)
+		if d.on && d.ask == nil {
+			if wait = max(0, time.Until(d.after)); wait == 0 {
+				d.call()
+				wait = -1
+			}
 		}
-		list, err := d.get(path)
-		if err != nil {
-			log.Printf("event=discovery path=%s error=%q", path, err)
-			if d.conn != nil {
-				d.conn.Close()
-				d.conn = nil
+		for _, m := range d.box.Take(wait) {
+			switch m := m.(type) {
+			case nil:
+				return
+			case watch:
+				d.on = bool(m)
+			case move:
+				d.move(string(m))
+			case told:
+				d.told(m)
 			}
-			d.news(routing.News{Broken: true})
-			time.Sleep(pause)
-			pause = min(2*pause, mostPause)
-			continue
 		}
-		pause, whole = firstPause, false
-		if list.Full || len(list.Servers) > 0 {
-			d.news(d.take(list, list.Full))
+	}
+}
+
+func (d *Discovery) move(addr string) {
+	if addr == d.opt.Addr {
+		return
+	}
+	d.breakOff()
+	d.opt.Addr, d.whole, d.pause, d.after = addr, true, firstPause, time.Time{}
+}
+
+// breakOff ends the call under way and its connection.
+func (d *Discovery) breakOff() {
+	if d.ask != nil {
+		d.ask.mu.Lock()
+		d.ask.off = true
+		if d.ask.conn != nil {
+			d.ask.conn.Close()
 		}
-		d.version = list.Version
+		d.ask.mu.Unlock()
+	}
+	if d.conn != nil {
+		d.conn.Close()
 	}
+	d.ask, d.conn = nil, nil
 }
 
-func (d *Discovery) get(path string) (List, error) {
-	if d.conn == nil {
-		conn, err := transport.Dial(d.opt.Addr, d.opt.Connect)
-		if err != nil {
-			return List{}, err
+func (d *Discovery) call() {
+	a := &ask{path: "/api/targets", conn: d.conn}
+	if !d.whole {
+		a.path += "?from=" + strconv.FormatInt(d.version, 10) + "&hold_ms=" + strconv.FormatInt(d.opt.Hold.Milliseconds(), 10)
+	}
+	d.ask, d.conn = a, nil
+	opt := d.opt
+	go func() {
+		list, err := a.get(opt)
+		d.box.Put(told{a, list, err})
+	}()
+}
+
+// told takes the end of a call.
+func (d *Discovery) told(m told) {
+	if m.ask != d.ask {
+		return // broken off
+	}
+	d.ask, d.conn = nil, m.ask.conn
+	if m.err != nil {
+		log.Printf("event=discovery addr=%s path=%s error=%q", d.opt.Addr, m.ask.path, m.err)
+		if d.conn != nil {
+			d.conn.Close()
+			d.conn = nil
 		}
-		d.conn = conn
+		d.after, d.pause = time.Now().Add(d.pause), min(2*d.pause, mostPause)
+		d.news(routing.News{Broken: true})
+		return
+	}
+	d.pause, d.whole = firstPause, false
+	if m.list.Full || len(m.list.Servers) > 0 {
+		d.news(d.take(m.list, m.list.Full))
+	}
+	d.version = m.list.Version
+}
+
+// open makes sure of a connection that breakOff can close.
+func (a *ask) open(opt DiscoveryOptions) error {
+	if a.conn != nil {
+		return nil
+	}
+	conn, err := transport.Dial(opt.Addr, opt.Connect)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn = conn; a.off {
+		conn.Close()
+	}
+	return nil
+}
+
+func (a *ask) get(opt DiscoveryOptions) (List, error) {
+	if err := a.open(opt); err != nil {
+		return List{}, err
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := d.conn.Write([]byte("GET "+path+" HTTP/1.1\r\nHost: "+d.opt.Addr+"\r\n\r\n"), d.opt.Connect); err != nil {
+	if err := a.conn.Write([]byte("GET "+a.path+" HTTP/1.1\r\nHost: "+opt.Addr+"\r\n\r\n"), opt.Connect); err != nil {
 		return List{}, err
 	}
-	if err := d.conn.SetReadDeadline(time.Now().Add(d.opt.Hold + d.opt.Grace)); err != nil {
+	if err := a.conn.SetReadDeadline(time.Now().Add(opt.Hold + opt.Grace)); err != nil {
 		return List{}, err
 	}
-	if err := d.conn.Read(resp); err != nil {
+	if err := a.conn.Read(resp); err != nil {
 		return List{}, err
 	}
 	if resp.ConnectionClose() {
-		d.conn.Close()
-		d.conn = nil
+		a.mu.Lock()
+		a.conn.Close()
+		a.conn = nil
+		a.mu.Unlock()
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return List{}, fmt.Errorf("status %d", resp.StatusCode())
@@ -173,15 +262,26 @@
 func (d *Discovery) take(list List, whole bool) routing.News {
 	d.version = list.Version
 	n := routing.News{Whole: whole}
+	ids := d.ids
+	if whole {
+		ids = map[string]uint32{}
+	}
 	for _, e := range list.Servers {
 		id, ok := d.ids[e.ID]
 		if !ok {
-			id = uint32(len(d.ids) + 1)
-			d.ids[e.ID] = id
+			d.lastID++
+			id = d.lastID
+		}
+		// What has left is forgotten: on a long day servers never stop coming.
+		if left := e.State == "removed"; !left {
+			ids[e.ID] = id
+		} else {
+			delete(ids, e.ID)
 		}
 		n.Members = append(n.Members, routing.Member{Addr: e.Addr, Member: choice.Member{ID: id, Zone: e.Zone,
 			Kind: e.Kind, Cell: e.Cell, State: states[e.State], Weight: e.Weight,
 			Started: time.Duration(e.StartedMs) * time.Millisecond}})
 	}
+	d.ids = ids
 	return n
 }
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/routing"
+	"asterwell/internal/scenario"
 )
 
 // A server keeps its number whatever lists it comes in, and its start is told on
@@ -43,3 +46,64 @@
 		t.Error(diff, d.version)
 	}
 }
+
+// After a move the call that waits at the old address is broken off, the new
+// one is asked for the whole list at once, and nothing that the old one still
+// says counts.
+func TestDiscoveryMoves(t *testing.T) {
+	accept := map[string]net.Listener{}
+	for _, kind := range []string{"old", "new"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		accept[kind] = ln
+	}
+	news := make(chan routing.News, 10)
+	d := NewDiscovery(DiscoveryOptions{Addr: accept["old"].Addr().String(), Hold: time.Hour, Grace: time.Hour,
+		Connect: time.Minute}, List{}, false, func(n routing.News) { news <- n })
+	stop := make(chan struct{})
+	defer close(stop)
+	go d.Run(stop)
+	list := func(version, id int) string {
+		text := fmt.Sprintf(`{"version":%d,"full":true,"servers":[{"id":"s-%d","addr":"127.0.0.1:1","state":"up"}]}`, version, id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+	stage := scenario.Stage{Accept: accept, Vars: map[string]string{"list9": list(9, 1), "list3": list(3, 2)}, Close: map[string]func(){
+		"moved": func() { d.Move(accept["new"].Addr().String()) }}}
+	stage.Play(t, `
+		old1 expect "GET /api/targets HTTP/1.1\r\n"
+		old1 send "$list9"
+		old1 expect "GET /api/targets?from=9&hold_ms=3600000 HTTP/1.1\r\n"
+		moved close
+		old1 expect closed
+		new1 expect "GET /api/targets HTTP/1.1\r\n"
+		new1 send "$list3"
+		new1 expect "GET /api/targets?from=3&hold_ms=3600000 HTTP/1.1\r\n"`)
+	var got []uint32
+	for len(got) < 2 {
+		for _, m := range (<-news).Members {
+			got = append(got, m.ID)
+		}
+	}
+	if diff := cmp.Diff([]uint32{1, 2}, got); diff != "" || len(news) > 0 {
+		t.Error(diff, len(news))
+	}
+}
+
+// What has left the list is forgotten: on a long day servers never stop coming.
+func TestNumbersAreForgotten(t *testing.T) {
+	d := NewDiscovery(DiscoveryOptions{}, List{}, false, func(routing.News) {})
+	for i := range 1000 {
+		up, gone := fmt.Sprint("s-", i), fmt.Sprint("s-", i-2)
+		d.take(List{Servers: []Entry{{ID: up, State: "up"}, {ID: gone, State: "removed"}}}, false)
+	}
+	if len(d.ids) != 2 {
+		t.Errorf("%d numbers for two servers", len(d.ids))
+	}
+	n := d.take(List{Servers: []Entry{{ID: "s-999", State: "up"}, {ID: "s-0", State: "up"}}}, true)
+	if len(d.ids) != 2 || n.Members[0].ID == n.Members[1].ID {
+		t.Errorf("%d numbers for two servers: %+v", len(d.ids), n.Members)
+	}
+}
