--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	aimAt         time.Duration
 	tries         []*attempt
 	out           int
-	weight, worth float64 // units that the count gets for it; worth a second of work
+	worth         float64 // a second of work
 	inside, pays  bool    // took units from the quota; the loss if it is beyond is worth a counter call
 	beyond, known bool    // its customer is taken to have no room; decided on a fresh count
 	done, stream  bool
@@ -284,12 +284,11 @@
 	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit) // the busier, the more it keeps out
 	loss := r.class.Value * p.ValueFactor * r.Units * max(share, 0.1)    // if beyond the quota
 	b.stake += (loss - b.stake) * 0.02
-	chance := min(1, loss/b.floor) // of a call; one called for stands for the others on the count
+	chance := min(1, loss/b.floor) // of a call
 	if b.fails > 0 {
 		chance = 1 // one at a time, to hear of its return
 	}
 	r.pays = b.rng.Float64() < chance
-	r.weight = max(r.Units, min(r.Units/chance, p.Burst/4))
 	pass, _ := b.inside(now, c, r)
 	room, age := p.Burst-(c.tat-now).Seconds()*p.Rate, now-c.readAt
 	metered := b.set.Counter && c.width > 1 && p.Rate > 0 && share > 0.5 && !b.silent(now)
@@ -471,7 +470,7 @@
 	}
 	if r.inside = inside; inside && r.plan.Rate > 0 {
 		c.tat = max(now, c.tat) + r.plan.span(r.Units)
-		c.unsent += r.weight
+		c.unsent += r.Units
 	}
 	b.send(now, r, to)
 	b.sync(now, c, r.pays)
@@ -540,7 +539,7 @@
 	}
 	reserved := 0.0
 	for _, r := range c.queue {
-		reserved += r.weight
+		reserved += r.Units
 	}
 	c.call = c.key + "." + strconv.FormatInt(c.period, 36)
 	c.flying, c.unsent, c.owes = c.unsent+reserved, -reserved, false
--- a/choice/sums_test.go
+++ b/choice/sums_test.go
@@ -174,3 +174,32 @@
 		}
 	}
 }
+
+// While calls are scarce most requests make none. The counter must still be told what was sent on and no more, or
+// all gateways turn a customer away that has room in its quota.
+func TestScarceCallsTellTheTrueUnits(t *testing.T) {
+	s, sent := newSet(t, 3, nil), 0.0
+	const asked = 90.0
+	for i := range int(asked) { // six a second, the quota is ten
+		for _, b := range s.bs {
+			b.floor = 5 // one call in five
+		}
+		if s.ask(2*time.Minute+time.Duration(i)*time.Second/6, i%3, "rated") {
+			sent++
+		}
+	}
+	counted := 0.0
+	for _, n := range s.counts {
+		counted += n
+	}
+	for _, b := range s.bs {
+		counted += b.customers["c"].unsent
+	}
+	if sent < asked*6/10 {
+		t.Errorf("%v of %v requests sent on", sent, asked)
+	}
+	// The name begins with the units that stand for idle time.
+	if idle := 100.0; counted > sent+idle {
+		t.Errorf("%v units counted for %v sent on", counted, sent)
+	}
+}
