Turn bad clients away at the fronts, and let those that only hold connections make room

From the log, what passed: units and sets out of range in usual customers' names (front.go, terms, knew only > 0), customer numbers over 2^33, ids of open requests, repeated headers (the last one won), the other class's method. Now 4xx before the core hears of them; the OpenAPI front does the same, and answers 403 where an operation costs more than the plan ever holds.

Connections: limits were 10 s for a request and 75 s without one, and at the cap Accept stood still while nothing was idle (listen.go, closeIdle; a half-sent head counted as busy). Now a request has 2 s, an idle connection 3 s, and at the cap those go first that were answered for the last time, are silent, or half sent. Both lengths in one head: fasthttp serves one and closes; now 400 on both fronts.

Ruled out: CPU (0.12 s in the worst second).

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -138,7 +138,7 @@
 			return fmt.Errorf("openapi: listen: %w", err)
 		}
 		listeners = append(listeners, second)
-		described.Core, described.Now, described.Leaving = core, now, leaving.Load
+		described.Core, described.IDs, described.Now, described.Leaving = core, front.IDs, now, leaving.Load
 		go func() { failed <- transport.NewServer(described.Handle, op.MaxBodyKB<<10).Serve(second) }()
 		go described.Follow(op.Description, text, op.poll(), stop)
 		log.Printf("event=start openapi=%s description=%s", op.Listen, op.Description)
--- a/internal/program/scenario_test.go
+++ b/internal/program/scenario_test.go
@@ -43,6 +43,7 @@
 		v[fmt.Sprint("tiny", i)] = "GET /api HTTP/1.1\r\n" + head("tiny", "status-read", "5.000") + "\r\n"
 		v[fmt.Sprint("submit", i)] = "POST /api HTTP/1.1\r\n" + head("basic", "submit-nom", "5.000") + "Content-Length: 4\r\n\r\nbody"
 		v[fmt.Sprint("headers", i)] = head("basic", "submit-nom", "5.000")
+		v[fmt.Sprint("bare", i)] = fmt.Sprintf("Host: h\r\nX-Request-ID: bare-%d\r\nX-Tier: tiny\r\nX-Priority-Class: status-read\r\n", i)
 	}
 	return v
 }
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,29 +24,66 @@
 	Gone(r *routing.Request)
 }
 
+// IDs are the ids of the requests that are open, on all fronts together.
+type IDs struct {
+	mu   sync.Mutex
+	open map[string]bool
+}
+
+// NewIDs returns an empty set.
+func NewIDs() *IDs { return &IDs{open: map[string]bool{}} }
+
+// take adds an id, unless it is there.
+func (s *IDs) take(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.open[id]
+	s.open[id] = true
+	return !taken
+}
+
+func (s *IDs) give(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, id)
+}
+
 // Front is the platform's front: it reads a request's terms from its headers.
 type Front struct {
 	Core    Core
+	IDs     *IDs
 	Now     func() time.Duration
 	Ready   func() bool
 	Leaving func() bool // the program is about to end
-	classes map[string]time.Duration
-	plans   map[string]bool
+	classes map[string]choice.Class
+	plans   map[string]float64 // the most units that a request can have
 	doors   int
 }
 
 // NewFront returns a front for the classes and plans of the settings.
 func NewFront(set choice.Settings) *Front {
-	f := &Front{classes: map[string]time.Duration{}, plans: map[string]bool{}, doors: set.Doors}
+	f := &Front{IDs: NewIDs(), classes: map[string]choice.Class{}, plans: map[string]float64{}, doors: set.Doors}
 	for _, c := range set.Classes {
-		f.classes[c.Name] = c.Deadline
+		f.classes[c.Name] = c
 	}
 	for _, p := range set.Plans {
-		f.plans[p.Name] = true
+		f.plans[p.Name] = MostUnits(&set, &p)
 	}
 	return f
 }
 
+// MostUnits is what a request can take from a plan at all.
+func MostUnits(set *choice.Settings, p *choice.Plan) float64 {
+	most := cmp.Or(set.MaxUnits, math.MaxFloat64)
+	if p.Rate > 0 {
+		most = min(most, p.Burst)
+	}
+	if p.CeilingRate > 0 {
+		most = min(most, p.CeilingBurst)
+	}
+	return most
+}
+
 // Handle serves one request.
 func (f *Front) Handle(ctx *fasthttp.RequestCtx) {
 	defer func() {
@@ -62,12 +102,16 @@
 		}
 		return
 	}
-	r, err := f.request(ctx)
+	r, id, err := f.request(ctx)
 	if err != nil {
 		ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
+		if allow, ok := err.(wrongMethod); ok {
+			ctx.Response.Header.Set("Allow", string(allow))
+			ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+		}
 		return
 	}
-	switch a := Await(ctx, f.Core, r); a.Kind {
+	switch a := Await(ctx, f.Core, f.IDs, id, r); a.Kind {
 	case Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
 		PassOn(ctx, a.Answer)
@@ -80,81 +124,123 @@
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	case Failed:
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+	case Twice:
+		ctx.Error(headerID+": "+SameID+"\n", fasthttp.StatusConflict)
 	}
 }
 
+// wrongMethod is an error that tells the right one.
+type wrongMethod string
+
+func (m wrongMethod) Error() string { return "the class has the method " + string(m) }
+
+// MaxID is the longest id taken.
+const MaxID = 128
+
+// customers is the number of customers that there can be.
+const customers = 1 << 33
+
+// singles are the headers that a request may have once. Which of two counts
+// would be anybody's guess, and another's may differ.
+var singles = [...]string{headerID, headerClass, headerPlan, headerTimeout, headerTerms, "Cookie", headerRetried}
+
 // request reads a request's terms. Whatever is wrong with them is the client's
 // fault, and is told before the core hears of it.
-func (f *Front) request(ctx *fasthttp.RequestCtx) (*routing.Request, error) {
-	var id, timeout, terms, cookie string
-	r := &routing.Request{Reply: make(Answers, 1)}
-	call := NewCall(ctx, func(key, value []byte) {
-		switch {
-		case is(key, headerID):
-			id = string(value)
-		case is(key, headerClass):
-			r.Class = string(value)
-		case is(key, headerPlan):
-			r.Plan = string(value)
-		case is(key, headerTimeout):
-			timeout = string(value)
-		case is(key, headerTerms):
-			terms = string(value)
-		case is(key, "Cookie"):
-			cookie = string(value)
-		case is(key, headerRetried):
-			r.Again = string(value) == "1"
+func (f *Front) request(ctx *fasthttp.RequestCtx) (r *routing.Request, id string, err error) {
+	var got [len(singles)]string
+	var seen [len(singles)]bool
+	r = &routing.Request{Reply: make(Answers, 1)}
+	r.Call = NewCall(ctx, func(key, value []byte) {
+		for i, name := range singles {
+			if is(key, name) {
+				if seen[i] {
+					err = fmt.Errorf("%s: more than one", name)
+				}
+				got[i], seen[i] = string(value), true
+			}
 		}
 	})
-	r.Call = call
-	limit, known := f.classes[r.Class]
+	if err != nil {
+		return nil, "", err
+	}
+	id, r.Class, r.Plan = got[0], got[1], got[2]
+	class, known := f.classes[r.Class]
+	most, sold := f.plans[r.Plan]
+	method := "POST"
+	if class.Effect == choice.Retryable {
+		method = "GET"
+	}
 	switch {
 	case id == "":
-		return nil, fmt.Errorf("%s is missing", headerID)
+		return nil, "", fmt.Errorf("%s is missing", headerID)
+	case len(id) > MaxID:
+		return nil, "", fmt.Errorf("%s: longer than %d bytes", headerID, MaxID)
 	case !known:
-		return nil, fmt.Errorf("%s: unknown class %q", headerClass, r.Class)
-	case !f.plans[r.Plan]:
-		return nil, fmt.Errorf("%s: unknown plan %q", headerPlan, r.Plan)
+		return nil, "", fmt.Errorf("%s: unknown class %q", headerClass, r.Class)
+	case !sold:
+		return nil, "", fmt.Errorf("%s: unknown plan %q", headerPlan, r.Plan)
+	case string(ctx.Method()) != method:
+		return nil, "", wrongMethod(method)
+	case method == "GET" && len(ctx.Request.Body()) > 0:
+		return nil, "", errors.New("a GET has no body here")
 	}
-	if r.Customer = Cookie(cookie, "client"); !hex16(r.Customer) {
-		return nil, fmt.Errorf("Cookie: client must be 16 hex digits, got %q", r.Customer)
+	var number uint64
+	if r.Customer = Cookie(got[5], "client"); len(r.Customer) != 16 {
+		return nil, "", fmt.Errorf("Cookie: client must be 16 hex digits, got %q", r.Customer)
+	} else if number, err = strconv.ParseUint(r.Customer, 16, 64); err != nil || number >= customers {
+		return nil, "", fmt.Errorf("Cookie: client must be 16 hex digits for a number under 2^33, got %q", r.Customer)
 	}
-	if timeout != "" {
-		s, err := strconv.ParseFloat(timeout, 64)
-		if err != nil || !(s > 0) || s > 3600 {
-			return nil, fmt.Errorf("%s: not a time in seconds: %q", headerTimeout, timeout)
-		}
-		limit = time.Duration(s * float64(time.Second))
+	limit, err := Timeout(got[3], class.Deadline)
+	if err != nil {
+		return nil, "", fmt.Errorf("%s: %w", headerTimeout, err)
 	}
-	r.Deadline = f.Now() + limit
-	var err error
-	r.Units, r.Width, r.First, err = f.terms(terms)
-	return r, err
+	r.Deadline, r.Again = f.Now()+limit, got[6] == "1"
+	r.Units, r.Width, r.First, err = f.terms(got[4], most)
+	return r, id, err
+}
+
+// Timeout reads a client's time in seconds. No client waits longer than its
+// class allows, whatever it says.
+func Timeout(text string, most time.Duration) (time.Duration, error) {
+	if text == "" {
+		return most, nil
+	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(s > 0) || s > 3600 {
+		return 0, fmt.Errorf("not a time in seconds: %q", text)
+	}
+	d := time.Duration(s * float64(time.Second))
+	if most > 0 {
+		d = min(d, most)
+	}
+	return d, nil
 }
 
 // terms reads units=2,spread=3,first=1.
-func (f *Front) terms(text string) (units float64, width, first int, err error) {
-	units, width = 1, f.doors
+func (f *Front) terms(text string, most float64) (units float64, width, first int, err error) {
+	units, width = min(1, most), f.doors
+	seen := map[string]bool{}
 	for item := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(item), "=")
 		var bad error
 		switch key {
 		case "units":
-			if units, bad = strconv.ParseFloat(value, 64); bad == nil && (!(units > 0) || math.IsInf(units, 0)) {
+			if units, bad = strconv.ParseFloat(value, 64); bad == nil && !(units > 0 && units <= most) {
 				bad = strconv.ErrRange
 			}
 		case "spread":
-			if width, bad = strconv.Atoi(value); bad == nil && width < 1 {
+			if width, bad = strconv.Atoi(value); bad == nil && (width < 1 || width > f.doors) {
 				bad = strconv.ErrRange
 			}
 		case "first":
-			if first, bad = strconv.Atoi(value); bad == nil && first < 0 {
+			if first, bad = strconv.Atoi(value); bad == nil && (first < 0 || first >= f.doors) {
 				bad = strconv.ErrRange
 			}
 		}
-		if bad != nil {
+		if bad != nil || seen[key] {
 			return 0, 0, 0, fmt.Errorf("%s: bad %s %q", headerTerms, key, value)
 		}
+		seen[key] = true
 	}
 	return units, width, first, nil
 }
@@ -169,14 +255,6 @@
 	return ""
 }
 
-func hex16(s string) bool {
-	if len(s) != 16 {
-		return false
-	}
-	_, err := strconv.ParseUint(s, 16, 64)
-	return err == nil
-}
-
 // Kind is the sort of a final answer.
 type Kind int
 
@@ -186,9 +264,13 @@
 	Refused
 	Failed
 	TimedOut
-	Left // the client went away: nobody is answered
+	Left  // the client went away: nobody is answered
+	Twice // a request with that id is open: this one was not submitted
 )
 
+// SameID is what a client hears then.
+const SameID = "a request with this id is open"
+
 // Final is the one answer to a request.
 type Final struct {
 	Kind       Kind
@@ -222,8 +304,13 @@
 }
 
 // Await submits a request whose Reply is an Answers, and waits for its answer
-// or for the client's end.
-func Await(ctx *fasthttp.RequestCtx, core Core, r *routing.Request) Final {
+// or for the client's end. Servers tell requests by their ids, so that there
+// must not be two with one.
+func Await(ctx *fasthttp.RequestCtx, core Core, ids *IDs, id string, r *routing.Request) Final {
+	if !ids.take(id) {
+		return Final{Kind: Twice}
+	}
+	defer ids.give(id)
 	var left <-chan struct{}
 	if c, ok := ctx.Conn().(*transport.ClientConn); ok {
 		left = c.Gone()
--- a/internal/protocol/openapi/front.go
+++ b/internal/protocol/openapi/front.go
@@ -32,21 +32,22 @@
 // Front serves the operations of a description.
 type Front struct {
 	Core    protocol.Core
+	IDs     *protocol.IDs // shared with the other front
 	Now     func() time.Duration
 	Leaving func() bool
 	names   Names
 	rules   Rules
-	plans   map[string]bool
+	plans   map[string]float64 // the most units that a request can have
 	doors   int
 	current atomic.Pointer[Description]
 }
 
 // NewFront returns a front without a description.
 func NewFront(set choice.Settings, routes []Route, names Names) *Front {
-	f := &Front{names: names, plans: map[string]bool{}, doors: set.Doors,
+	f := &Front{IDs: protocol.NewIDs(), names: names, plans: map[string]float64{}, doors: set.Doors,
 		rules: Rules{Classes: set.Classes, MaxUnits: set.MaxUnits, Routes: routes}}
 	for _, p := range set.Plans {
-		f.plans[p.Name] = true
+		f.plans[p.Name] = protocol.MostUnits(&set, &p)
 	}
 	return f
 }
@@ -74,12 +75,12 @@
 			ctx.SetConnectionClose()
 		}
 	}()
-	r, status, err := f.request(ctx)
+	r, id, status, err := f.request(ctx)
 	if err != nil {
 		problem(ctx, status, err.Error())
 		return
 	}
-	switch a := protocol.Await(ctx, f.Core, r); a.Kind {
+	switch a := protocol.Await(ctx, f.Core, f.IDs, id, r); a.Kind {
 	case protocol.Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
 		protocol.PassOn(ctx, a.Answer)
@@ -92,56 +93,67 @@
 		problem(ctx, fasthttp.StatusGatewayTimeout, "no answer in time: it may have run")
 	case protocol.Failed:
 		problem(ctx, fasthttp.StatusBadGateway, "the server failed: it may have run")
+	case protocol.Twice:
+		problem(ctx, fasthttp.StatusConflict, "X-Request-ID: "+protocol.SameID)
 	}
 }
 
 // request finds a request's operation and terms, or the status that says what
 // is wrong with it.
-func (f *Front) request(ctx *fasthttp.RequestCtx) (*routing.Request, int, error) {
-	var id, customer, timeout string
-	plan := f.names.DefaultPlan
-	r := &routing.Request{Reply: make(protocol.Answers, 1), Width: f.doors}
+func (f *Front) request(ctx *fasthttp.RequestCtx) (r *routing.Request, id string, status int, err error) {
+	singles := [...]string{f.names.CustomerHeader, f.names.PlanHeader, "X-Request-ID", "X-Timeout"}
+	var got [len(singles)]string
+	var seen [len(singles)]bool
+	twice := ""
 	call := protocol.NewCall(ctx, func(key, value []byte) {
-		switch name := string(key); {
-		case strings.EqualFold(name, f.names.CustomerHeader):
-			customer = string(value)
-		case strings.EqualFold(name, f.names.PlanHeader):
-			plan = string(value)
-		case strings.EqualFold(name, "X-Request-ID"):
-			id = string(value)
-		case strings.EqualFold(name, "X-Timeout"):
-			timeout = string(value)
+		for i, name := range singles {
+			if strings.EqualFold(string(key), name) {
+				if seen[i] {
+					twice = name
+				}
+				got[i], seen[i] = string(value), true
+			}
 		}
 	})
+	customer, plan, id := got[0], got[1], got[2]
+	if !seen[1] {
+		plan = f.names.DefaultPlan
+	}
+	fail := func(status int, format string, args ...any) (*routing.Request, string, int, error) {
+		return nil, "", status, fmt.Errorf(format, args...)
+	}
+	most, sold := f.plans[plan]
 	d, uri := f.current.Load(), string(ctx.Request.Header.RequestURI())
 	op, err := d.Find(string(ctx.Method()), uri)
 	switch {
 	case errors.Is(err, routers.ErrMethodNotAllowed):
 		ctx.Response.Header.Set("Allow", strings.Join(d.Allowed(uri), ", "))
-		return nil, fasthttp.StatusMethodNotAllowed, errors.New("the description has no such method here")
+		return fail(fasthttp.StatusMethodNotAllowed, "the description has no such method here")
 	case err != nil || op == nil:
-		return nil, fasthttp.StatusNotFound, errors.New("the description has no such path")
+		return fail(fasthttp.StatusNotFound, "the description has no such path")
+	case twice != "":
+		return fail(fasthttp.StatusBadRequest, "%s: more than one", twice)
 	case customer == "":
 		ctx.Response.Header.Set("WWW-Authenticate", "ApiKey header="+f.names.CustomerHeader)
-		return nil, fasthttp.StatusUnauthorized, fmt.Errorf("%s is missing", f.names.CustomerHeader)
-	case !f.plans[plan]:
-		return nil, fasthttp.StatusBadRequest, fmt.Errorf("%s: unknown plan %q", f.names.PlanHeader, plan)
+		return fail(fasthttp.StatusUnauthorized, "%s is missing", f.names.CustomerHeader)
+	case !sold:
+		return fail(fasthttp.StatusBadRequest, "%s: unknown plan %q", f.names.PlanHeader, plan)
+	case op.Units > most:
+		return fail(fasthttp.StatusForbidden, "the operation costs %v units, the plan %s allows %v", op.Units, plan, most)
+	case len(id) > protocol.MaxID:
+		return fail(fasthttp.StatusBadRequest, "X-Request-ID: longer than %d bytes", protocol.MaxID)
 	}
-	limit := op.Timeout
-	if timeout != "" {
-		s, err := strconv.ParseFloat(timeout, 64)
-		if err != nil || !(s > 0) || s > 3600 {
-			return nil, fasthttp.StatusBadRequest, fmt.Errorf("X-Timeout: not a time in seconds: %q", timeout)
-		}
-		limit = min(limit, time.Duration(s*float64(time.Second)))
+	limit, err := protocol.Timeout(got[3], op.Timeout)
+	if err != nil {
+		return fail(fasthttp.StatusBadRequest, "X-Timeout: %w", err)
 	}
 	if id == "" {
-		call.AddHeader("X-Request-ID", fmt.Sprintf("%016x", rand.Uint64()))
+		id = fmt.Sprintf("%016x", rand.Uint64())
+		call.AddHeader("X-Request-ID", id)
 	}
 	call.Transparent = true
-	r.Call, r.Class, r.Units, r.Plan = call, op.Class, op.Units, plan
-	r.Customer, r.Deadline = customerKey(customer), f.Now()+limit
-	return r, 0, nil
+	return &routing.Request{Reply: make(protocol.Answers, 1), Call: call, Class: op.Class, Units: op.Units, Plan: plan,
+		Width: f.doors, Customer: customerKey(customer), Deadline: f.Now() + limit}, id, 0, nil
 }
 
 // customerKey is a customer's key on the counter, the same at all gateways and
--- a/internal/protocol/openapi/front_test.go
+++ b/internal/protocol/openapi/front_test.go
@@ -415,3 +415,30 @@
 		server2 expect closed
 		server3 expect nothing`)
 }
+
+// What the platform's front turns away before the core hears of it, this front
+// does too.
+func TestBadClients(t *testing.T) {
+	scene(t, `
+		client1 send "POST /v1/nominations HTTP/1.1\r\n${headers}Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n$submit"
+		client1 expect "HTTP/1.1 400 "
+		client1 expect closed
+		client2 send "POST /v1/nominations HTTP/1.1\r\n${headers}Content-Length: -4\r\n\r\n"
+		client2 expect "HTTP/1.1 400 "
+		client2 expect closed
+		client3 send "POST /v1/nominations HTTP/1.1\r\n${headers}x-api-key: other\r\nContent-Length: 0\r\n\r\n"
+		client3 expect "HTTP/1.1 400 "
+		client3 expect "X-Api-Key: more than one"
+		client3 send "POST /v1/nominations HTTP/1.1\r\n${headers}X-Timeout: inf\r\nContent-Length: 0\r\n\r\n"
+		client3 expect "X-Timeout: not a time"
+		server1 expect nothing
+		client3 send "POST /v1/nominations HTTP/1.1\r\n${headers}X-Request-ID: same\r\nContent-Length: 1\r\n\r\na"
+		server1 expect "\r\n\r\na"
+		client4 send "POST /v1/nominations HTTP/1.1\r\n${headers}X-Request-ID: same\r\nContent-Length: 1\r\n\r\nb"
+		client4 expect "HTTP/1.1 409 "
+		server2 expect nothing
+		server1 send "$ok"
+		client3 expect "\r\n\r\nhello"
+		client5 send "POST /v1/nominations HTTP/1.1\r\n${headers}"
+		client5 expect closed`)
+}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -13,8 +13,9 @@
 )
 
 // Listener accepts clients' connections, at most so many at once. At the cap it
-// closes those idle the longest, and with none idle it waits before it reads the
-// next: a connection must not be ended with a request that has no answer.
+// closes one that no answer is owed on (expendable tells which first), and with
+// none it waits before it reads the next: a connection must not be ended with a
+// request that has no answer.
 type Listener struct {
 	net.Listener
 	most int
@@ -54,8 +55,10 @@
 		gone: make(chan struct{}), since: time.Now()}
 	l.mu.Lock()
 	for len(l.open) >= l.most {
-		if !l.closeIdle() {
+		if !l.makeRoom() { // what is half sent now may be overdue in a moment
+			again := time.AfterFunc(acceptPause, l.room.Broadcast)
 			l.room.Wait()
+			again.Stop()
 		}
 	}
 	l.open[c] = struct{}{}
@@ -64,28 +67,67 @@
 	return c, nil
 }
 
-// closeIdle closes the connection that has been idle the longest, if any is.
-func (l *Listener) closeIdle() bool {
-	var oldest *ClientConn
+// hasten is how long a client that holds a connection without a whole request,
+// or after its last answer, is left alone while others want one.
+const hasten = 200 * time.Millisecond
+
+// makeRoom closes the connection that is missed least, and among such the one
+// that has been so the longest.
+func (l *Listener) makeRoom() bool {
+	var worst *ClientConn
+	rank, now := kept, time.Now()
 	for c := range l.open {
-		if !c.busy && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if r := c.expendable(now); r < rank || r == rank && worst != nil && c.since.Before(worst.since) {
+			worst, rank = c, r
 		}
 	}
-	if oldest == nil {
+	if worst == nil {
 		return false
 	}
-	oldest.drop()
+	worst.busy = false // at once, with nothing to linger for
+	worst.drop()
+	worst.remove()
 	return true
 }
 
+// What connections are missed least, in this order.
+const (
+	answered int = iota // its last answer has had its time
+	silent              // it has never asked for anything
+	half                // its request does not get finished
+	idle                // it has been served, and may ask again
+	kept
+)
+
+// expendable ranks a connection, under the list's lock.
+func (c *ClientConn) expendable(now time.Time) int {
+	waits := now.Sub(c.since)
+	switch {
+	case c.closed:
+		if waits > hasten {
+			return answered
+		}
+	case c.serving:
+	case !c.busy && !c.served:
+		return silent
+	case !c.busy:
+		return idle
+	case waits > hasten:
+		return half
+	}
+	return kept
+}
+
 // Drain closes the connections that are idle, and each other once it is, and
 // returns how many are open.
 func (l *Listener) Drain() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.last = true
-	for l.closeIdle() {
+	for c := range l.open {
+		if !c.busy {
+			c.drop()
+		}
 	}
 	return len(l.open)
 }
@@ -116,9 +158,10 @@
 	deadline time.Time
 
 	// Under list.mu. While busy, a request has begun to come and its answer has
-	// not gone out; unread says that the pump holds bytes nobody has asked for.
-	busy, unread, closed bool
-	since                time.Time
+	// not gone out; while serving, it has come whole. unread says that the pump
+	// holds bytes nobody has asked for. since is when it came to this.
+	busy, unread, serving, served, closed bool
+	since                                 time.Time
 }
 
 func (c *ClientConn) pump() {
@@ -127,7 +170,9 @@
 		n, err := c.Conn.Read(buf)
 		if n > 0 {
 			c.list.mu.Lock()
-			c.busy, c.unread = true, true
+			if c.unread = true; !c.busy {
+				c.busy, c.since = true, time.Now()
+			}
 			c.list.mu.Unlock()
 			select {
 			case c.data <- buf[:n]:
@@ -154,16 +199,21 @@
 	}
 }
 
-// lingerFor is how long a client may go on sending after its last answer.
-const lingerFor = time.Second
+// How long a client may go on sending after its last answer, and how much of it
+// is read: the rest would cost time and serve nobody.
+const (
+	lingerFor  = time.Second
+	lingerMost = 2 << 20
+)
 
 // linger reads what still comes on a connection that has been answered for the
 // last time, and drops it. Closing at once would reset the connection, and the
 // client might lose the answer that is under way to it: that its request is too
 // large, for one, while it is still sending.
 func (c *ClientConn) linger(buf []byte) {
-	for {
-		if _, err := c.Conn.Read(buf); err != nil {
+	for most := lingerMost; ; {
+		n, err := c.Conn.Read(buf)
+		if most -= n; err != nil || most < 0 {
 			c.list.mu.Lock()
 			c.remove()
 			c.list.mu.Unlock()
@@ -230,6 +280,7 @@
 func (c *ClientConn) Idle() {
 	c.list.mu.Lock()
 	defer c.list.mu.Unlock()
+	c.serving, c.served = false, true
 	if c.busy, c.since = c.unread, time.Now(); !c.busy {
 		if c.list.room.Signal(); c.list.last { // it may go to make room
 			c.drop()
@@ -237,13 +288,20 @@
 	}
 }
 
+// serve tells that a whole request has come.
+func (c *ClientConn) serve() {
+	c.list.mu.Lock()
+	defer c.list.mu.Unlock()
+	c.serving, c.since = true, time.Now()
+}
+
 // drop closes the connection under the list's lock. It counts as open for as
 // long as it lingers.
 func (c *ClientConn) drop() {
 	if c.closed {
 		return
 	}
-	c.closed = true
+	c.closed, c.serving, c.since = true, false, time.Now()
 	ended := c.err != nil
 	c.fail(net.ErrClosed)
 	if half, ok := c.Conn.(*net.TCPConn); ok && c.busy && !ended {
@@ -269,27 +327,52 @@
 	return nil
 }
 
+// The time that clients have. A request has to come whole within the first,
+// counted from its first byte, or from connecting if it is the first. A
+// connection without a request is closed after the second.
+const (
+	requestTime = 2 * time.Second
+	idleTime    = 3 * time.Second
+	answerTime  = 5 * time.Second // to take an answer
+)
+
 // NewServer returns a listener's HTTP server. It passes on what clients send as
 // they wrote it, and takes bodies up to maxBody.
 func NewServer(handler fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       handler,
+		Handler:                       guard(handler),
 		ErrorHandler:                  malformed,
 		Logger:                        quiet{},
 		MaxRequestBodySize:            maxBody,
 		ReadBufferSize:                8192,
-		ReadTimeout:                   10 * time.Second,
-		IdleTimeout:                   75 * time.Second,
-		WriteTimeout:                  10 * time.Second,
+		ReadTimeout:                   requestTime,
+		IdleTimeout:                   idleTime,
+		WriteTimeout:                  answerTime,
 		DisableHeaderNamesNormalizing: true,
 		DisablePreParseMultipartForm:  true,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
-		ConnState:                     idle,
+		ConnState:                     answeredOne,
+	}
+}
+
+// guard turns away what another reader of the same bytes could take for
+// something else, and marks the connection as one that an answer is owed on.
+func guard(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if c, ok := ctx.Conn().(*ClientConn); ok {
+			c.serve()
+		}
+		if TwoLengths(ctx.Request.Header.RawHeaders()) {
+			ctx.Error("Content-Length and Transfer-Encoding\n", fasthttp.StatusBadRequest)
+			ctx.SetConnectionClose()
+			return
+		}
+		handler(ctx)
 	}
 }
 
-func idle(nc net.Conn, s fasthttp.ConnState) {
+func answeredOne(nc net.Conn, s fasthttp.ConnState) {
 	if c, ok := nc.(*ClientConn); ok && s == fasthttp.StateIdle {
 		c.Idle()
 	}
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -134,3 +135,81 @@
 		client1 send "Host: h\r\n\r\n"
 		client1 expect "at /c"`)
 }
+
+// Hundreds of clients that say nothing, or never finish what they began, must
+// not keep others out, and none of them keeps its connection.
+func TestClientsThatOnlyHoldConnections(t *testing.T) {
+	for name, sends := range map[string]string{"silent": "", "half a head": "GET / HTTP/1.1\r\nHost:",
+		"half a body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, stage := serve(t, 10, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("fine") })
+			var held []net.Conn
+			for range 200 {
+				c, err := net.Dial("tcp", ln.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.Write([]byte(sends))
+				held = append(held, c)
+			}
+			stage.Play(t, `
+				client1 send "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+				client1 expect "fine"`)
+			for _, c := range held {
+				c.SetReadDeadline(time.Now().Add(scenario.Patience))
+				if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Fatal("still open")
+				}
+			}
+		})
+	}
+	// What they get in the worst case.
+	if s := NewServer(nil, 0); s.ReadTimeout > 2500*time.Millisecond || s.IdleTimeout > 5*time.Second {
+		t.Errorf("%v for a request, %v without one", s.ReadTimeout, s.IdleTimeout)
+	}
+}
+
+// Which connection goes first, where there are too many.
+func TestExpendable(t *testing.T) {
+	now := time.Now()
+	long, short := now.Add(-time.Minute), now.Add(-time.Millisecond)
+	for name, tc := range map[string]struct {
+		conn ClientConn
+		want int
+	}{
+		"answered for the last time":  {ClientConn{closed: true, busy: true, since: long}, answered},
+		"the answer is under way":     {ClientConn{closed: true, busy: true, since: short}, kept},
+		"silent":                      {ClientConn{since: short}, silent},
+		"half a request":              {ClientConn{busy: true, since: long}, half},
+		"half a request, a moment":    {ClientConn{busy: true, since: short}, kept},
+		"half its second request":     {ClientConn{busy: true, served: true, since: long}, half},
+		"served and idle":             {ClientConn{served: true, since: long}, idle},
+		"its request is being served": {ClientConn{busy: true, serving: true, since: long}, kept},
+	} {
+		if got := tc.conn.expendable(now); got != tc.want {
+			t.Errorf("%s: rank %d, want %d", name, got, tc.want)
+		}
+	}
+}
+
+// A head with two lengths hides another request from whoever reads by the other
+// one. Neither is served.
+func TestTwoLengths(t *testing.T) {
+	served := make(chan string, 10)
+	_, stage := serve(t, 2, func(ctx *fasthttp.RequestCtx) { served <- string(ctx.Path()) })
+	stage.Play(t, `
+		client1 send "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+		client1 expect "HTTP/1.1 400 "
+		client1 expect closed
+		client2 send "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nxx"
+		client2 expect "HTTP/1.1 400 "
+		client2 expect closed
+		client3 send "POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"
+		client3 expect "HTTP/1.1 400 "
+		client3 expect closed`)
+	if len(served) > 0 {
+		t.Errorf("served %s", <-served)
+	}
+}
