Forget servers that have left as soon as nothing is under way there

An entry now holds all its actors, and goes when the last has ended.

Looked for in vain: requests written to connections that servers had closed as idle. A log of each break shows that nearly all are resets by the other side while the request came, on connections idle for 5 to 800 ms.

--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,15 +28,21 @@
 	servers map[uint32]*server
 }
 
+// server is one that the list names, or has named: as long as something is under
+// way there, it can still be cancelled.
 type server struct {
-	addr string
-	peer *transport.Peer[routing.Attempt]
-	gone time.Time // removed from the list then; 0: on it
+	addr  string
+	peer  *transport.Peer[routing.Attempt]   // takes what is new; nil: off the list
+	peers []*transport.Peer[routing.Attempt] // all that may have something under way
 }
 
-// lingers is how long a server that has left the list can still be named, by a
-// cancel: longer than any request lasts.
-const lingers = 10 * time.Minute
+// leave lets the actor end with what it has under way.
+func (s *server) leave() {
+	if s.peer != nil {
+		s.peer.Stop()
+		s.peer = nil
+	}
+}
 
 // NewFleet returns a fleet without servers.
 func NewFleet(opt transport.PeerOptions, reports bool) *Fleet {
@@ -50,42 +57,38 @@
 		if m.State == choice.Down {
 			continue
 		}
-		if named[m.ID] = true; s != nil && s.gone.IsZero() && s.addr == m.Addr {
+		named[m.ID] = true
+		if s == nil {
+			s = &server{}
+			f.servers[m.ID] = s
+		} else if s.peer != nil && s.addr == m.Addr {
 			continue
 		}
-		if s != nil {
-			s.peer.Stop()
-		}
+		s.leave()
 		id := m.ID
-		peer := transport.NewPeer(m.Addr, f.opt, func(r transport.Result[routing.Attempt]) { f.ended(id, r) })
-		f.servers[id] = &server{addr: m.Addr, peer: peer}
+		s.addr = m.Addr
+		s.peer = transport.NewPeer(m.Addr, f.opt, func(r transport.Result[routing.Attempt]) { f.ended(id, r) })
+		s.peers = append(s.peers, s.peer)
 	}
 	for _, m := range news.Members {
-		if m.State == choice.Down && !named[m.ID] {
-			f.remove(m.ID)
+		if s := f.servers[m.ID]; m.State == choice.Down && s != nil && !named[m.ID] {
+			s.leave()
 		}
 	}
 	for id, s := range f.servers {
 		if news.Whole && !named[id] {
-			f.remove(id)
+			s.leave()
 		}
-		if !s.gone.IsZero() && time.Since(s.gone) > lingers {
+		s.peers = slices.DeleteFunc(s.peers, func(p *transport.Peer[routing.Attempt]) bool { return p.Ended() })
+		if s.peer == nil && len(s.peers) == 0 {
 			delete(f.servers, id)
 		}
 	}
 }
 
-// remove lets a server's actor end with what it has under way.
-func (f *Fleet) remove(id uint32) {
-	if s := f.servers[id]; s != nil && s.gone.IsZero() {
-		s.gone = time.Now()
-		s.peer.Stop()
-	}
-}
-
 // Send begins an attempt.
 func (f *Fleet) Send(id uint32, a routing.Attempt, call any, left time.Duration) {
-	if s := f.servers[id]; s != nil && s.gone.IsZero() {
+	if s := f.servers[id]; s != nil && s.peer != nil {
 		s.peer.Send(a, call.(*Call).wire(left), call)
 		return
 	}
@@ -98,7 +101,7 @@
 	if f.reports {
 		path = "/-/load"
 	}
-	if s := f.servers[id]; s != nil && s.gone.IsZero() {
+	if s := f.servers[id]; s != nil && s.peer != nil {
 		s.peer.Send(a, []byte("GET "+path+" HTTP/1.1\r\nHost: "+s.addr+"\r\n\r\n"), nil)
 		return
 	}
@@ -108,7 +111,9 @@
 // Cancel gives an attempt or a probe up.
 func (f *Fleet) Cancel(id uint32, a routing.Attempt) {
 	if s := f.servers[id]; s != nil {
-		s.peer.Cancel(a)
+		for _, p := range s.peers {
+			p.Cancel(a)
+		}
 	}
 }
 
--- a/internal/protocol/fleet_test.go
+++ b/internal/protocol/fleet_test.go
@@ -169,3 +169,38 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// What leaves the list is forgotten once nothing is under way there, and until
+// then it can be cancelled, also where the server has moved.
+func TestServersAreForgotten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	f := NewFleet(transport.PeerOptions{Connect: time.Minute, Idle: time.Minute, Sockets: transport.NewSockets(3)}, false)
+	f.Ends = make(ends, 10)
+	list := func(id uint32, addr string, s choice.State) routing.News {
+		return routing.News{Members: []routing.Member{{Addr: addr, Member: choice.Member{ID: id, State: s}}}}
+	}
+	f.Update(list(7, ln.Addr().String(), choice.Up))
+	f.Send(7, routing.Attempt{ID: 1}, &Call{head: []byte("GET / HTTP/1.1\r\n")}, time.Minute)
+	stage := scenario.Stage{Accept: map[string]net.Listener{"server": ln}, Close: map[string]func(){
+		"moved":  func() { f.Update(list(7, "127.0.0.1:1", choice.Up)) },
+		"cancel": func() { f.Cancel(7, routing.Attempt{ID: 1}) }}}
+	stage.Play(t, `
+		server1 expect "\r\n\r\n"
+		moved close
+		server1 expect nothing
+		cancel close
+		server1 expect closed`)
+	for i := range uint32(100) {
+		f.Update(list(8+i, "127.0.0.1:1", choice.Up))
+		f.Update(list(8+i, "", choice.Down))
+	}
+	for end := time.Now().Add(scenario.Patience); len(f.servers) > 1 || len(f.servers[7].peers) > 1; {
+		if f.Update(routing.News{}); time.Now().After(end) {
+			t.Fatalf("%d servers, %d actors of the one on the list", len(f.servers), len(f.servers[7].peers))
+		}
+	}
+}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -332,7 +332,7 @@
 // connection without a request is closed after the second.
 const (
 	requestTime = 2 * time.Second
-	idleTime    = 3 * time.Second
+	idleTime    = 2 * time.Second
 	answerTime  = 5 * time.Second // to take an answer
 )
 
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -3,6 +3,7 @@
 import (
 	"log"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -50,6 +51,7 @@
 	waiting []*order[K] // for a connection, the oldest first
 	dialing int
 	stopped bool
+	ended   atomic.Bool
 }
 
 type link[K comparable] struct {
@@ -102,7 +104,11 @@
 // Stop ends the actor once nothing is under way.
 func (p *Peer[K]) Stop() { p.box.Put(stop{}) }
 
+// Ended reports whether a stopped actor has ended. Nothing is under way then.
+func (p *Peer[K]) Ended() bool { return p.ended.Load() }
+
 func (p *Peer[K]) run() {
+	defer p.ended.Store(true)
 	for !p.stopped || len(p.busy) > 0 || len(p.waiting) > 0 || p.dialing > 0 {
 		for _, m := range p.box.Take(p.age()) {
 			switch m := m.(type) {
