Leave reports without load out of the choice, and start unseen customers with a share

Checked what the gateway believes of load and health against the sockets: - The deployment's probes report svc_ms and served_ps only. settings.Load made that a report with a queue of 0, and for a second expect took the server for empty whatever this gateway had seen of it. Such a report is none now. An unseen customer got its whole burst where the counter could not be asked just then (customer looked for a silence only); the design gives it its even share until the first count.

--- a/choice/api.go
+++ b/choice/api.go
@@ -140,7 +140,7 @@
 // Status is how an attempt, a probe or a counter call ended.
 type Status int
 
-// The statuses. Full, ConnectFailed and Moot prove that nothing ran.
+// The statuses. Full, ConnectFailed and Moot prove that nothing ran; a probe that ends as Moot proves nothing at all.
 const (
 	OK Status = iota
 	Error
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -293,7 +293,7 @@
 	room, age := p.Burst-(c.tat-now).Seconds()*p.Rate, now-c.readAt
 	metered := b.set.Counter && c.width > 1 && p.Rate > 0 && share > 0.5 && !b.silent(now)
 	fresh := age <= b.set.CounterTimeout/4 || room-r.Units >= max(p.Burst/2, 2*p.Rate*age.Seconds())
-	if metered && pass && (c.readAt == 0 || !fresh) {
+	if metered && (c.readAt == 0 || pass && !fresh) {
 		// While calls are scarce, few for a customer whose store was empty at the last reads.
 		if r.pays = r.pays && (b.floor == 0 || b.rng.Float64() < 1/(1+c.over)); r.pays && b.callable(now) {
 			if c.queue = append(c.queue, r); c.call == "" {
@@ -485,7 +485,7 @@
 	c := b.customers[r.Customer]
 	if c == nil {
 		c = &customer{key: r.Customer, plan: r.plan, width: r.Width, roomAt: b.started, assumeAt: now}
-		if c.tat = now; r.plan.Rate > 0 && (!b.set.Counter || b.silent(now)) {
+		if c.tat = now; r.plan.Rate > 0 {
 			free := min(max(r.plan.Burst/float64(r.Width), b.set.MaxUnits, 1), r.plan.Burst)
 			c.tat = now + r.plan.span(r.plan.Burst-free)
 		}
@@ -969,7 +969,9 @@
 	if be == nil {
 		return
 	}
-	be.probing = false
+	if be.probing = false; e.Status == Moot { // spoilt: it lives, and tells nothing of itself
+		return
+	}
 	be.until = 0
 	if e.Status != OK {
 		b.eject(now, be)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -173,3 +173,14 @@
 		t.Errorf("%d refusals carry %d different waits", len(rec.refused), len(waits))
 	}
 }
+
+// A probe's answer that can't be read comes from a server that lives. It is not left out for that, nor taken for well.
+func TestSpoiltProbe(t *testing.T) {
+	b, _ := start(t, func(s *Settings) { s.Probes = true })
+	be := b.byID[1]
+	be.probing = true
+	b.Probed(time.Second, Probed{Backend: 1, Status: Moot})
+	if be.probing || be.until != 0 || be.looked != 0 || be.strikes != 0 {
+		t.Errorf("probing %v, left out until %v, looked %v, strikes %d", be.probing, be.until, be.looked, be.strikes)
+	}
+}
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -56,6 +56,11 @@
 	if got := flood(b, rec, 1, 20, "rated", 1, 2, 0); got != 5 {
 		t.Errorf("%d passed, want burst / width = 5", got)
 	}
+	b, rec = start(t, nil) // nor may more pass while the counter can't be asked
+	b.fails, b.callAfter = 1, time.Hour
+	if got := flood(b, rec, 1, 20, "rated", 1, 2, 0); got != 5 {
+		t.Errorf("%d passed unasked, want burst / width = 5", got)
+	}
 }
 
 func TestSettlementMovesTATBothWays(t *testing.T) {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -124,6 +124,9 @@
 		if r.End != transport.NotSent {
 			status = outcome(r.End, r.Answer, false)
 		}
+		if r.End == transport.Spoilt {
+			status = choice.Moot // it tells nothing
+		}
 		if r.Answer != nil {
 			if status == choice.OK && f.reports {
 				load = report(r.Answer.Body())
@@ -157,6 +160,8 @@
 		return choice.ConnectFailed
 	case transport.Broken:
 		return choice.Reset
+	case transport.Spoilt: // whoever sent that is there
+		return choice.Error
 	}
 	status := answer.StatusCode()
 	switch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,15 +131,16 @@
 	return s, nil
 }
 
-// Load picks the module's figures out of a load report.
+// Load picks the module's figures out of a load report. One that has none of
+// them says nothing of load: taken for a queue of 0 it would hide a crowd.
 func Load(report map[string]float64) *choice.Load {
-	if len(report) == 0 {
-		return nil
-	}
 	var l choice.Load
 	l.InFlight, l.HasInFlight = report["busy_reqs"]
 	l.Queue, l.HasQueue = report["pending"]
 	l.Util, l.HasUtil = report["cpu_share"]
+	if !l.HasInFlight && !l.HasQueue && !l.HasUtil {
+		return nil
+	}
 	return &l
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -116,8 +118,8 @@
 		if err := c.clear(); err != nil {
 			return false, err
 		}
-		if err := resp.Header.Read(c.br); err != nil {
-			return false, err
+		if err := resp.Header.Read(c.br); err != nil { // it has come whole
+			return false, fmt.Errorf("%w: %w", errSpoilt, err)
 		}
 		s := resp.StatusCode()
 		if s >= 200 {
@@ -136,23 +138,31 @@
 	if length == -2 { // up to the connection's end: one that breaks would look whole
 		return false, errSpoilt
 	}
-	if err := resp.ReadBody(c.br, MaxAnswer); err != nil {
-		return false, err
+	err = resp.ReadBody(c.br, MaxAnswer)
+	if err == nil && length == -1 {
+		err = resp.Header.ReadTrailer(c.br)
 	}
-	if length == -1 {
-		if err := resp.Header.ReadTrailer(c.br); err != nil {
-			return false, err
-		}
+	if err != nil {
+		return false, spoilt(err)
 	}
 	return c.br.Buffered() > 0, nil
 }
 
+// spoilt tells what a connection brought from how it ended.
+func spoilt(err error) error {
+	var broken net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errSpoilt, err)
+}
+
 // clear waits for the next head, and reports one that tells two lengths: the
 // library would follow one of them.
 func (c *Conn) clear() error {
 	for n := 1; ; n = c.br.Buffered() + 1 {
 		if _, err := c.br.Peek(n); err != nil {
-			return err
+			return spoilt(err)
 		}
 		seen, _ := c.br.Peek(c.br.Buffered())
 		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"log"
 	"slices"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	Answered End = iota
 	NotSent      // the last byte was never written: it can't have run
 	Broken       // the connection ended after that: it may have run
+	Spoilt       // what came is no answer: it may have run
 )
 
 // Result is the end of the exchange that Key names. The answer belongs to
@@ -246,6 +248,8 @@
 	}
 	switch {
 	case o == nil:
+	case errors.Is(m.err, errSpoilt):
+		p.done(Result[K]{o.key, o.note, Spoilt, nil})
 	case m.err != nil:
 		p.done(Result[K]{o.key, o.note, Broken, nil})
 	default:
