--- a/choice/choice.go
+++ b/choice/choice.go
@@ -563,7 +563,7 @@
 	if b.fails == 0 {
 		b.silentAt = now
 	}
-	if failed {
+	if failed && now >= b.callAfter { // calls made side by side fail as one
 		b.callAfter = now + b.set.CounterTimeout<<min(b.fails, 5)
 		b.fails++
 	}
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -281,3 +281,24 @@
 		t.Errorf("silent %v, callable %v, floor %v", b.silent(now), b.callable(now), b.floor)
 	}
 }
+
+// One connection that falls silent takes all its calls along. That is one failure, not a silence of the counter.
+func TestCallsFailTogether(t *testing.T) {
+	b, rec := start(t, nil)
+	now := 10 * time.Second
+	for i := range uint32(20) {
+		q := ask(1+i, "read", "rated", now)
+		q.Width, q.Customer = 2, string(rune('a'+i))
+		b.Request(now, q)
+	}
+	if len(rec.counts) != 20 {
+		t.Fatalf("%d calls", len(rec.counts))
+	}
+	now += b.set.CounterTimeout
+	for _, c := range slices.Clone(rec.counts) {
+		b.Counted(now, Counted{Name: c.name, Status: Timeout, Elapsed: b.set.CounterTimeout})
+	}
+	if now += b.set.CounterTimeout; !b.callable(now) {
+		t.Errorf("the counter may not be called before %v, it is %v", b.callAfter, now)
+	}
+}
--- a/internal/protocol/counter.go
+++ b/internal/protocol/counter.go
@@ -76,7 +76,7 @@
 )
 
 const (
-	deadAfter = time.Second     // a connection silent for so long while calls wait is given up
+	deadAfter = 4               // time limits of a call: a connection silent for so long while calls wait is given up
 	pingAfter = 2 * time.Second // the counter closes idle connections, and a call that crosses that is lost
 	maxLife   = time.Minute
 )
@@ -137,7 +137,7 @@
 	}
 	for _, l := range c.lines() {
 		if len(l.calls) > 0 {
-			if dead := l.heard.Add(deadAfter); dead.Before(next) {
+			if dead := l.heard.Add(deadAfter * c.limit); dead.Before(next) {
 				next = dead
 			}
 		}
@@ -398,7 +398,7 @@
 			c.end(k, choice.Timeout, 0)
 		}
 		switch idle := now.Sub(l.heard); {
-		case len(l.calls) > 0 && idle >= deadAfter:
+		case len(l.calls) > 0 && idle >= deadAfter*c.limit:
 			log.Printf("event=counter what=%q calls=%d", "silent, connecting anew", len(l.calls))
 			c.drop(l, l.fresh, choice.Timeout)
 		case len(l.calls) == 0 && idle >= pingAfter:
--- a/internal/protocol/counter_test.go
+++ b/internal/protocol/counter_test.go
@@ -233,3 +233,19 @@
 		t.Error(d)
 	}
 }
+
+// A connection that falls silent holds calls up for a few time limits, not longer:
+// meanwhile customers are let in unmetered. Until then its late answers count.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	here, _ := net.Pipe()
+	now := time.Now()
+	c := &Counter{limit: 50 * time.Millisecond, told: func(string, choice.Status, float64) {}}
+	c.line = &line{nc: here, heard: now}
+	c.line.calls = []*count{{name: "a", until: now.Add(c.limit)}}
+	if c.expire(now.Add(150 * time.Millisecond)); c.line == nil || !c.line.calls[0].ended {
+		t.Error("given up too soon, or the call is still open")
+	}
+	if c.expire(now.Add(250 * time.Millisecond)); c.line != nil {
+		t.Error("still in use")
+	}
+}
