--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -92,8 +92,9 @@
 		set.Classes = openapi.Twins(set.Classes)
 	}
 	now := clock()
+	sockets := transport.NewSockets(servers)
 	fleet := protocol.NewFleet(transport.PeerOptions{Connect: orDefault(set.ConnectTimeout, time.Second),
-		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: transport.NewSockets(servers)}, set.Reports)
+		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: sockets}, set.Reports)
 	hands := routing.Hands{Fleet: fleet}
 	var counter *protocol.Counter
 	var core *routing.Core
@@ -154,7 +155,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case <-totals.C:
-			report(core.Stats(), listeners)
+			report(core.Stats(), listeners, sockets)
 		case <-told.Hup:
 			next, err := told.Reread()
 			if err != nil {
@@ -175,7 +176,7 @@
 			if last = time.After(5 * time.Millisecond); drain(listeners) > 0 || core.Stats().Open > 0 {
 				continue
 			}
-			report(core.Stats(), listeners)
+			report(core.Stats(), listeners, sockets)
 			return nil
 		}
 	}
@@ -189,14 +190,14 @@
 	return open
 }
 
-func report(s routing.Stats, listeners []*transport.Listener) {
+func report(s routing.Stats, listeners []*transport.Listener, sockets *transport.Sockets) {
 	clients := 0
 	for _, ln := range listeners {
 		clients += ln.Open()
 	}
 	log.Printf("event=totals requests=%d served=%d refused=%d failed=%d gone=%d attempts=%d probes=%d counts=%d "+
-		"outcomes=%v open=%d clients=%d", s.Requests, s.Served, s.Refused, s.Failed, s.Gone, s.Attempts, s.Probes,
-		s.Counts, s.Outcomes, s.Open, clients)
+		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d", s.Requests, s.Served, s.Refused, s.Failed, s.Gone, s.Attempts, s.Probes,
+		s.Counts, s.Outcomes, s.Open, clients, s.Out, sockets.Under(), sockets.Used())
 }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
--- a/internal/protocol/fleet_test.go
+++ b/internal/protocol/fleet_test.go
@@ -173,6 +173,9 @@
 	for sockets.Used() > 0 {
 		time.Sleep(time.Millisecond)
 	}
+	if n := sockets.Under(); n != 0 {
+		t.Errorf("%d exchanges under way, after all have ended", n)
+	}
 }
 
 // What leaves the list is forgotten once nothing is under way there, and until
@@ -190,15 +193,26 @@
 	}
 	f.Update(list(7, ln.Addr().String(), choice.Up))
 	f.Send(7, routing.Attempt{ID: 1}, &Call{head: []byte("GET / HTTP/1.1\r\n")}, time.Minute)
+	under := func(want int) func() {
+		return func() {
+			for end := time.Now().Add(scenario.Patience); f.opt.Sockets.Under() != want; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%d under way, want %d", f.opt.Sockets.Under(), want)
+				}
+			}
+		}
+	}
 	stage := scenario.Stage{Accept: map[string]net.Listener{"server": ln}, Close: map[string]func(){
 		"moved":  func() { f.Update(list(7, "127.0.0.1:1", choice.Up)) },
-		"cancel": func() { f.Cancel(7, routing.Attempt{ID: 1}) }}}
+		"cancel": func() { f.Cancel(7, routing.Attempt{ID: 1}) }, "one": under(1), "none": under(0)}}
 	stage.Play(t, `
 		server1 expect "\r\n\r\n"
 		moved close
 		server1 expect nothing
+		one close
 		cancel close
-		server1 expect closed`)
+		server1 expect closed
+		none close`)
 	for i := range uint32(100) {
 		f.Update(list(8+i, "127.0.0.1:1", choice.Up))
 		f.Update(list(8+i, "", choice.Down))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -86,6 +86,7 @@
 	Attempts, Probes, Counts                int
 	Outcomes                                [choice.Moot + 1]int
 	Open, Ready                             int
+	Out                                     int // attempts and probes under way
 }
 
 // Core is the actor round the module.
@@ -328,6 +329,10 @@
 	if s.Open = len(c.open); c.told || now >= c.trust {
 		s.Ready = len(c.up)
 	}
+	s.Out = len(c.probes)
+	for _, o := range c.open {
+		s.Out += o.out
+	}
 	m <- s
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -19,8 +19,9 @@
 
 // Sockets counts the connections of all peers against a cap.
 type Sockets struct {
-	most int64
-	used atomic.Int64
+	most  int64
+	used  atomic.Int64
+	under atomic.Int64 // exchanges under way, those that wait for a connection included
 }
 
 // NewSockets returns a cap of most connections.
@@ -42,6 +43,9 @@
 // Used is the number of open connections.
 func (s *Sockets) Used() int { return int(s.used.Load()) }
 
+// Under is the number of exchanges under way.
+func (s *Sockets) Under() int { return int(s.under.Load()) }
+
 // The bounds of an answer. Beyond them it is spoilt: it may have run, and what
 // else is on its connection can't be told apart from it.
 const (
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -94,7 +94,8 @@
 // NewPeer starts the actor of the server at addr. It calls done for each
 // exchange that ends by itself; nothing is heard of a cancelled one.
 func NewPeer[K comparable](addr string, opt PeerOptions, done func(Result[K])) *Peer[K] {
-	p := &Peer[K]{addr: addr, opt: opt, box: actor.NewBox[any](), done: done, busy: map[K]*link[K]{}}
+	p := &Peer[K]{addr: addr, opt: opt, box: actor.NewBox[any](), busy: map[K]*link[K]{},
+		done: func(r Result[K]) { opt.Sockets.under.Add(-1); done(r) }}
 	go p.run()
 	return p
 }
@@ -117,6 +118,7 @@
 		for _, m := range p.box.Take(p.age()) {
 			switch m := m.(type) {
 			case order[K]:
+				p.opt.Sockets.under.Add(1)
 				p.send(&m)
 			case cancel[K]:
 				p.cancel(m.key)
@@ -272,6 +274,7 @@
 
 func (p *Peer[K]) cancel(key K) {
 	if l := p.busy[key]; l != nil {
+		p.opt.Sockets.under.Add(-1)
 		delete(p.busy, key)
 		l.under = nil
 		p.close(l)
@@ -279,6 +282,7 @@
 	}
 	for i, o := range p.waiting {
 		if o.key == key { // its connection will serve another
+			p.opt.Sockets.under.Add(-1)
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
 			return
 		}
