Find servers by DNS SRV records, merged with the list by one rule

Other installations name their servers in SRV records. A resolver (miekg/dns for the messages) keeps lifetimes, takes no truncated, cut, forged or malformed answer for a list, and lets an answer that drops much of the list wait for a second one. internal/membership merges SRV, list and saved list: whoever has named a server may take it back, silence takes nothing back. Off on the platform (deploy/srv.json); discovery passes its news to the core as before.

--- /dev/null
+++ b/internal/membership/random_test.go
@@ -0,0 +1,319 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"asterwell/choice"
+)
+
+// oracle is what was said, kept as plainly as can be.
+type oracle struct {
+	list    map[string]string // address by id
+	drains  map[string]bool   // id
+	removed map[string]bool   // addresses that must not be used until they are named again
+	without map[string]time.Duration
+	targets map[string][]string // addresses by target
+}
+
+// names tells whether SRV names an address, or one of another way to the same target.
+func (o *oracle) names(addr string) bool {
+	for _, addrs := range o.targets {
+		if slices.Contains(addrs, addr) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *oracle) listed(addr string) (up, any bool) {
+	for id, a := range o.list {
+		if a == addr {
+			up, any = up || !o.drains[id], true
+		}
+	}
+	return up, any
+}
+
+// together are all addresses of the targets that share some with each other.
+func (o *oracle) together(addrs []string) []string {
+	all := slices.Clone(addrs)
+	for again := true; again; {
+		again = false
+		for _, ways := range o.targets {
+			if !slices.ContainsFunc(ways, func(a string) bool { return slices.Contains(all, a) }) {
+				continue
+			}
+			for _, a := range ways {
+				if !slices.Contains(all, a) {
+					all, again = append(all, a), true
+				}
+			}
+		}
+	}
+	return all
+}
+
+// spread carries a removal to all ways of the targets that lead there.
+func (o *oracle) spread() {
+	for again := true; again; {
+		again = false
+		for _, addrs := range o.targets {
+			claimed := slices.ContainsFunc(o.together(addrs), func(a string) bool { _, any := o.listed(a); return any })
+			if claimed || !slices.ContainsFunc(addrs, func(a string) bool { return o.removed[a] }) {
+				continue
+			}
+			for _, a := range addrs {
+				if !o.removed[a] {
+					o.removed[a], again = true, true
+				}
+			}
+		}
+	}
+}
+
+// Any order of events: what the list drains or has removed is never used, nobody
+// else's withdrawal is ignored, numbers are never used again, repeats change
+// nothing, and tiers leave no more often than the hold allows.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(options)
+		o := &oracle{list: map[string]string{}, drains: map[string]bool{}, removed: map[string]bool{},
+			without: map[string]time.Duration{}, targets: map[string][]string{}}
+		addrs := []string{"1", "2", "3", "4", "5"}
+		began := w.now
+		dead := map[uint32]bool{}
+		left := map[uint32]string{} // numbers of servers that are gone for good
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			switch rapid.SampledFrom([]string{"srv", "srv", "list", "list", "whole", "outcome", "wait", "wait", "stale", "broken"}).Draw(t, "event") {
+			case "srv":
+				o.targets = map[string][]string{}
+				var list []Target
+				for _, name := range []string{"a", "b", "c", "d"} {
+					if !rapid.Bool().Draw(t, name) {
+						continue
+					}
+					ways := rapid.SliceOfNDistinct(rapid.SampledFrom(addrs), 0, 2, rapid.ID[string]).Draw(t, "ways")
+					o.targets[name] = ways
+					list = append(list, Target{Name: name, Port: 1, Weight: 1, Addrs: ways,
+						Priority: rapid.Uint16Range(0, 2).Draw(t, "priority")})
+				}
+				w.Answer(w.now, "x", list, len(list) == 0 && rapid.Bool().Draw(t, "none"))
+			case "list", "whole":
+				whole := rapid.Bool().Draw(t, "whole")
+				var nodes []Listed
+				was := map[string]bool{}
+				for _, a := range o.list {
+					was[a] = true
+				}
+				next := map[string]string{}
+				if !whole {
+					for id, a := range o.list {
+						next[id] = a
+					}
+				}
+				for _, id := range []string{"s", "t", "u"} {
+					if !rapid.Bool().Draw(t, id) {
+						continue
+					}
+					l := Listed{Name: id, Addr: rapid.SampledFrom(addrs).Draw(t, "addr"), Member: choice.Member{Weight: 1}}
+					if used := slices.ContainsFunc(nodes, func(x Listed) bool { return x.Addr == l.Addr && x.State != choice.Down }); used {
+						continue
+					}
+					for other, a := range next { // lists don't name an address twice
+						if other != id && a == l.Addr {
+							l.State = choice.Down
+						}
+					}
+					if l.State = max(l.State, rapid.SampledFrom([]choice.State{choice.Up, choice.Up, choice.Draining, choice.Down}).Draw(t, "state")); l.State == choice.Down {
+						delete(next, id)
+					} else {
+						next[id], o.drains[id] = l.Addr, l.State == choice.Draining
+					}
+					nodes = append(nodes, l)
+				}
+				o.list = next
+				now := map[string]bool{}
+				for _, a := range next {
+					now[a] = true
+					delete(o.removed, a)
+				}
+				for a := range was {
+					if !now[a] {
+						o.removed[a] = true
+					}
+				}
+				w.List(w.now, nodes, whole, false)
+			case "outcome":
+				if len(w.core) > 0 {
+					ids := make([]uint32, 0, len(w.core))
+					for id := range w.core {
+						ids = append(ids, id)
+					}
+					slices.Sort(ids)
+					id := rapid.SampledFrom(ids).Draw(t, "server")
+					ok := rapid.Bool().Draw(t, "ok")
+					for range rapid.IntRange(1, 4).Draw(t, "times") {
+						w.Outcome(w.now, id, ok, rapid.Bool().Draw(t, "refused"))
+					}
+					dead[id] = !ok
+				}
+			case "wait":
+				w.pass(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
+			case "stale":
+				w.Stale(w.now, "x")
+			case "broken":
+				w.ListBroken(w.now)
+			}
+			for _, a := range addrs { // how long SRV has been without what was removed
+				if o.names(a) || !o.removed[a] {
+					delete(o.without, a)
+				} else if _, ok := o.without[a]; !ok {
+					o.without[a] = w.now
+				} else if w.now >= o.without[a]+options.RemovedHold {
+					delete(o.removed, a)
+					delete(o.without, a)
+				}
+			}
+			o.spread()
+			before := map[uint32]Member{}
+			for id, c := range w.core {
+				before[id] = c
+			}
+			w.take()
+			used := map[string]uint32{}
+			for id, c := range w.core {
+				if name, was := left[id]; was && name != c.Name {
+					t.Fatalf("number %d is used again, of %s and now of %s", id, name, c.Name)
+				}
+				if c.State != choice.Up {
+					continue
+				}
+				if used[c.Addr] != 0 {
+					t.Fatalf("%s is used twice", c.Addr)
+				}
+				used[c.Addr] = id
+				up, any := o.listed(c.Addr)
+				switch {
+				case any && !up:
+					t.Fatalf("%s is used, though the list drains it", c.Addr)
+				case !any && o.removed[c.Addr]:
+					t.Fatalf("%s is used, though the list has removed it", c.Addr)
+				case !any && !o.names(c.Addr):
+					t.Fatalf("%s is used, though nobody names it", c.Addr)
+				}
+				for _, other := range o.together([]string{c.Addr}) {
+					if up, drained := o.listed(other); !any && drained && !up {
+						t.Fatalf("%s leads round the drain of %s", c.Addr, other)
+					}
+				}
+			}
+			for id, c := range before {
+				if _, ok := w.core[id]; !ok {
+					left[id] = c.Name
+				}
+			}
+		}
+		if most := int((w.now-began)/options.LeaveHold) + 1; w.stats.Leaves > most {
+			t.Fatalf("%d tiers have left in %v", w.stats.Leaves, w.now-began)
+		}
+		// Repeats change nothing.
+		w.pass(time.Hour)
+		view := fmt.Sprint(w.view())
+		var nodes []Listed
+		for id, a := range o.list {
+			nodes = append(nodes, Listed{Name: id, Addr: a, Member: choice.Member{Weight: 1, State: map[bool]choice.State{true: choice.Draining}[o.drains[id]]}})
+		}
+		w.List(w.now, nodes, true, false)
+		if w.pass(time.Hour); w.view() != view {
+			t.Fatalf("%s, after a repeat %s", view, w.view())
+		}
+	})
+}
+
+// While servers fail and answer in any order, offered tiers change no faster than
+// the hold allows, and never while enough of the first tier lives.
+func TestTiersDoNotFlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(options)
+		var list []Target
+		for i := range 20 {
+			list = append(list, Target{Name: fmt.Sprint(i), Port: 1, Priority: uint16(i / 10), Addrs: []string{fmt.Sprint(i)}})
+		}
+		w.Answer(w.now, "x", list, false)
+		w.take()
+		began := w.now
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			w.pass(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			addr := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "server"))
+			ok := rapid.Bool().Draw(t, "ok")
+			for id, c := range w.core {
+				for range 3 {
+					if c.Addr == addr {
+						w.Outcome(w.now, id, ok, false)
+					}
+				}
+			}
+			w.take()
+			live := 0
+			for _, n := range w.byNum {
+				if n.meta.Priority == 0 && !n.dead {
+					live++
+				}
+			}
+			if live < 7 && w.upTo == 0 {
+				t.Fatalf("%d of 10 live, and the next tier is not offered", live)
+			}
+		}
+		s := w.Stats()
+		if most := int((w.now-began)/options.LeaveHold) + 1; s.Joins > most || s.Leaves > most {
+			t.Fatalf("%d joins and %d leaves in %v", s.Joins, s.Leaves, w.now-began)
+		}
+	})
+}
+
+// 5,000 SRV targets and 1,000 servers of the list.
+func BenchmarkApply(b *testing.B) {
+	var list []Target
+	var nodes []Listed
+	for i := range 5000 {
+		list = append(list, Target{Name: fmt.Sprint(i, "."), Port: 1, Weight: 1, Addrs: []string{fmt.Sprint("10.0.", i/250, ".", i%250, ":1")}})
+	}
+	for i := range 1000 {
+		nodes = append(nodes, Listed{Name: fmt.Sprint("s", i), Addr: list[i].Addrs[0], Member: choice.Member{Weight: 1}})
+	}
+	b.Run("whole", func(b *testing.B) {
+		for b.Loop() {
+			m := New(options)
+			m.List(0, nodes, true, false)
+			m.Answer(0, "a", list, false)
+			m.Take(0)
+		}
+	})
+	b.Run("repeat", func(b *testing.B) {
+		m := New(options)
+		m.List(0, nodes, true, false)
+		for b.Loop() {
+			m.Answer(0, "a", list, false)
+			m.Take(0)
+		}
+	})
+	b.Run("change", func(b *testing.B) {
+		m := New(options)
+		m.List(0, nodes, true, false)
+		m.Answer(0, "a", list, false)
+		m.Take(0)
+		i := 0
+		for b.Loop() {
+			n := nodes[i%1000]
+			n.State = choice.State(i / 1000 % 2)
+			m.List(0, []Listed{n}, false, false)
+			m.Take(0)
+			i++
+		}
+	})
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -60,15 +60,38 @@
 	return c, nil
 }
 
-// RereadConfig is ReadConfig for a gateway that runs: there the file's discovery
-// goes before LB_DISCOVERY, which tells where it was at the start.
-func RereadConfig(env func(string) string) (*Config, error) {
-	return ReadConfig(func(key string) string {
+// Files are all that a gateway is told by files.
+type Files struct {
+	Config   *Config
+	Operator *Operator
+	SRV      *SRV
+}
+
+// rest reads the operator's files, which go by the configuration.
+func (c *Config) rest(env func(string) string) (*Files, error) {
+	op, err := ReadOperator(env, &c.Settings.Settings)
+	if err != nil {
+		return nil, err
+	}
+	srv, err := ReadSRV(env)
+	return &Files{c, op, srv}, err
+}
+
+// Reread reads all files for a gateway that runs: there the file's discovery
+// goes before LB_DISCOVERY, which tells where it was at the start. The OpenAPI
+// front's file is not looked at.
+func Reread(env func(string) string) (*Files, error) {
+	cfg, err := ReadConfig(func(key string) string {
 		if key == "LB_DISCOVERY" {
 			return ""
 		}
 		return env(key)
 	})
+	if err != nil {
+		return nil, err
+	}
+	srv, err := ReadSRV(env)
+	return &Files{Config: cfg, SRV: srv}, err
 }
 
 // reload is the configuration with what can change while it is in use. The seed
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,13 +31,13 @@
 		log.Printf("event=config error=%q", err)
 		return 2
 	}
-	op, err := ReadOperator(os.Getenv, &cfg.Settings.Settings)
+	files, err := cfg.rest(os.Getenv)
 	if err != nil {
 		log.Printf("event=config error=%q", err)
 		return 2
 	}
 	log.SetPrefix(cfg.Name + " ")
-	if err := Run(cfg, op, Signals{term, hup, func() (*Config, error) { return RereadConfig(os.Getenv) }}); err != nil {
+	if err := Run(files, Signals{term, hup, func() (*Files, error) { return Reread(os.Getenv) }}); err != nil {
 		log.Printf("event=exit error=%q", err)
 		return 1
 	}
@@ -70,11 +70,12 @@
 type Signals struct {
 	Term   <-chan os.Signal // end
 	Hup    <-chan os.Signal // the configuration has changed
-	Reread func() (*Config, error)
+	Reread func() (*Files, error)
 }
 
 // Run serves until it is told to end, and then until all is answered.
-func Run(cfg *Config, op *Operator, told Signals) error {
+func Run(files *Files, told Signals) error {
+	cfg, op := files.Config, files.Operator
 	cfg.Limits.apply()
 	// Half of the descriptors are for clients, a third for servers; the rest
 	// are the counter's, discovery's, the listeners' and the run time's.
@@ -106,20 +107,32 @@
 	}
 	watch := &watcher{}
 	hands.Watcher = watch
+	srv := newMembers(files.SRV, cfg.Seed, now)
+	if srv != nil {
+		hands.Health = srv
+	}
 	core, err := routing.New(set.Settings, cfg.Seed, now, hands)
 	if err != nil {
 		return err
 	}
 	fleet.Ends = core
 	close(wired)
-	watch.d = protocol.NewDiscovery(protocol.DiscoveryOptions{Addr: cfg.Discovery, Hold: 2 * time.Second,
-		Grace: 500 * time.Millisecond, Connect: 250 * time.Millisecond}, cfg.Known, set.Subscribe, core.News)
+	stop := make(chan struct{})
+	defer close(stop)
+	list := protocol.DiscoveryOptions{Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
+		Connect: 250 * time.Millisecond}
+	news := core.News
+	if srv != nil {
+		list.Heard, news = srv.listHeard, srv.list
+		srv.start(core.News, stop)
+	}
+	watch.d = protocol.NewDiscovery(list, cfg.Known, set.Subscribe, news)
 	if watch.on {
 		watch.d.Watch(true)
 	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go watch.d.Run(stop)
+	if srv == nil || files.SRV.List {
+		go watch.d.Run(stop)
+	}
 	go core.Run(stop)
 
 	ln, err := transport.Listen(cfg.Listen, clients)
@@ -129,7 +142,7 @@
 	var leaving atomic.Bool
 	front := protocol.NewFront(set.Settings)
 	front.Core, front.Now, front.Leaving = core, now, leaving.Load
-	front.Ready = func() bool { return !leaving.Load() && core.Stats().Ready > 0 }
+	front.Ready = func() bool { return !leaving.Load() && core.Stats().Ready > 0 && srv.trusted() }
 	failed := make(chan error, 2)
 	go func() { failed <- transport.NewServer(front.Handle, maxBody).Serve(ln) }()
 	listeners := []*transport.Listener{ln}
@@ -156,13 +169,15 @@
 			return fmt.Errorf("serve: %w", err)
 		case <-totals.C:
 			report(core.Stats(), listeners, sockets)
+			srv.report()
 		case <-told.Hup:
 			next, err := told.Reread()
 			if err != nil {
 				log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
 				continue
 			}
-			cfg = cfg.reload(next)
+			cfg = cfg.reload(next.Config)
+			srv.reload(next.SRV)
 			watch.d.Move(cfg.Discovery)
 			if counter != nil {
 				counter.Move(cfg.Counter)
--- a/internal/program/scenario_test.go
+++ b/internal/program/scenario_test.go
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	term, ended := make(chan os.Signal, 2), make(chan error, 1)
-	go func() { ended <- Run(cfg, &Operator{}, Signals{Term: term}) }()
+	go func() { ended <- Run(&Files{Config: cfg, Operator: &Operator{}, SRV: &SRV{}}, Signals{Term: term}) }()
 	t.Cleanup(func() {
 		term <- os.Interrupt
 		if err := <-ended; err != nil {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -59,6 +59,7 @@
 	Hold    time.Duration // how long a watch may wait for news
 	Grace   time.Duration // how long its answer may take beyond that
 	Connect time.Duration
+	Heard   func() // after each call that went well; nil: nobody asks
 }
 
 // Discovery is the actor that owns the list: it watches for changes and tells
@@ -203,6 +204,9 @@
 		return
 	}
 	d.pause, d.whole = firstPause, false
+	if d.opt.Heard != nil {
+		d.opt.Heard()
+	}
 	if m.list.Full || len(m.list.Servers) > 0 {
 		d.news(d.take(m.list, m.list.Full))
 	}
@@ -277,7 +281,7 @@
 		} else {
 			delete(ids, e.ID)
 		}
-		n.Members = append(n.Members, routing.Member{Addr: e.Addr, Member: choice.Member{ID: id, Zone: e.Zone,
+		n.Members = append(n.Members, routing.Member{Addr: e.Addr, Name: e.ID, Member: choice.Member{ID: id, Zone: e.Zone,
 			Kind: e.Kind, Cell: e.Cell, State: states[e.State], Weight: e.Weight,
 			Started: time.Duration(e.StartedMs) * time.Millisecond}})
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -39,6 +39,7 @@
 type Member struct {
 	choice.Member
 	Addr string
+	Name string // the id that the list has for it
 }
 
 // News is what discovery tells.
@@ -73,11 +74,17 @@
 	Watch(on bool)
 }
 
+// Health hears how attempts and probes end, on the core's goroutine.
+type Health interface {
+	Heard(server uint32, status choice.Status)
+}
+
 // Hands are what the core acts through.
 type Hands struct {
 	Fleet   Fleet
 	Counter Counter
 	Watcher Watcher
+	Health  Health // nil: nobody wants to hear
 }
 
 // Stats are totals since the start.
@@ -267,6 +274,7 @@
 	a.out = false
 	o.out--
 	c.stats.Outcomes[m.status]++
+	c.heard(m.server, m.status)
 	if m.status == choice.OK && !o.answered {
 		o.answered = true
 		c.stats.Served++
@@ -290,6 +298,7 @@
 		return
 	}
 	delete(c.probes, m.server)
+	c.heard(m.server, m.status)
 	c.bal.Probed(now, choice.Probed{Backend: m.server, Status: m.status, Elapsed: now - p.sent, Load: m.load})
 }
 
@@ -336,6 +345,12 @@
 	m <- s
 }
 
+func (c *Core) heard(server uint32, status choice.Status) {
+	if c.hands.Health != nil {
+		c.hands.Health.Heard(server, status)
+	}
+}
+
 func (c *Core) forget(id uint32, o *open) {
 	if o.answered && o.out == 0 {
 		delete(c.open, id)
@@ -413,6 +428,7 @@
 	a.out = false
 	o.out--
 	c.stats.Outcomes[status]++
+	c.heard(a.server, status)
 	c.hands.Fleet.Cancel(a.server, Attempt{id, try})
 	c.later = append(c.later, choice.Outcome{ID: id, Try: try, Backend: a.server, Status: status,
 		Elapsed: c.now() - a.sent, Final: o.answered})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	w := &world{at: 1000 * time.Second}
 	var err error
-	w.Core, err = New(set, 1, func() time.Duration { return w.at }, Hands{w, w, w})
+	w.Core, err = New(set, 1, func() time.Duration { return w.at }, Hands{Fleet: w, Counter: w, Watcher: w})
 	if err != nil {
 		t.Fatal(err)
 	}
