--- a/internal/actor/box.go
+++ b/internal/actor/box.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"asterwell/internal/seam"
 )
 
 // Box is an unbounded mailbox. A bounded one could lock two actors that write
@@ -13,13 +15,14 @@
 	mu    sync.Mutex
 	in    []T
 	spare []T
-	wake  chan struct{}
-	timer *time.Timer
+	world seam.Seam
+	bell  seam.Bell
 }
 
-// NewBox returns an empty mailbox.
-func NewBox[T any]() *Box[T] {
-	return &Box[T]{wake: make(chan struct{}, 1)}
+// NewBox returns an empty mailbox in a world (nil: the real one).
+func NewBox[T any](world seam.Seam) *Box[T] {
+	world = seam.Or(world)
+	return &Box[T]{world: world, bell: world.NewBell()}
 }
 
 // Put adds a message.
@@ -29,10 +32,7 @@
 	first := len(b.in) == 1
 	b.mu.Unlock()
 	if first {
-		select {
-		case b.wake <- struct{}{}:
-		default:
-		}
+		b.bell.Ring()
 	}
 }
 
@@ -40,31 +40,21 @@
 // one for as long as wait says (below 0: for good); with none it returns
 // nothing. The slice is valid until the next call. Only the actor may call it.
 func (b *Box[T]) Take(wait time.Duration) []T {
-	if got := b.swap(); len(got) > 0 || wait == 0 {
+	got := b.swap()
+	if len(got) > 0 || wait == 0 {
 		return got
 	}
 	if wait < 0 {
-		for {
-			<-b.wake
-			if got := b.swap(); len(got) > 0 {
-				return got
-			}
+		for len(got) == 0 { // a ring may be left from messages already taken
+			b.bell.Wait(-1)
+			got = b.swap()
 		}
+		return got
 	}
-	if b.timer == nil {
-		b.timer = time.NewTimer(wait)
-	} else {
-		b.timer.Reset(wait)
-	}
-	defer b.timer.Stop()
-	for {
-		select {
-		case <-b.wake: // may be left from messages already taken
-			if got := b.swap(); len(got) > 0 {
-				return got
-			}
-		case <-b.timer.C:
-			return b.swap()
+	for end := b.world.Now().Add(wait); ; wait = end.Sub(b.world.Now()) {
+		rung := wait > 0 && b.bell.Wait(wait)
+		if got = b.swap(); len(got) > 0 || !rung {
+			return got
 		}
 	}
 }
--- a/internal/actor/box_test.go
+++ b/internal/actor/box_test.go
@@ -11,7 +11,7 @@
 
 func TestTake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := NewBox[int]()
+		b := NewBox[int](nil)
 		start := time.Now()
 		after := func(want time.Duration) {
 			t.Helper()
@@ -49,7 +49,7 @@
 
 // Each sender's messages come in its order, and none is lost.
 func TestManySenders(t *testing.T) {
-	b := NewBox[[2]int]()
+	b := NewBox[[2]int](nil)
 	const senders, each = 8, 1000
 	var wait sync.WaitGroup
 	for s := range senders {
@@ -71,3 +71,23 @@
 	}
 	wait.Wait()
 }
+
+// One message there and one back, between two goroutines.
+func BenchmarkBox(b *testing.B) {
+	there, back := NewBox[int](nil), NewBox[int](nil)
+	go func() {
+		for {
+			for _, m := range there.Take(time.Minute) {
+				if back.Put(m); m < 0 {
+					return
+				}
+			}
+		}
+	}()
+	b.ReportAllocs()
+	for b.Loop() {
+		there.Put(1)
+		back.Take(time.Minute)
+	}
+	there.Put(-1)
+}
--- a/internal/dns/exchange.go
+++ b/internal/dns/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/miekg/dns"
+
+	"asterwell/internal/seam"
 )
 
 // Counters are totals since the start.
@@ -34,6 +36,7 @@
 
 // exchanger asks one server one question. It repeats nothing by itself.
 type exchanger struct {
+	world  seam.Seam
 	limit  time.Duration // for each of UDP and TCP
 	counts *Counters
 }
@@ -82,12 +85,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := net.ListenUDP("udp", nil)
+	c, err := x.world.ListenUDP()
 	if err != nil {
 		return nil, err
 	}
 	defer c.Close()
-	if err := c.SetDeadline(time.Now().Add(x.limit)); err != nil {
+	if err := c.SetDeadline(x.world.Now().Add(x.limit)); err != nil {
 		return nil, err
 	}
 	id := dns.Id()
@@ -122,8 +125,8 @@
 func (x exchanger) tcp(server string, q question, bare bool) (*dns.Msg, error) {
 	x.counts.Queries.Add(1)
 	x.counts.TCP.Add(1)
-	until := time.Now().Add(x.limit)
-	c, err := net.DialTimeout("tcp", server, x.limit)
+	until := x.world.Now().Add(x.limit)
+	c, err := x.world.Dial(server, x.limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dns/resolver.go
+++ b/internal/dns/resolver.go
@@ -11,10 +11,12 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,13 +24,15 @@
 	"golang.org/x/time/rate"
 
 	"asterwell/internal/actor"
+	"asterwell/internal/seam"
 )
 
 // Options are what a resolver is told. Those it runs with can be changed.
 type Options struct {
-	Servers  []string // name servers, ip:port
-	Names    []string // of SRV records
-	Families []uint16 // dns.TypeA, dns.TypeAAAA, in order of preference
+	World    seam.Seam // nil: the real one
+	Servers  []string  // name servers, ip:port
+	Names    []string  // of SRV records
+	Families []uint16  // dns.TypeA, dns.TypeAAAA, in order of preference
 	Timeout  time.Duration
 	Attempts int     // for one question, over all servers
 	PerSec   float64 // queries
@@ -65,6 +69,7 @@
 type Resolver struct {
 	opt     Options
 	tell    func(Event)
+	world   seam.Seam
 	box     *actor.Box[any]
 	rng     *rand.Rand
 	counts  Counters
@@ -144,9 +149,10 @@
 // NewResolver returns a resolver that tells its news through tell, from its own
 // goroutine.
 func NewResolver(opt Options, tell func(Event)) *Resolver {
-	r := &Resolver{tell: tell, box: actor.NewBox[any](), rng: rand.New(rand.NewPCG(opt.Seed, 0x5372)),
+	opt.World = seam.Or(opt.World)
+	r := &Resolver{tell: tell, world: opt.World, box: actor.NewBox[any](opt.World), rng: rand.New(rand.NewPCG(opt.Seed, 0x5372)),
 		names: map[string]*service{}, hosts: map[string]*host{}, queries: map[question]*query{}}
-	r.configure(time.Now(), opt)
+	r.configure(r.world.Now(), opt)
 	return r
 }
 
@@ -161,12 +167,14 @@
 // Counters are the totals since the start.
 func (r *Resolver) Counters() *Counters { return &r.counts }
 
-// Run resolves until stop is closed.
-func (r *Resolver) Run(stop <-chan struct{}) {
-	go func() { <-stop; r.box.Put(quit{}) }()
+// Stop ends Run.
+func (r *Resolver) Stop() { r.box.Put(quit{}) }
+
+// Run resolves until it is stopped.
+func (r *Resolver) Run() {
 	for {
-		for _, m := range r.box.Take(r.step(time.Now())) {
-			now := time.Now()
+		for _, m := range r.box.Take(r.step(r.world.Now())) {
+			now := r.world.Now()
 			switch m := m.(type) {
 			case quit:
 				return
@@ -195,7 +203,7 @@
 		r.bucket.SetLimitAt(now, rate.Limit(opt.PerSec))
 		r.bucket.SetBurstAt(now, max(1, int(opt.PerSec)))
 	}
-	for name := range r.names {
+	for _, name := range slices.Sorted(maps.Keys(r.names)) {
 		if !slices.Contains(opt.Names, name) {
 			delete(r.names, name)
 			r.tell(Event{Name: name, Kind: Dropped})
@@ -249,14 +257,18 @@
 		}
 		r.refresh(now, s)
 	}
+	var due []*host
 	for _, h := range r.hosts {
-		if h.pending > 0 {
-			continue
-		}
-		if h.at.After(now) {
+		switch {
+		case h.pending > 0:
+		case h.at.After(now):
 			soon(h.at)
-			continue
+		default:
+			due = append(due, h)
 		}
+	}
+	slices.SortFunc(due, func(a, b *host) int { return strings.Compare(a.name, b.name) }) // not the map's order
+	for _, h := range due {
 		r.resolve(h)
 	}
 	if wait := r.pump(now); wait > 0 {
@@ -297,7 +309,7 @@
 	follow = func(name string) {
 		q := question{name, dns.TypeSRV}
 		r.ask(q, s.tcp, avoid, func(a reply) {
-			now := time.Now()
+			now := r.world.Now()
 			if r.names[s.name] != s {
 				return
 			}
@@ -461,7 +473,7 @@
 				if err == nil {
 					if f, err = interpret(a.m, q, seen); err != nil {
 						r.counts.Malformed.Add(1)
-						r.servers.Failed(time.Now(), a.server)
+						r.servers.Failed(r.world.Now(), a.server)
 					}
 				}
 				switch {
@@ -476,7 +488,7 @@
 					h.ttl = min(h.ttl, r.opt.Life.Bound(f.ttl, f.none))
 				}
 				if h.pending--; h.pending == 0 {
-					r.resolved(time.Now(), h)
+					r.resolved(r.world.Now(), h)
 				}
 			})
 		}
@@ -526,11 +538,11 @@
 		r.ready = r.ready[1:]
 		r.flying++
 		server, bare := r.servers.Pick(now, q.avoid...)
-		x := exchanger{r.opt.Timeout, &r.counts}
-		go func() {
+		x := exchanger{r.world, r.opt.Timeout, &r.counts}
+		r.world.Go(func() {
 			m, cut, err := x.exchange(server, q.question, bare, q.tcp)
 			r.box.Put(done{q, reply{server, m, cut, err}})
-		}()
+		})
 	}
 	return 0
 }
--- a/internal/dns/resolver_test.go
+++ b/internal/dns/resolver_test.go
@@ -46,9 +46,8 @@
 		change(&w.opt)
 	}
 	w.Resolver = NewResolver(w.opt, func(e Event) { w.events <- e })
-	stop := make(chan struct{})
-	t.Cleanup(func() { close(stop) })
-	go w.Run(stop)
+	t.Cleanup(w.Stop)
+	go w.Run()
 	return w
 }
 
--- a/internal/lab/srv.go
+++ b/internal/lab/srv.go
@@ -479,7 +479,7 @@
 	fleet.Ends = core
 	stop := make(chan struct{})
 	defer close(stop)
-	go core.Run(stop)
+	go core.Run()
 	m := membership.New(membership.Options{RemovedHold: time.Minute, DrainFor: time.Minute, Keep: time.Minute, JoinBelow: 0.7,
 		LeaveAbove: 0.9, LeaveHold: time.Minute, DeadAfter: 3})
 	pass := func() time.Duration { // until the core has taken the changes
--- a/internal/program/config_test.go
+++ b/internal/program/config_test.go
@@ -153,7 +153,7 @@
 		memory int64
 	}{{0.5, 1, 100, 60 << 20}, {1, 1, 192, 192 << 20 * 6 / 10}, {1.5, 2, 1000, 600 << 20}} {
 		debug.SetMemoryLimit(math.MaxInt64)
-		Limits{Cores: c.cores, MemoryMB: c.mb}.apply()
+		Limits{Cores: c.cores, MemoryMB: c.mb}.Apply()
 		got := fmt.Sprint(runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1))
 		if want := fmt.Sprint(c.procs, c.memory); got != want {
 			t.Errorf("%v cores, %d MB: %s, want %s", c.cores, c.mb, got, want)
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -11,12 +11,14 @@
 	"asterwell/internal/dns"
 	"asterwell/internal/membership"
 	"asterwell/internal/routing"
+	"asterwell/internal/seam"
 )
 
 // members is the actor that owns the membership: it hears the resolver, the list
 // and the core's outcomes, and tells the core what changes. A nil one stands for a
 // gateway that goes by the list alone.
 type members struct {
+	world    seam.Seam
 	conf     *SRV
 	seed     uint64
 	now      func() time.Duration
@@ -42,25 +44,32 @@
 	wakeUp  struct{}
 )
 
-func newMembers(conf *SRV, seed uint64, now func() time.Duration) *members {
+func newMembers(world seam.Seam, conf *SRV, seed uint64, now func() time.Duration) *members {
 	if !conf.Enabled {
 		return nil
 	}
-	m := &members{conf: conf, seed: seed, now: now, box: actor.NewBox[any](), is: membership.New(conf.membership()),
+	m := &members{world: world, conf: conf, seed: seed, now: now, box: actor.NewBox[any](world), is: membership.New(conf.membership()),
 		failing: map[uint32]bool{}}
 	m.stats.Store(&membership.Stats{})
 	return m
 }
 
-// start lets it speak to the core.
-func (m *members) start(tell func(routing.News), stop <-chan struct{}) {
+// wire lets it speak to the core.
+func (m *members) wire(tell func(routing.News)) {
 	m.tell = tell
-	m.resolver = dns.NewResolver(m.conf.resolver(m.seed), func(e dns.Event) { m.box.Put(e) })
+	m.resolver = dns.NewResolver(m.options(m.conf), func(e dns.Event) { m.box.Put(e) })
 	log.Printf("event=start srv=%q name_servers=%q", m.conf.Names, m.conf.NameServers)
-	go m.resolver.Run(stop)
-	go m.run(stop)
 }
 
+func (m *members) options(conf *SRV) dns.Options {
+	o := conf.resolver(m.seed)
+	o.World = m.world
+	return o
+}
+
+// Stop ends Run.
+func (m *members) Stop() { m.box.Put(nil) }
+
 // list takes the list's news.
 func (m *members) list(n routing.News) { m.box.Put(n) }
 
@@ -97,8 +106,10 @@
 // trusted is false once all sources have been silent for too long.
 func (m *members) trusted() bool { return m == nil || m.trust.Load() }
 
-func (m *members) run(stop <-chan struct{}) {
-	go func() { <-stop; m.box.Put(nil) }()
+// Run serves until it is stopped.
+func (m *members) Run() {
+	m.world.Go(m.resolver.Run)
+	defer m.resolver.Stop()
 	for {
 		wait := time.Second
 		if at, ok := m.is.Next(); ok {
@@ -196,7 +207,7 @@
 	log.Printf("event=reload file=srv names=%q name_servers=%q", next.Names, next.NameServers)
 	m.conf = next
 	m.is.Configure(now, next.membership())
-	m.resolver.Configure(next.resolver(m.seed))
+	m.resolver.Configure(m.options(next))
 }
 
 // pass tells the core what has changed.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -1,9 +1,11 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"log"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -12,10 +14,14 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"asterwell/choice"
+	"asterwell/internal/actor"
 	"asterwell/internal/protocol"
 	"asterwell/internal/protocol/openapi"
 	"asterwell/internal/routing"
+	"asterwell/internal/seam"
 	"asterwell/internal/transport"
 )
 
@@ -37,7 +43,22 @@
 		return 2
 	}
 	log.SetPrefix(cfg.Name + " ")
-	if err := Run(files, Signals{term, hup, func() (*Files, error) { return Reread(os.Getenv) }}); err != nil {
+	cfg.Limits.Apply()
+	g, err := New(nil, files, func() (*Files, error) { return Reread(os.Getenv) })
+	if err == nil {
+		seam.Real.Go(func() {
+			for {
+				select {
+				case <-hup:
+					g.Hup()
+				case <-term:
+					g.Term()
+				}
+			}
+		})
+		err = g.Run()
+	}
+	if err != nil {
 		log.Printf("event=exit error=%q", err)
 		return 1
 	}
@@ -52,167 +73,250 @@
 // clock returns the core's clock: the Unix time as it was at the start, and
 // steady from then on. Gateways and discovery agree on it, so that names of the
 // counter's periods and servers' start times mean the same everywhere.
-func clock() func() time.Duration {
-	start := time.Now()
+func clock(world seam.Seam) func() time.Duration {
+	start := world.Now()
 	unix := time.Duration(start.UnixNano())
-	return func() time.Duration { return unix + time.Since(start) }
+	return func() time.Duration { return unix + world.Now().Sub(start) }
 }
 
-// apply holds the run time to the limits. The collector runs seldom, but the
+// Apply holds the run time to the limits. The collector runs seldom, but the
 // heap stays well inside: stacks, buffers of the kernel and the binary count too.
-func (l Limits) apply() {
+func (l Limits) Apply() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
 }
 
-// Signals are what a running gateway is told.
-type Signals struct {
-	Term   <-chan os.Signal // end
-	Hup    <-chan os.Signal // the configuration has changed
-	Reread func() (*Files, error)
+// part is what a gateway is made of: it runs until it is stopped.
+type part interface {
+	Run()
+	Stop()
 }
 
-// Run serves until it is told to end, and then until all is answered.
-func Run(files *Files, told Signals) error {
+// Gateway is one, in a world.
+type Gateway struct {
+	world     seam.Seam
+	cfg       *Config
+	box       *actor.Box[any]
+	reread    func() (*Files, error)
+	core      *routing.Core
+	counter   *protocol.Counter
+	list      *protocol.Discovery
+	srv       *members
+	sockets   *transport.Sockets
+	parts     []part
+	listeners []*transport.Listener
+	leaving   atomic.Bool
+}
+
+// What a running gateway is told.
+type (
+	term   struct{}
+	hup    struct{}
+	failed struct{ error }
+)
+
+// Term tells the gateway to end, once all is answered.
+func (g *Gateway) Term() { g.box.Put(term{}) }
+
+// Hup tells it that the files have changed.
+func (g *Gateway) Hup() { g.box.Put(hup{}) }
+
+// New puts a gateway together in a world (nil: the real one). reread reads its files
+// anew, at Hup.
+func New(world seam.Seam, files *Files, reread func() (*Files, error)) (*Gateway, error) {
+	world = seam.Or(world)
 	cfg, op := files.Config, files.Operator
-	cfg.Limits.apply()
+	g := &Gateway{world: world, cfg: cfg, box: actor.NewBox[any](world), reread: reread}
 	// Half of the descriptors are for clients, a third for servers; the rest
 	// are the counter's, discovery's, the listeners' and the run time's.
 	clients, servers := cfg.Limits.Sockets/2, cfg.Limits.Sockets/3
-
 	set := cfg.Settings
 	described := openapi.NewFront(set.Settings, op.Routes, op.names())
 	var text []byte
 	if op.Enabled {
 		var err error
 		if text, err = described.Load(op.Description); err != nil {
-			return fmt.Errorf("description: %s: %w", op.Description, err)
+			return nil, fmt.Errorf("description: %s: %w", op.Description, err)
 		}
 		clients /= 2 // for each front
 		set.Classes = openapi.Twins(set.Classes)
 	}
-	now := clock()
-	sockets := transport.NewSockets(servers)
-	fleet := protocol.NewFleet(transport.PeerOptions{Connect: orDefault(set.ConnectTimeout, time.Second),
-		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: sockets}, set.Reports)
-	hands := routing.Hands{Fleet: fleet}
-	var counter *protocol.Counter
-	var core *routing.Core
-	wired := make(chan struct{}) // parts start before the core that they tell
+	now := clock(world)
+	g.sockets = transport.NewSockets(servers)
+	fleet := protocol.NewFleet(transport.PeerOptions{World: world, Connect: orDefault(set.ConnectTimeout, time.Second),
+		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: g.sockets}, set.Reports)
+	watch := &watcher{}
+	hands := routing.Hands{World: world, Fleet: fleet, Watcher: watch}
 	if set.Counter {
-		counter = protocol.NewCounter(cfg.Counter, orDefault(set.CounterTimeout, 50*time.Millisecond),
-			func(name string, s choice.Status, total float64) { <-wired; core.Counted(name, s, total) })
-		hands.Counter = counter
+		g.counter = protocol.NewCounter(world, cfg.Counter, orDefault(set.CounterTimeout, 50*time.Millisecond),
+			func(name string, s choice.Status, total float64) { g.core.Counted(name, s, total) })
+		hands.Counter = g.counter
 	}
-	watch := &watcher{}
-	hands.Watcher = watch
-	srv := newMembers(files.SRV, cfg.Seed, now)
-	if srv != nil {
-		hands.Health = srv
+	if g.srv = newMembers(world, files.SRV, cfg.Seed, now); g.srv != nil {
+		hands.Health = g.srv
 	}
-	core, err := routing.New(set.Settings, cfg.Seed, now, hands)
-	if err != nil {
-		return err
+	var err error
+	if g.core, err = routing.New(set.Settings, cfg.Seed, now, hands); err != nil {
+		return nil, err
 	}
-	fleet.Ends = core
-	close(wired)
-	stop := make(chan struct{})
-	defer close(stop)
-	list := protocol.DiscoveryOptions{Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
+	fleet.Ends = g.core
+	list := protocol.DiscoveryOptions{World: world, Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
 		Connect: 250 * time.Millisecond}
-	news := core.News
-	if srv != nil {
-		list.Heard, news = srv.listHeard, srv.list
-		srv.start(core.News, stop)
+	news := g.core.News
+	if g.srv != nil {
+		list.Heard, news = g.srv.listHeard, g.srv.list
+		g.srv.wire(g.core.News)
 	}
-	watch.d = protocol.NewDiscovery(list, cfg.Known, set.Subscribe, news)
-	if watch.on {
-		watch.d.Watch(true)
+	g.list = protocol.NewDiscovery(list, cfg.Known, set.Subscribe, news)
+	if watch.d = g.list; watch.on {
+		g.list.Watch(true)
 	}
-	if srv == nil || files.SRV.List {
-		go watch.d.Run(stop)
+	g.parts = append(g.parts, g.core)
+	if g.counter != nil {
+		g.parts = append(g.parts, g.counter)
 	}
-	go core.Run(stop)
-
-	ln, err := transport.Listen(cfg.Listen, clients)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	if g.srv != nil {
+		g.parts = append(g.parts, g.srv)
+	}
+	if g.srv == nil || files.SRV.List {
+		g.parts = append(g.parts, g.list)
 	}
-	var leaving atomic.Bool
+
 	front := protocol.NewFront(set.Settings)
-	front.Core, front.Now, front.Leaving = core, now, leaving.Load
-	front.Ready = func() bool { return !leaving.Load() && core.Stats().Ready > 0 && srv.trusted() }
-	failed := make(chan error, 2)
-	go func() { failed <- transport.NewServer(front.Handle, maxBody).Serve(ln) }()
-	listeners := []*transport.Listener{ln}
+	front.Core, front.Now, front.Leaving = g.core, now, g.leaving.Load
+	front.Ready = func() bool { return !g.leaving.Load() && g.core.Stats().Ready > 0 && g.srv.trusted() }
+	if err := g.serve(cfg.Listen, clients, transport.NewServer(front.Handle, maxBody)); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
 	if op.Enabled {
-		second, err := transport.Listen(op.Listen, clients)
-		if err != nil {
-			return fmt.Errorf("openapi: listen: %w", err)
+		described.Core, described.IDs, described.Now, described.Leaving = g.core, front.IDs, now, g.leaving.Load
+		described.Random = world.Random
+		if err := g.serve(op.Listen, clients, transport.NewServer(described.Handle, op.MaxBodyKB<<10)); err != nil {
+			return nil, fmt.Errorf("openapi: listen: %w", err)
 		}
-		listeners = append(listeners, second)
-		described.Core, described.IDs, described.Now, described.Leaving = core, front.IDs, now, leaving.Load
-		go func() { failed <- transport.NewServer(described.Handle, op.MaxBodyKB<<10).Serve(second) }()
-		go described.Follow(op.Description, text, op.poll(), stop)
+		g.parts = append(g.parts, &follower{described, op, text, world.NewBell()})
 		log.Printf("event=start openapi=%s description=%s", op.Listen, op.Description)
 	}
 	log.Printf("event=start listen=%s cores=%v memory_mb=%d sockets=%d", cfg.Listen, cfg.Limits.Cores,
 		cfg.Limits.MemoryMB, cfg.Limits.Sockets)
+	return g, nil
+}
 
-	totals := time.NewTicker(10 * time.Second)
-	defer totals.Stop()
-	var last <-chan time.Time // checks whether all is answered
+// serve begins to listen; what comes is served once the gateway runs.
+func (g *Gateway) serve(addr string, most int, s *fasthttp.Server) error {
+	ln, err := transport.Listen(g.world, addr, most)
+	if err != nil {
+		return err
+	}
+	g.listeners = append(g.listeners, ln)
+	g.world.Go(func() { g.box.Put(failed{ln.Serve(s)}) })
+	return nil
+}
+
+// follower is the part that follows a description's file.
+type follower struct {
+	front *openapi.Front
+	op    *Operator
+	text  []byte
+	end   seam.Bell
+}
+
+func (f *follower) Run()  { f.front.Follow(f.op.Description, f.text, f.op.poll(), f.end) }
+func (f *follower) Stop() { f.end.Ring() }
+
+// Run serves until it is told to end, and then until all is answered.
+func (g *Gateway) Run() error {
+	for _, p := range g.parts {
+		g.world.Go(p.Run)
+	}
+	defer func() {
+		for _, p := range g.parts {
+			p.Stop()
+		}
+	}()
+	totals := g.world.Now().Add(totalsEvery)
+	var last time.Time // to check whether all is answered
 	for {
-		select {
-		case err := <-failed:
-			return fmt.Errorf("serve: %w", err)
-		case <-totals.C:
-			report(core.Stats(), listeners, sockets)
-			srv.report()
-		case <-told.Hup:
-			next, err := told.Reread()
-			if err != nil {
-				log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
-				continue
-			}
-			cfg = cfg.reload(next.Config)
-			srv.reload(next.SRV)
-			watch.d.Move(cfg.Discovery)
-			if counter != nil {
-				counter.Move(cfg.Counter)
-			}
-		case <-told.Term:
-			if !leaving.Swap(true) {
-				log.Printf("event=leaving open=%d", core.Stats().Open)
-				last = time.After(staysFor)
+		next := totals
+		if !last.IsZero() && last.Before(next) {
+			next = last
+		}
+		for _, m := range g.box.Take(max(0, next.Sub(g.world.Now()))) {
+			switch m := m.(type) {
+			case failed:
+				if last.IsZero() || !errors.Is(m.error, net.ErrClosed) {
+					return fmt.Errorf("serve: %w", m.error)
+				}
+			case hup:
+				g.reload()
+			case term:
+				if !g.leaving.Swap(true) {
+					log.Printf("event=leaving open=%d", g.core.Stats().Open)
+					last = g.world.Now().Add(staysFor)
+				}
 			}
-		case <-last:
-			if last = time.After(5 * time.Millisecond); drain(listeners) > 0 || core.Stats().Open > 0 {
-				continue
+		}
+		now := g.world.Now()
+		if !now.Before(totals) {
+			totals = now.Add(totalsEvery)
+			g.report()
+		}
+		if !last.IsZero() && !now.Before(last) {
+			if last = now.Add(5 * time.Millisecond); g.drain() == 0 && g.core.Stats().Open == 0 {
+				g.report()
+				return nil
 			}
-			report(core.Stats(), listeners, sockets)
-			return nil
 		}
 	}
 }
 
+const totalsEvery = 10 * time.Second
+
+// reload takes over what can change in a running gateway.
+func (g *Gateway) reload() {
+	next, err := g.reread()
+	if err != nil {
+		log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
+		return
+	}
+	g.cfg = g.cfg.reload(next.Config)
+	g.srv.reload(next.SRV)
+	g.list.Move(g.cfg.Discovery)
+	if g.counter != nil {
+		g.counter.Move(g.cfg.Counter)
+	}
+}
+
 // drain closes what is idle, and counts what is left.
-func drain(listeners []*transport.Listener) (open int) {
-	for _, ln := range listeners {
+func (g *Gateway) drain() (open int) {
+	for _, ln := range g.listeners {
 		open += ln.Drain()
 	}
 	return open
 }
 
-func report(s routing.Stats, listeners []*transport.Listener, sockets *transport.Sockets) {
-	clients := 0
-	for _, ln := range listeners {
-		clients += ln.Open()
+// Books are what a gateway takes to be open.
+type Books struct {
+	routing.Stats
+	Clients, Servers, Under int // connections of clients and to servers; exchanges under way there
+}
+
+// Books asks for them.
+func (g *Gateway) Books() Books {
+	b := Books{Stats: g.core.Stats(), Servers: g.sockets.Used(), Under: g.sockets.Under()}
+	for _, ln := range g.listeners {
+		b.Clients += ln.Open()
 	}
+	return b
+}
+
+func (g *Gateway) report() {
+	b := g.Books()
 	log.Printf("event=totals requests=%d served=%d refused=%d failed=%d gone=%d attempts=%d probes=%d counts=%d "+
-		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d", s.Requests, s.Served, s.Refused, s.Failed, s.Gone, s.Attempts, s.Probes,
-		s.Counts, s.Outcomes, s.Open, clients, s.Out, sockets.Under(), sockets.Used())
+		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
+		b.Probes, b.Counts, b.Outcomes, b.Open, b.Clients, b.Out, b.Under, b.Servers)
+	g.srv.report()
 }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
--- a/internal/program/scenario_test.go
+++ b/internal/program/scenario_test.go
@@ -77,10 +77,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	term, ended := make(chan os.Signal, 2), make(chan error, 1)
-	go func() { ended <- Run(&Files{Config: cfg, Operator: &Operator{}, SRV: &SRV{}}, Signals{Term: term}) }()
+	ended := make(chan error, 1)
+	g, err := New(nil, &Files{Config: cfg, Operator: &Operator{}, SRV: &SRV{}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { ended <- g.Run() }()
 	t.Cleanup(func() {
-		term <- os.Interrupt
+		g.Term()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
@@ -100,7 +104,7 @@
 	}
 	return &scenario.Stage{Vars: v, Dial: map[string]string{"client": addr},
 		Accept: map[string]net.Listener{"server": server, "discovery": discovery},
-		Close:  map[string]func(){"gateway": func() { term <- os.Interrupt }, "listener": func() { server.Close() }}}
+		Close:  map[string]func(){"gateway": g.Term, "listener": func() { server.Close() }}}
 }
 
 func TestMain(m *testing.M) {
--- a/internal/protocol/counter.go
+++ b/internal/protocol/counter.go
@@ -15,12 +15,14 @@
 
 	"asterwell/choice"
 	"asterwell/internal/actor"
+	"asterwell/internal/seam"
 )
 
 // Counter is the actor that speaks RESP2 to the counter: calls are written one
 // after another on one connection, and their answers come in the same order.
 // No call is ever written twice, since it may have been added.
 type Counter struct {
+	world seam.Seam
 	addr  string
 	limit time.Duration // a call without an answer ends as timed out
 	box   *actor.Box[any]
@@ -81,18 +83,21 @@
 	maxLife   = time.Minute
 )
 
-// NewCounter starts the actor. It calls told once for each Add.
-func NewCounter(addr string, limit time.Duration, told func(string, choice.Status, float64)) *Counter {
-	c := &Counter{addr: addr, limit: limit, box: actor.NewBox[any](), told: told}
-	go c.run()
-	return c
+// NewCounter returns an actor in a world (nil: the real one). It calls told once for
+// each Add.
+func NewCounter(world seam.Seam, addr string, limit time.Duration, told func(string, choice.Status, float64)) *Counter {
+	world = seam.Or(world)
+	return &Counter{world: world, addr: addr, limit: limit, box: actor.NewBox[any](world), told: told}
 }
 
+// Stop ends Run. What waits is not answered.
+func (c *Counter) Stop() { c.box.Put(nil) }
+
 // Add adds an amount to a name, which lives that long if it is new.
 func (c *Counter) Add(name string, amount float64, life time.Duration) {
 	num := strconv.FormatFloat(amount, 'f', -1, 64)
 	ms := strconv.FormatInt(max(1, min(life, maxLife).Milliseconds()), 10)
-	c.box.Put(&count{name: name, wire: resp("CNT.ADD", name, num, ms), until: time.Now().Add(c.limit)})
+	c.box.Put(&count{name: name, wire: resp("CNT.ADD", name, num, ms), until: c.world.Now().Add(c.limit)})
 }
 
 // Move calls the counter at another address from now on. What has been written
@@ -109,11 +114,18 @@
 	return w
 }
 
-func (c *Counter) run() {
+// Run calls the counter until it is stopped.
+func (c *Counter) Run() {
 	c.dial()
 	for {
 		for _, m := range c.box.Take(c.wait()) {
 			switch m := m.(type) {
+			case nil:
+				for _, l := range c.lines() {
+					l.done = true
+					l.nc.Close()
+				}
+				return
 			case *count:
 				c.add(m)
 			case move:
@@ -125,13 +137,13 @@
 			}
 		}
 		c.flush()
-		c.expire(time.Now())
+		c.expire(c.world.Now())
 	}
 }
 
 // wait is the time until the next call is overdue, or a ping is due.
 func (c *Counter) wait() time.Duration {
-	next := time.Now().Add(pingAfter)
+	next := c.world.Now().Add(pingAfter)
 	if len(c.queue) > 0 {
 		next = c.queue[0].until
 	}
@@ -150,7 +162,7 @@
 			}
 		}
 	}
-	return max(0, time.Until(next))
+	return max(0, next.Sub(c.world.Now()))
 }
 
 // lines are the connections that calls may wait on.
@@ -190,7 +202,7 @@
 		return
 	}
 	if len(c.line.calls) == 0 {
-		c.line.heard = time.Now() // silence counts from the first call that waits
+		c.line.heard = c.world.Now() // silence counts from the first call that waits
 	}
 	c.line.calls = append(c.line.calls, k)
 	c.line.out = append(c.line.out, k.wire...)
@@ -203,10 +215,10 @@
 	}
 	c.dialing = true
 	addr := c.addr
-	go func() {
-		nc, err := net.DialTimeout("tcp", addr, c.limit)
+	c.world.Go(func() {
+		nc, err := c.world.Dial(addr, c.limit)
 		c.box.Put(lineUp{addr, nc, err})
-	}()
+	})
 }
 
 func (c *Counter) up(m lineUp) {
@@ -225,9 +237,9 @@
 		c.queue = nil
 		return
 	}
-	l := &line{nc: m.nc, heard: time.Now()}
+	l := &line{nc: m.nc, heard: c.world.Now()}
 	c.line = l
-	go func() {
+	c.world.Go(func() {
 		in := bufio.NewReaderSize(l.nc, maxLine)
 		for {
 			a := read(in)
@@ -237,7 +249,7 @@
 				return
 			}
 		}
-	}()
+	})
 	for _, k := range c.queue {
 		c.add(k)
 	}
@@ -319,7 +331,7 @@
 		c.drop(l, l.fresh, choice.Error)
 		return
 	}
-	l.heard = time.Now()
+	l.heard = c.world.Now()
 	k := l.calls[0]
 	l.calls = l.calls[1:]
 	switch m.kind {
@@ -342,7 +354,7 @@
 	}
 	out := l.out
 	l.out = l.out[:0]
-	l.nc.SetWriteDeadline(time.Now().Add(c.limit))
+	l.nc.SetWriteDeadline(c.world.Now().Add(c.limit))
 	n, err := l.nc.Write(out)
 	if err == nil {
 		l.fresh = 0
--- a/internal/protocol/counter_test.go
+++ b/internal/protocol/counter_test.go
@@ -14,6 +14,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/scenario"
+	"asterwell/internal/seam"
 )
 
 func call(name, amount string) string {
@@ -125,9 +126,11 @@
 			}
 			defer tally.Close()
 			ends := make(chan string, 10)
-			counter := NewCounter(ln.Addr().String(), c.limit, func(name string, s choice.Status, total float64) {
+			counter := NewCounter(nil, ln.Addr().String(), c.limit, func(name string, s choice.Status, total float64) {
 				ends <- fmt.Sprint(name, " ", int(s), " ", total)
 			})
+			go counter.Run()
+			defer counter.Stop()
 			var got []string
 			made := 0
 			stage := scenario.Stage{Accept: map[string]net.Listener{"counter": ln, "tally": tally},
@@ -207,7 +210,9 @@
 	addr := ln.Addr().String()
 	ln.Close()
 	ends := make(chan choice.Status, 1)
-	NewCounter(addr, time.Second, func(_ string, s choice.Status, _ float64) { ends <- s }).Add("a", 1, time.Second)
+	c := NewCounter(nil, addr, time.Second, func(_ string, s choice.Status, _ float64) { ends <- s })
+	go c.Run()
+	c.Add("a", 1, time.Second)
 	if s := <-ends; s != choice.ConnectFailed {
 		t.Errorf("status %d, want %d", s, choice.ConnectFailed)
 	}
@@ -218,7 +223,7 @@
 func TestCounterBreaksWhileWriting(t *testing.T) {
 	here, there := net.Pipe()
 	got := map[string]choice.Status{}
-	c := &Counter{limit: time.Minute, told: func(name string, s choice.Status, _ float64) { got[name] = s }}
+	c := &Counter{world: seam.Real, limit: time.Minute, told: func(name string, s choice.Status, _ float64) { got[name] = s }}
 	c.line = &line{nc: here}
 	for _, name := range []string{"a", "b", "c"} {
 		c.add(&count{name: name, wire: []byte(call(name, "1")), until: time.Now().Add(time.Minute)})
@@ -239,7 +244,7 @@
 func TestSilentConnectionIsGivenUp(t *testing.T) {
 	here, _ := net.Pipe()
 	now := time.Now()
-	c := &Counter{limit: 50 * time.Millisecond, told: func(string, choice.Status, float64) {}}
+	c := &Counter{world: seam.Real, limit: 50 * time.Millisecond, told: func(string, choice.Status, float64) {}}
 	c.line = &line{nc: here, heard: now}
 	c.line.calls = []*count{{name: "a", until: now.Add(c.limit)}}
 	if c.expire(now.Add(150 * time.Millisecond)); c.line == nil || !c.line.calls[0].ended {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -13,6 +13,7 @@
 	"asterwell/choice"
 	"asterwell/internal/actor"
 	"asterwell/internal/routing"
+	"asterwell/internal/seam"
 	"asterwell/internal/transport"
 )
 
@@ -59,7 +60,8 @@
 	Hold    time.Duration // how long a watch may wait for news
 	Grace   time.Duration // how long its answer may take beyond that
 	Connect time.Duration
-	Heard   func() // after each call that went well; nil: nobody asks
+	World   seam.Seam // nil: the real one
+	Heard   func()    // after each call that went well; nil: nobody asks
 }
 
 // Discovery is the actor that owns the list: it watches for changes and tells
@@ -100,7 +102,8 @@
 // NewDiscovery returns an actor that tells its news through news. The watch
 // begins at once, or once asked for.
 func NewDiscovery(opt DiscoveryOptions, known List, onDemand bool, news func(routing.News)) *Discovery {
-	d := &Discovery{opt: opt, news: news, box: actor.NewBox[any](), on: !onDemand, whole: true,
+	opt.World = seam.Or(opt.World)
+	d := &Discovery{opt: opt, news: news, box: actor.NewBox[any](opt.World), on: !onDemand, whole: true,
 		ids: map[string]uint32{}, pause: firstPause}
 	n := d.take(known, true)
 	n.Saved = true
@@ -123,14 +126,16 @@
 	mostPause  = 320 * time.Millisecond
 )
 
-// Run watches until stop is closed.
-func (d *Discovery) Run(stop <-chan struct{}) {
+// Stop ends Run.
+func (d *Discovery) Stop() { d.box.Put(nil) }
+
+// Run watches until it is stopped.
+func (d *Discovery) Run() {
 	defer func() { d.breakOff() }()
-	go func() { <-stop; d.box.Put(nil) }()
 	for {
 		wait := time.Duration(-1)
 		if d.on && d.ask == nil {
-			if wait = max(0, time.Until(d.after)); wait == 0 {
+			if wait = max(0, d.after.Sub(d.opt.World.Now())); wait == 0 {
 				d.call()
 				wait = -1
 			}
@@ -181,10 +186,10 @@
 	}
 	d.ask, d.conn = a, nil
 	opt := d.opt
-	go func() {
+	opt.World.Go(func() {
 		list, err := a.get(opt)
 		d.box.Put(told{a, list, err})
-	}()
+	})
 }
 
 // told takes the end of a call.
@@ -199,7 +204,7 @@
 			d.conn.Close()
 			d.conn = nil
 		}
-		d.after, d.pause = time.Now().Add(d.pause), min(2*d.pause, mostPause)
+		d.after, d.pause = d.opt.World.Now().Add(d.pause), min(2*d.pause, mostPause)
 		d.news(routing.News{Broken: true})
 		return
 	}
@@ -218,7 +223,7 @@
 	if a.conn != nil {
 		return nil
 	}
-	conn, err := transport.Dial(opt.Addr, opt.Connect)
+	conn, err := transport.Dial(opt.World, opt.Addr, opt.Connect)
 	if err != nil {
 		return err
 	}
@@ -239,7 +244,7 @@
 	if err := a.conn.Write([]byte("GET "+a.path+" HTTP/1.1\r\nHost: "+opt.Addr+"\r\n\r\n"), opt.Connect); err != nil {
 		return List{}, err
 	}
-	a.conn.SetReadDeadline(time.Now().Add(opt.Hold + opt.Grace))
+	a.conn.SetReadDeadline(opt.World.Now().Add(opt.Hold + opt.Grace))
 	extra, err := a.conn.Read(resp)
 	if err != nil {
 		return List{}, err
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -63,9 +63,8 @@
 	news := make(chan routing.News, 10)
 	d := NewDiscovery(DiscoveryOptions{Addr: accept["old"].Addr().String(), Hold: time.Hour, Grace: time.Hour,
 		Connect: time.Minute}, List{}, false, func(n routing.News) { news <- n })
-	stop := make(chan struct{})
-	defer close(stop)
-	go d.Run(stop)
+	defer d.Stop()
+	go d.Run()
 	list := func(version, id int) string {
 		text := fmt.Sprintf(`{"version":%d,"full":true,"servers":[{"id":"s-%d","addr":"127.0.0.1:1","state":"up"}]}`, version, id)
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -75,10 +76,14 @@
 			s.leave()
 		}
 	}
-	for id, s := range f.servers {
-		if news.Whole && !named[id] {
-			s.leave()
+	if news.Whole {
+		for _, id := range slices.Sorted(maps.Keys(f.servers)) { // in one order, not the map's
+			if !named[id] {
+				f.servers[id].leave()
+			}
 		}
+	}
+	for id, s := range f.servers {
 		s.peers = slices.DeleteFunc(s.peers, func(p *transport.Peer[routing.Attempt]) bool { return p.Ended() })
 		if s.peer == nil && len(s.peers) == 0 {
 			delete(f.servers, id)
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -15,6 +15,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/routing"
+	"asterwell/internal/seam"
 	"asterwell/internal/transport"
 )
 
@@ -149,7 +150,7 @@
 func (f *Front) request(ctx *fasthttp.RequestCtx) (r *routing.Request, id string, err error) {
 	var got [len(singles)]string
 	var seen [len(singles)]bool
-	r = &routing.Request{Reply: make(Answers, 1)}
+	r = &routing.Request{Reply: &Answers{}}
 	r.Call = NewCall(ctx, func(key, value []byte) {
 		for i, name := range singles {
 			if is(key, name) {
@@ -280,30 +281,50 @@
 }
 
 // Answers hands a request's one answer from the core to the client's handler.
-type Answers chan Final
+type Answers struct {
+	mu    sync.Mutex
+	final Final
+	have  bool
+	bell  seam.Bell // of whoever waits
+}
+
+func (a *Answers) end(f Final) {
+	a.mu.Lock()
+	a.final, a.have = f, true
+	a.mu.Unlock()
+	a.bell.Ring()
+}
+
+func (a *Answers) done() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.have
+}
 
 // Served is told by the core.
-func (a Answers) Served(answer any) { a <- Final{Kind: Served, Answer: answer.(*fasthttp.Response)} }
+func (a *Answers) Served(answer any) {
+	a.end(Final{Kind: Served, Answer: answer.(*fasthttp.Response)})
+}
 
 // Refused is told by the core.
-func (a Answers) Refused(after time.Duration, tried bool) {
+func (a *Answers) Refused(after time.Duration, tried bool) {
 	f := Final{Kind: Refused, RetryAfter: after, Status: fasthttp.StatusTooManyRequests}
 	if tried || after == 0 {
 		f.Status = fasthttp.StatusServiceUnavailable
 	}
-	a <- f
+	a.end(f)
 }
 
 // Failed is told by the core.
-func (a Answers) Failed(timedOut bool) {
+func (a *Answers) Failed(timedOut bool) {
 	if timedOut {
-		a <- Final{Kind: TimedOut}
+		a.end(Final{Kind: TimedOut})
 		return
 	}
-	a <- Final{Kind: Failed}
+	a.end(Final{Kind: Failed})
 }
 
-// Await submits a request whose Reply is an Answers, and waits for its answer
+// Await submits a request whose Reply is an *Answers, and waits for its answer
 // or for the client's end. Servers tell requests by their ids, so that there
 // must not be two with one.
 func Await(ctx *fasthttp.RequestCtx, core Core, ids *IDs, id string, r *routing.Request) Final {
@@ -311,18 +332,23 @@
 		return Final{Kind: Twice}
 	}
 	defer ids.give(id)
-	var left <-chan struct{}
-	if c, ok := ctx.Conn().(*transport.ClientConn); ok {
-		left = c.Gone()
+	a := r.Reply.(*Answers)
+	c, ok := ctx.Conn().(*transport.ClientConn)
+	if !ok { // no connection that could end
+		a.bell = seam.Real.NewBell()
+		core.Submit(r)
+		for !a.done() {
+			a.bell.Wait(-1)
+		}
+		return a.final
 	}
+	a.bell = c.Bell()
 	core.Submit(r)
-	select {
-	case a := <-r.Reply.(Answers):
-		return a
-	case <-left:
+	if !c.Await(a.done) {
 		core.Gone(r)
 		return Final{Kind: Left}
 	}
+	return a.final
 }
 
 // PassOn copies a server's answer to the client, its body unchanged.
--- a/internal/protocol/openapi/front.go
+++ b/internal/protocol/openapi/front.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"log"
 	"math"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"asterwell/choice"
 	"asterwell/internal/protocol"
 	"asterwell/internal/routing"
+	"asterwell/internal/seam"
 )
 
 // Names are the headers that tell a request's customer and plan.
@@ -35,6 +35,7 @@
 	IDs     *protocol.IDs // shared with the other front
 	Now     func() time.Duration
 	Leaving func() bool
+	Random  func() uint64 // for ids that clients leave out
 	names   Names
 	rules   Rules
 	plans   map[string]float64 // the most units that a request can have
@@ -44,7 +45,7 @@
 
 // NewFront returns a front without a description.
 func NewFront(set choice.Settings, routes []Route, names Names) *Front {
-	f := &Front{IDs: protocol.NewIDs(), names: names, plans: map[string]float64{}, doors: set.Doors,
+	f := &Front{IDs: protocol.NewIDs(), Random: seam.Real.Random, names: names, plans: map[string]float64{}, doors: set.Doors,
 		rules: Rules{Classes: set.Classes, MaxUnits: set.MaxUnits, Routes: routes}}
 	for _, p := range set.Plans {
 		f.plans[p.Name] = protocol.MostUnits(&set, &p)
@@ -148,11 +149,11 @@
 		return fail(fasthttp.StatusBadRequest, "X-Timeout: %w", err)
 	}
 	if id == "" {
-		id = fmt.Sprintf("%016x", rand.Uint64())
+		id = fmt.Sprintf("%016x", f.Random())
 		call.AddHeader("X-Request-ID", id)
 	}
 	call.Transparent = true
-	return &routing.Request{Reply: make(protocol.Answers, 1), Call: call, Class: op.Class, Units: op.Units, Plan: plan,
+	return &routing.Request{Reply: &protocol.Answers{}, Call: call, Class: op.Class, Units: op.Units, Plan: plan,
 		Width: f.doors, Customer: customerKey(customer), Deadline: f.Now() + limit}, id, 0, nil
 }
 
--- a/internal/protocol/openapi/front_test.go
+++ b/internal/protocol/openapi/front_test.go
@@ -24,6 +24,7 @@
 	"asterwell/internal/protocol"
 	"asterwell/internal/routing"
 	"asterwell/internal/scenario"
+	"asterwell/internal/seam"
 	"asterwell/internal/transport"
 )
 
@@ -120,14 +121,13 @@
 		members = append(members, routing.Member{Addr: server.Addr().String(), Member: choice.Member{ID: uint32(i + 1), Weight: 1}})
 	}
 	core.News(routing.News{Whole: true, Members: members})
-	stop := make(chan struct{})
-	go core.Run(stop)
-	ln, err := transport.Listen("127.0.0.1:0", 200)
+	go core.Run()
+	ln, err := transport.Listen(nil, "127.0.0.1:0", 200)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go transport.NewServer(f.Handle, 64<<10).Serve(ln)
-	t.Cleanup(func() { close(stop); ln.Close() })
+	go ln.Serve(transport.NewServer(f.Handle, 64<<10))
+	t.Cleanup(func() { core.Stop(); ln.Close() })
 	return &gateway{f, "http://" + ln.Addr().String()}
 }
 
@@ -355,8 +355,8 @@
 	first := describe("  /a: {get: {x-asterwell-class: status-read, " + operation + "}}\n")
 	g := newGateway(t, server, nil, first)
 	file := filepath.Join(t.TempDir(), "api.yaml")
-	stop := make(chan struct{})
-	defer close(stop)
+	stop := seam.Real.NewBell()
+	defer stop.Ring()
 	go g.Follow(file, first, 10*time.Millisecond, stop) // the file is missing at first
 	write := func(text []byte) {
 		t.Helper()
--- a/internal/protocol/openapi/watch.go
+++ b/internal/protocol/openapi/watch.go
@@ -5,6 +5,8 @@
 	"log"
 	"os"
 	"time"
+
+	"asterwell/internal/seam"
 )
 
 // Load reads the description's file for the first time.
@@ -16,19 +18,12 @@
 	return text, f.Replace(text)
 }
 
-// Follow takes changes of the description's file until stop is closed. A change
+// Follow takes changes of the description's file until the bell rings. A change
 // that can't be used is logged once, and the description in place stands; so it
 // does while the file is half written or missing.
-func (f *Front) Follow(path string, last []byte, every time.Duration, stop <-chan struct{}) {
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+func (f *Front) Follow(path string, last []byte, every time.Duration, stop seam.Bell) {
 	missing := false
-	for {
-		select {
-		case <-stop:
-			return
-		case <-tick.C:
-		}
+	for !stop.Wait(every) {
 		text, err := os.ReadFile(path)
 		if err != nil {
 			if !missing {
--- a/internal/routing/layer_test.go
+++ b/internal/routing/layer_test.go
@@ -36,11 +36,11 @@
 // all that begin so; "own" for the program's packages that are not named.
 func TestLayers(t *testing.T) {
 	for dir, bad := range map[string][]string{
-		"../routing":    {"net*", "encoding/*", "github.com/*", "own", "!asterwell/internal/actor", "!asterwell/choice"},
+		"../routing":    {"net*", "encoding/*", "github.com/*", "own", "!asterwell/internal/actor", "!asterwell/internal/seam", "!asterwell/choice"},
 		"../../choice":  {"net*", "os*", "log*", "encoding/*", "github.com/*", "own"},
 		"../membership": {"net*", "os*", "log*", "io*", "encoding/*", "own", "!asterwell/choice"},
-		"../dns":        {"encoding/json", "net/http", "own", "!asterwell/internal/actor"},
-		"../transport":  {"own", "!asterwell/internal/actor"},
+		"../dns":        {"encoding/json", "net/http", "own", "!asterwell/internal/actor", "!asterwell/internal/seam"},
+		"../transport":  {"own", "!asterwell/internal/actor", "!asterwell/internal/seam"},
 		"../protocol":   {"asterwell/internal/program", "asterwell/internal/standin*", "asterwell/internal/lab", "asterwell/internal/dns"},
 		"../program":    {"asterwell/internal/standin*", "asterwell/internal/lab", "github.com/spf13/*", "testing"},
 		"../lab":        {"asterwell/internal/program", "testing"},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -11,6 +11,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/actor"
+	"asterwell/internal/seam"
 )
 
 // Request is a client's try. A front fills it in and submits it once.
@@ -81,6 +82,7 @@
 
 // Hands are what the core acts through.
 type Hands struct {
+	World   seam.Seam // nil: the real one
 	Fleet   Fleet
 	Counter Counter
 	Watcher Watcher
@@ -113,6 +115,7 @@
 	probeLimit time.Duration
 	up         map[uint32]bool
 	stats      Stats
+	halted     bool
 	told       bool          // the list came from discovery, not from the saved copy
 	trust      time.Duration // from then on the saved copy has to do
 }
@@ -145,7 +148,7 @@
 
 // New returns a core that acts through hands once it runs. now is its clock.
 func New(set choice.Settings, seed uint64, now func() time.Duration, hands Hands) (*Core, error) {
-	c := &Core{box: actor.NewBox[message](), now: now, hands: hands, open: map[uint32]*open{},
+	c := &Core{box: actor.NewBox[message](hands.World), now: now, hands: hands, open: map[uint32]*open{},
 		probes: map[uint32]probe{}, counts: map[string]time.Duration{}, up: map[uint32]bool{}}
 	if c.probeLimit = set.ConnectTimeout; c.probeLimit <= 0 {
 		c.probeLimit = time.Second
@@ -156,18 +159,20 @@
 	return c, err
 }
 
-// Run serves until stop is closed.
-func (c *Core) Run(stop <-chan struct{}) {
-	for {
+// Run serves until it is stopped.
+func (c *Core) Run() {
+	for !c.halted {
 		c.turn(c.wait())
-		select {
-		case <-stop:
-			return
-		default:
-		}
 	}
 }
 
+// Stop ends Run. What is open then gets no answer.
+func (c *Core) Stop() { c.box.Put(halt{}) }
+
+type halt struct{}
+
+func (halt) apply(c *Core, _ time.Duration) { c.halted = true }
+
 // wait is how long the core may sleep: until the next timer.
 func (c *Core) wait() time.Duration {
 	if len(c.timers) == 0 {
@@ -225,9 +230,10 @@
 
 // Stats asks for the totals; it waits for the core's turn.
 func (c *Core) Stats() Stats {
-	ask := make(asked, 1)
+	ask := &asked{bell: seam.Or(c.hands.World).NewBell()}
 	c.box.Put(ask)
-	return <-ask
+	ask.bell.Wait(-1)
+	return ask.stats
 }
 
 type submitted struct{ r *Request }
@@ -331,9 +337,12 @@
 	c.bal.Roster(now, r)
 }
 
-type asked chan Stats
+type asked struct {
+	bell  seam.Bell
+	stats Stats
+}
 
-func (m asked) apply(c *Core, now time.Duration) {
+func (m *asked) apply(c *Core, now time.Duration) {
 	s := c.stats
 	if s.Open = len(c.open); c.told || now >= c.trust {
 		s.Ready = len(c.up)
@@ -342,7 +351,8 @@
 	for _, o := range c.open {
 		s.Out += o.out
 	}
-	m <- s
+	m.stats = s
+	m.bell.Ring()
 }
 
 func (c *Core) heard(server uint32, status choice.Status) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"asterwell/choice"
+	"asterwell/internal/seam"
 )
 
 // world is a core with a clock of its own, and what it did and answered.
@@ -183,10 +184,10 @@
 	w.box.Take(0)
 	w.News(News{Whole: true, Saved: true, Members: []Member{{Member: choice.Member{ID: 7}}}})
 	for _, want := range []int{0, 1} {
-		ask := make(asked, 1)
+		ask := &asked{bell: seam.Real.NewBell()}
 		w.box.Put(ask)
 		w.step(0)
-		if got := (<-ask).Ready; got != want {
+		if got := ask.stats.Ready; got != want {
 			t.Errorf("ready %d, want %d", got, want)
 		}
 		w.step(savedAfter)
@@ -214,10 +215,10 @@
 			w.box.Take(0) // the list that newWorld gave
 		}
 		w.News(c.news)
-		ask := make(asked, 1)
+		ask := &asked{bell: seam.Real.NewBell()}
 		w.box.Put(ask)
 		w.step(0)
-		if got := (<-ask).Ready; got != c.want {
+		if got := ask.stats.Ready; got != c.want {
 			t.Errorf("news %d: ready %d, want %d", i, got, c.want)
 		}
 	}
--- /dev/null
+++ b/internal/sim/plan.go
@@ -0,0 +1,232 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Plan is all that makes one run: replaying it gives the same run, step by step.
+// Times are in nanoseconds of virtual time.
+type Plan struct {
+	Seed     uint64        `json:"seed"`
+	Gateways int           `json:"gateways"`
+	Nodes    int           `json:"nodes"`
+	Shippers int           `json:"shippers"`
+	Rate     float64       `json:"rate"`   // tries a second, client repeats left out
+	Pieces   bool          `json:"pieces"` // reads return less than has come
+	Load     time.Duration `json:"load_ns"`
+	Faults   []Fault       `json:"faults"`
+}
+
+// Fault is something that goes wrong for a while.
+type Fault struct {
+	At   time.Duration `json:"at_ns"`
+	Kind string        `json:"kind"`
+	Who  int           `json:"who"` // a gateway or a node
+	For  time.Duration `json:"for_ns"`
+	Much float64       `json:"much,omitempty"`
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%v %s who=%d for=%v much=%.2f", f.At, f.Kind, f.Who, f.For, f.Much)
+}
+
+// Kinds are the faults that there are.
+var Kinds = []string{
+	"counter-silent", "counter-silent-empty", "counter-gone", "counter-slow", "counter-busy",
+	"node-stall", "node-slow", "all-slow", "node-restart", "node-vanish", "node-replaced", "node-busy", "node-spoils", "node-drops-idle",
+	"drain", "remove", "list-silent", "list-late", "silence-ends-in-drain",
+	"gateway-term", "gateway-kill", "gateway-pause", "gateway-hup", "gateway-hup-bad", "way-cut",
+	"clients-bad", "surge",
+}
+
+// Draw makes the plan of a seed. Each seed draws its own kinds of faults and how
+// many, so that some meet much of few and others little of many (swarm testing).
+// only, if there are any, are the kinds to draw from.
+func Draw(seed uint64, only []string) Plan {
+	rng := rand.New(rand.NewPCG(seed, 0x91a))
+	p := Plan{Seed: seed, Gateways: 3, Nodes: 9, Shippers: 24, Rate: 25 + 35*rng.Float64(), Pieces: rng.IntN(2) == 0,
+		Load: 20 * time.Second}
+	kinds := Kinds
+	if len(only) > 0 {
+		kinds = only
+	}
+	var mine []string
+	for _, k := range kinds {
+		if len(only) > 0 || rng.IntN(3) == 0 {
+			mine = append(mine, k)
+		}
+	}
+	if len(mine) == 0 {
+		return p
+	}
+	for range 1 + rng.IntN(10) {
+		f := Fault{Kind: mine[rng.IntN(len(mine))], At: 2*time.Second + time.Duration(rng.Int64N(int64(8*time.Second))),
+			For: 200*time.Millisecond + time.Duration(rng.Int64N(int64(4*time.Second))), Much: rng.Float64()}
+		f.Who = rng.IntN(p.Nodes)
+		if strings.HasPrefix(f.Kind, "gateway") || strings.HasPrefix(f.Kind, "list") || f.Kind == "way-cut" {
+			f.Who = rng.IntN(p.Gateways)
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return p
+}
+
+// ReadPlan reads a plan as it is written to a file, and checks it.
+func ReadPlan(text []byte) (Plan, error) {
+	var p Plan
+	if err := json.Unmarshal(text, &p); err != nil {
+		return p, fmt.Errorf("not a schedule: %w", err)
+	}
+	switch {
+	case p.Gateways < 1 || p.Gateways > 9:
+		return p, fmt.Errorf("gateways must be 1 to 9, got %d", p.Gateways)
+	case p.Nodes < 1 || p.Nodes > 99:
+		return p, fmt.Errorf("nodes must be 1 to 99, got %d", p.Nodes)
+	case p.Shippers < 1 || p.Shippers > 1000:
+		return p, fmt.Errorf("shippers must be 1 to 1000, got %d", p.Shippers)
+	case !(p.Rate > 0 && p.Rate <= 1000):
+		return p, fmt.Errorf("rate must be above 0 and up to 1000, got %v", p.Rate)
+	case p.Load <= 0 || p.Load > time.Hour:
+		return p, fmt.Errorf("load_ns must be up to an hour, got %d", p.Load)
+	}
+	for i, f := range p.Faults {
+		if !slices.Contains(Kinds, f.Kind) {
+			return p, fmt.Errorf("faults[%d].kind: unknown fault %q", i, f.Kind)
+		}
+		if f.At < 0 || f.For < 0 || f.Who < 0 {
+			return p, fmt.Errorf("faults[%d]: at_ns, for_ns and who must not be negative", i)
+		}
+	}
+	return p, nil
+}
+
+// begin carries a fault out, and its end.
+func (w *World) begin(f Fault) {
+	w.seen("fault " + f.Kind)
+	w.note("fault %v", f)
+	n := w.nodes[f.Who%len(w.nodes)]
+	g := w.gateways[f.Who%len(w.gateways)]
+	after := func(do func()) {
+		w.s.after(f.For, func() {
+			w.note("end of %v", f)
+			do()
+		})
+	}
+	switch f.Kind {
+	case "counter-silent", "counter-silent-empty", "silence-ends-in-drain":
+		w.counter.silent = true
+		after(func() {
+			if f.Kind == "counter-silent-empty" {
+				clear(w.counter.sums)
+			}
+			w.counter.speak()
+		})
+		if f.Kind == "silence-ends-in-drain" { // the drain begins just before the counter is back
+			w.s.after(max(0, f.For-time.Duration(f.Much*float64(400*time.Millisecond))), func() { w.drain(n, time.Second, false) })
+		}
+	case "counter-gone":
+		w.counter.proc.Kill()
+		after(func() {
+			if f.Much < 0.5 {
+				clear(w.counter.sums)
+			}
+			if w.counter.proc.dead { // or another fault has brought it back
+				w.counter.start()
+			}
+		})
+	case "counter-slow":
+		w.counter.slow += time.Duration(f.Much * float64(10*time.Millisecond))
+		after(func() { w.counter.slow -= time.Duration(f.Much * float64(10*time.Millisecond)) })
+	case "counter-busy":
+		w.counter.crowd = f.Much
+		after(func() { w.counter.crowd = 0 })
+	case "node-stall":
+		n.stall = max(n.stall, w.s.now+f.For)
+	case "node-slow":
+		n.slow *= 1 + 5*f.Much
+		after(func() { n.slow /= 1 + 5*f.Much })
+	case "all-slow":
+		for _, n := range w.nodes {
+			n.slow *= 1.4 + 1.2*f.Much
+		}
+		after(func() {
+			for _, n := range w.nodes {
+				n.slow /= 1.4 + 1.2*f.Much
+			}
+		})
+	case "node-restart":
+		w.restart(n, f.For/4)
+	case "node-vanish":
+		for _, g := range w.gateways {
+			w.net.Cut(n.ip(), g.ip(), true)
+		}
+		after(func() {
+			for _, g := range w.gateways {
+				w.net.Cut(n.ip(), g.ip(), false)
+			}
+		})
+	case "node-replaced": // by another one at the same address, without a word
+		n.proc.Kill()
+		n.started, n.knownAt = w.s.now, 0
+		n.start()
+		w.s.after(time.Duration(f.Much*float64(2*time.Second)), func() { w.say(n, "up") })
+	case "node-busy":
+		n.caught = true
+		after(func() { n.caught = false })
+	case "node-spoils":
+		n.spoil = 0.3 * f.Much
+		after(func() { n.spoil = 0 })
+	case "node-drops-idle":
+		n.idle = 20*time.Millisecond + time.Duration(f.Much*float64(300*time.Millisecond))
+		after(func() { n.idle = 0 })
+	case "drain":
+		w.drain(n, f.For, false)
+	case "remove":
+		w.drain(n, f.For, true)
+	case "list-silent":
+		g.agent.silent = true
+		after(func() {
+			g.agent.silent = false
+			g.agent.ring()
+		})
+	case "list-late":
+		g.late += time.Duration(f.Much * float64(3*time.Second))
+		after(func() { g.late = 0 })
+	case "gateway-term":
+		w.term(g, f.For/4)
+	case "gateway-kill":
+		w.kill(g)
+		life := g.life
+		w.s.after(f.For/4, func() {
+			if g.life == life {
+				w.launch(g)
+			}
+		})
+	case "gateway-pause":
+		g.host.Pause(f.For / 8)
+		g.paused = append(g.paused, [2]time.Duration{w.s.now, w.s.now + f.For/8})
+	case "gateway-hup", "gateway-hup-bad":
+		g.bad = f.Kind == "gateway-hup-bad"
+		if g.up() {
+			g.program.Hup()
+		}
+	case "way-cut": // between a gateway and one node
+		n := w.nodes[int(f.Much*float64(len(w.nodes)))%len(w.nodes)]
+		w.net.Cut(n.ip(), g.ip(), true)
+		after(func() { w.net.Cut(n.ip(), g.ip(), false) })
+	case "clients-bad":
+		w.clients.faulty = 0.2 * f.Much
+		after(func() { w.clients.faulty = 0 })
+	case "surge":
+		w.surge = 1 + 3*f.Much
+		after(func() { w.surge = 1 })
+	default:
+		panic("unknown fault " + f.Kind)
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/seam"
 )
 
 // Sockets counts the connections of all peers against a cap.
@@ -60,6 +62,7 @@
 // Conn is a client's connection that carries one HTTP exchange at a time. It
 // never sends anything twice: what to do about a break is the caller's choice.
 type Conn struct {
+	world seam.Seam
 	nc    net.Conn
 	br    *bufio.Reader
 	head  atomic.Bool // the exchange under way has no body in its answer
@@ -68,16 +71,16 @@
 }
 
 // Dial connects within the limit.
-func Dial(addr string, limit time.Duration) (*Conn, error) {
-	nc, err := net.DialTimeout("tcp", addr, limit)
+func Dial(world seam.Seam, addr string, limit time.Duration) (*Conn, error) {
+	nc, err := seam.Or(world).Dial(addr, limit)
 	if err != nil {
 		return nil, err
 	}
-	return newConn(nc), nil
+	return newConn(world, nc), nil
 }
 
-func newConn(nc net.Conn) *Conn {
-	c := &Conn{nc: nc}
+func newConn(world seam.Seam, nc net.Conn) *Conn {
+	c := &Conn{world: seam.Or(world), nc: nc}
 	c.br = bufio.NewReaderSize(reader{c}, maxHead)
 	return c
 }
@@ -88,7 +91,7 @@
 func (r reader) Read(p []byte) (int, error) {
 	until := r.until
 	if r.begun {
-		until = time.Now().Add(stalled)
+		until = r.world.Now().Add(stalled)
 	}
 	if err := r.nc.SetReadDeadline(until); err != nil {
 		return 0, err
@@ -100,7 +103,7 @@
 // written, so that the server can't have begun it.
 func (c *Conn) Write(wire []byte, limit time.Duration) error {
 	c.head.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
-	if err := c.nc.SetWriteDeadline(time.Now().Add(limit)); err != nil {
+	if err := c.nc.SetWriteDeadline(c.world.Now().Add(limit)); err != nil {
 		return err
 	}
 	_, err := c.nc.Write(wire)
@@ -197,6 +200,9 @@
 // Quiet reports whether nothing has come since the last answer, not even the
 // connection's end. What has is no answer to a request that is yet to be sent.
 func (c *Conn) Quiet() bool {
+	if q, ok := c.nc.(interface{ Quiet() bool }); ok { // no descriptor to look at
+		return q.Quiet()
+	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/seam"
 )
 
 // Listener accepts clients' connections, at most so many at once. At the cap it
@@ -18,22 +20,35 @@
 // request that has no answer.
 type Listener struct {
 	net.Listener
-	most int
-	mu   sync.Mutex
-	room *sync.Cond
-	open map[*ClientConn]struct{}
-	last bool // idle connections are closed
+	world seam.Seam
+	most  int
+	room  seam.Bell // rung when there may be some
+	mu    sync.Mutex
+	open  map[*ClientConn]struct{}
+	count uint64
+	last  bool // idle connections are closed
 }
 
-// Listen listens at addr for at most so many connections.
-func Listen(addr string, most int) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+// Listen listens at addr for at most so many connections, in a world (nil: the
+// real one).
+func Listen(world seam.Seam, addr string, most int) (*Listener, error) {
+	world = seam.Or(world)
+	ln, err := world.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
-	l := &Listener{Listener: ln, most: most, open: map[*ClientConn]struct{}{}}
-	l.room = sync.NewCond(&l.mu)
-	return l, nil
+	return &Listener{Listener: ln, world: world, most: most, room: world.NewBell(), open: map[*ClientConn]struct{}{}}, nil
+}
+
+// Serve serves each connection on a goroutine of its own, until the listener is closed.
+func (l *Listener) Serve(s *fasthttp.Server) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		l.world.Go(func() { s.ServeConn(c) })
+	}
 }
 
 const acceptPause = 20 * time.Millisecond
@@ -45,26 +60,27 @@
 		// Descriptors may be short for a moment. The server would end on an
 		// error, and with it the gateway.
 		log.Printf("event=accept error=%q", err)
-		time.Sleep(acceptPause)
+		l.world.Sleep(acceptPause)
 		nc, err = l.Listener.Accept()
 	}
 	if err != nil {
 		return nil, err
 	}
-	c := &ClientConn{Conn: nc, list: l, data: make(chan []byte), ready: make(chan struct{}, 1),
-		gone: make(chan struct{}), since: time.Now()}
+	c := &ClientConn{Conn: nc, list: l, bell: l.world.NewBell(), free: l.world.NewBell(), since: l.world.Now()}
 	l.mu.Lock()
 	for len(l.open) >= l.most {
 		if !l.makeRoom() { // what is half sent now may be overdue in a moment
-			again := time.AfterFunc(acceptPause, l.room.Broadcast)
-			l.room.Wait()
-			again.Stop()
+			l.mu.Unlock()
+			l.room.Wait(acceptPause)
+			l.mu.Lock()
 		}
 	}
+	l.count++
+	c.number = l.count
 	l.open[c] = struct{}{}
 	l.ease()
 	l.mu.Unlock()
-	go c.pump()
+	l.world.Go(c.pump)
 	return c, nil
 }
 
@@ -76,9 +92,9 @@
 // that has been so the longest.
 func (l *Listener) makeRoom() bool {
 	var worst *ClientConn
-	rank, now := kept, time.Now()
+	rank, now := kept, l.world.Now()
 	for c := range l.open {
-		if r := c.expendable(now); r < rank || r == rank && worst != nil && c.since.Before(worst.since) {
+		if r := c.expendable(now); r < rank || r == rank && worst != nil && c.older(worst) {
 			worst, rank = c, r
 		}
 	}
@@ -96,12 +112,12 @@
 // leave no descriptors, at either end, to those that have something to ask.
 func (l *Listener) ease() {
 	var oldest *ClientConn
-	asked, now := 0, time.Now()
+	asked, now := 0, l.world.Now()
 	for c := range l.open {
 		if c.served || c.busy {
 			asked++
 		}
-		if c.expendable(now) == idle && (oldest == nil || c.since.Before(oldest.since)) {
+		if c.expendable(now) == idle && (oldest == nil || c.older(oldest)) {
 			oldest = c
 		}
 	}
@@ -173,10 +189,9 @@
 type ClientConn struct {
 	net.Conn
 	list     *Listener
-	data     chan []byte   // what the pump has read
-	ready    chan struct{} // its buffer is free again
-	gone     chan struct{}
-	err      error // set before gone is closed
+	number   uint64    // in order of coming
+	bell     seam.Bell // where the goroutine that serves it waits
+	free     seam.Bell // where the pump waits for its buffer
 	rest     []byte
 	deadline time.Time
 
@@ -185,6 +200,14 @@
 	// holds bytes nobody has asked for. since is when it came to this.
 	busy, unread, serving, served, closed bool
 	since                                 time.Time
+	data                                  []byte // what the pump has read, and nobody has taken
+	held                                  bool   // the pump's buffer is in use
+	err                                   error  // set: the connection has ended
+}
+
+// older tells which of two has been so longer; of one moment, the one that came first.
+func (c *ClientConn) older(o *ClientConn) bool {
+	return c.since.Before(o.since) || c.since.Equal(o.since) && c.number < o.number
 }
 
 func (c *ClientConn) pump() {
@@ -194,18 +217,12 @@
 		if n > 0 {
 			c.list.mu.Lock()
 			if c.unread = true; !c.busy {
-				c.busy, c.since = true, time.Now()
+				c.busy, c.since = true, c.list.world.Now()
 			}
+			c.data, c.held = buf[:n], true
 			c.list.mu.Unlock()
-			select {
-			case c.data <- buf[:n]:
-			case <-c.gone:
-				c.linger(buf)
-				return
-			}
-			select {
-			case <-c.ready:
-			case <-c.gone:
+			c.bell.Ring()
+			if !c.taken() {
 				c.linger(buf)
 				return
 			}
@@ -222,6 +239,20 @@
 	}
 }
 
+// taken waits until the pump's buffer is free again, or reports that the
+// connection has ended.
+func (c *ClientConn) taken() bool {
+	for {
+		c.list.mu.Lock()
+		held, gone := c.held, c.err != nil
+		c.list.mu.Unlock()
+		if gone || !held {
+			return !gone
+		}
+		c.free.Wait(-1)
+	}
+}
+
 // How long a client may go on sending after its last answer, and how much of it
 // is read: the rest would cost time and serve nobody.
 const (
@@ -249,53 +280,88 @@
 func (c *ClientConn) fail(err error) {
 	if c.err == nil {
 		c.err = err
-		close(c.gone)
+		c.bell.Ring()
+		c.free.Ring()
 	}
 }
 
-// Gone is closed when the connection has ended.
-func (c *ClientConn) Gone() <-chan struct{} { return c.gone }
+// Bell is where the goroutine that serves the connection waits.
+func (c *ClientConn) Bell() seam.Bell { return c.bell }
+
+// Await waits until done, which is asked whenever the bell rings, and reports false
+// if the connection ends before.
+func (c *ClientConn) Await(done func() bool) bool {
+	for !done() {
+		c.list.mu.Lock()
+		gone := c.err != nil
+		c.list.mu.Unlock()
+		if gone {
+			return false
+		}
+		c.bell.Wait(-1)
+	}
+	return true
+}
 
 // Read takes what the pump has read. Only one goroutine reads.
 func (c *ClientConn) Read(p []byte) (int, error) {
-	if len(c.rest) == 0 {
-		var late <-chan time.Time
-		if !c.deadline.IsZero() {
-			t := time.NewTimer(time.Until(c.deadline))
-			defer t.Stop()
-			late = t.C
+	for len(c.rest) == 0 {
+		c.list.mu.Lock()
+		got, err := c.data, c.err
+		if got != nil {
+			c.data, c.unread = nil, false
 		}
-		select {
-		case c.rest = <-c.data:
-			c.list.mu.Lock()
-			c.unread = false
-			c.list.mu.Unlock()
-		case <-c.gone:
-			return 0, c.err
-		case <-late:
-			if c.list.idle(c) { // no request has begun: there is nobody to tell
-				return 0, io.EOF
+		c.list.mu.Unlock()
+		if got != nil {
+			c.rest = got
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+		wait := time.Duration(-1)
+		if !c.deadline.IsZero() {
+			if wait = c.deadline.Sub(c.list.world.Now()); wait <= 0 {
+				if c.list.idle(c) { // no request has begun: there is nobody to tell
+					return 0, io.EOF
+				}
+				return 0, os.ErrDeadlineExceeded
 			}
-			return 0, os.ErrDeadlineExceeded
 		}
+		c.bell.Wait(wait)
 	}
 	n := copy(p, c.rest)
 	if c.rest = c.rest[n:]; len(c.rest) == 0 { // what it reads next may be the client's end
-		c.ready <- struct{}{}
+		c.list.mu.Lock()
+		c.held = false
+		c.list.mu.Unlock()
+		c.free.Ring()
 	}
 	return n, nil
 }
 
+// at is a deadline of the library's, which goes by the machine's clock, in the
+// connection's world. It sets none finer than that.
+func (c *ClientConn) at(t time.Time) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return c.list.world.Now().Add(time.Until(t).Round(100 * time.Millisecond))
+}
+
 // SetReadDeadline bounds Read; the pump reads on.
 func (c *ClientConn) SetReadDeadline(t time.Time) error {
-	c.deadline = t
+	c.deadline = c.at(t)
 	return nil
 }
 
+// SetWriteDeadline bounds writing.
+func (c *ClientConn) SetWriteDeadline(t time.Time) error { return c.Conn.SetWriteDeadline(c.at(t)) }
+
 // SetDeadline is SetReadDeadline with the same for writing.
 func (c *ClientConn) SetDeadline(t time.Time) error {
-	c.deadline = t
-	return c.Conn.SetWriteDeadline(t)
+	c.deadline = c.at(t)
+	return c.SetWriteDeadline(t)
 }
 
 // Idle tells that the answer has gone out. While the listener drains, that
@@ -304,8 +370,8 @@
 	c.list.mu.Lock()
 	defer c.list.mu.Unlock()
 	c.serving, c.served = false, true
-	if c.busy, c.since = c.unread, time.Now(); !c.busy {
-		if c.list.room.Signal(); c.list.last { // it may go to make room
+	if c.busy, c.since = c.unread, c.list.world.Now(); !c.busy {
+		if c.list.room.Ring(); c.list.last { // it may go to make room
 			c.drop()
 		}
 	}
@@ -315,7 +381,7 @@
 func (c *ClientConn) serve() {
 	c.list.mu.Lock()
 	defer c.list.mu.Unlock()
-	c.serving, c.since = true, time.Now()
+	c.serving, c.since = true, c.list.world.Now()
 }
 
 // drop closes the connection under the list's lock. It counts as open for as
@@ -324,12 +390,12 @@
 	if c.closed {
 		return
 	}
-	c.closed, c.serving, c.since = true, false, time.Now()
+	c.closed, c.serving, c.since = true, false, c.list.world.Now()
 	ended := c.err != nil
 	c.fail(net.ErrClosed)
-	if half, ok := c.Conn.(*net.TCPConn); ok && c.busy && !ended {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.busy && !ended {
 		half.CloseWrite()
-		c.Conn.SetReadDeadline(time.Now().Add(lingerFor)) // then the pump closes it
+		c.Conn.SetReadDeadline(c.list.world.Now().Add(lingerFor)) // then the pump closes it
 		return
 	}
 	c.remove()
@@ -338,7 +404,7 @@
 // remove gives the connection's descriptor back, under the list's lock.
 func (c *ClientConn) remove() {
 	delete(c.list.open, c)
-	c.list.room.Signal()
+	c.list.room.Ring()
 	c.Conn.Close()
 }
 
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -18,11 +18,11 @@
 
 func serve(t *testing.T, most int, handler fasthttp.RequestHandler) (*Listener, *scenario.Stage) {
 	t.Helper()
-	ln, err := Listen("127.0.0.1:0", most)
+	ln, err := Listen(nil, "127.0.0.1:0", most)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go NewServer(handler, 1000).Serve(ln)
+	go ln.Serve(NewServer(handler, 1000))
 	t.Cleanup(func() { ln.Close() })
 	return ln, &scenario.Stage{Dial: map[string]string{"client": ln.Addr().String()}}
 }
@@ -113,14 +113,14 @@
 
 // A failing accept must not end the server.
 func TestAcceptFailsForAMoment(t *testing.T) {
-	ln, err := Listen("127.0.0.1:0", 2)
+	ln, err := Listen(nil, "127.0.0.1:0", 2)
 	if err != nil {
 		t.Fatal(err)
 	}
 	log.SetOutput(io.Discard)
 	defer log.SetOutput(os.Stderr)
 	ln.Listener = &short{Listener: ln.Listener, fails: 3}
-	go NewServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("fine") }, 1000).Serve(ln)
+	go ln.Serve(NewServer(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("fine") }, 1000))
 	defer ln.Close()
 	stage := &scenario.Stage{Dial: map[string]string{"client": ln.Addr().String()}}
 	stage.Play(t, `
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"asterwell/internal/actor"
+	"asterwell/internal/seam"
 )
 
 // End tells how an exchange ended.
@@ -34,6 +35,7 @@
 
 // PeerOptions are the limits of the connections to one server.
 type PeerOptions struct {
+	World   seam.Seam     // nil: the real one
 	Connect time.Duration // until a connection is given up
 	Keep    *Keep         // an unused connection is closed after this, well before the server does
 	Sockets *Sockets
@@ -94,12 +96,15 @@
 // NewPeer starts the actor of the server at addr. It calls done for each
 // exchange that ends by itself; nothing is heard of a cancelled one.
 func NewPeer[K comparable](addr string, opt PeerOptions, done func(Result[K])) *Peer[K] {
-	p := &Peer[K]{addr: addr, opt: opt, box: actor.NewBox[any](), busy: map[K]*link[K]{},
+	opt.World = seam.Or(opt.World)
+	p := &Peer[K]{addr: addr, opt: opt, box: actor.NewBox[any](opt.World), busy: map[K]*link[K]{},
 		done: func(r Result[K]) { opt.Sockets.under.Add(-1); done(r) }}
-	go p.run()
+	opt.World.Go(p.run)
 	return p
 }
 
+func (p *Peer[K]) now() time.Time { return p.opt.World.Now() }
+
 // Send begins an exchange.
 func (p *Peer[K]) Send(key K, wire []byte, note any) { p.box.Put(order[K]{key, wire, note}) }
 
@@ -142,7 +147,7 @@
 func (p *Peer[K]) age() time.Duration {
 	old := 0
 	for _, l := range p.idle {
-		left := p.opt.Keep.Limit(time.Now()) - time.Since(l.since)
+		left := p.opt.Keep.Limit(p.now()) - p.now().Sub(l.since)
 		if left > 0 && !p.stopped {
 			p.idle = append(p.idle[:0], p.idle[old:]...)
 			return left
@@ -160,7 +165,7 @@
 const settled = 3 * time.Millisecond
 
 func (p *Peer[K]) send(o *order[K]) {
-	now := time.Now()
+	now := p.now()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		l := p.idle[i]
 		if l.open && now.Sub(l.since) < settled {
@@ -180,10 +185,10 @@
 	}
 	p.waiting = append(p.waiting, o)
 	p.dialing++
-	go func() {
-		conn, err := Dial(p.addr, p.opt.Connect)
+	p.opt.World.Go(func() {
+		conn, err := Dial(p.opt.World, p.addr, p.opt.Connect)
 		p.box.Put(dialed{conn, err})
-	}()
+	})
 }
 
 func (p *Peer[K]) dialed(m dialed) {
@@ -199,7 +204,7 @@
 		return
 	}
 	l := &link[K]{conn: m.conn, open: true}
-	go func() {
+	p.opt.World.Go(func() {
 		for {
 			resp := fasthttp.AcquireResponse()
 			extra, err := l.conn.Read(resp)
@@ -209,7 +214,7 @@
 				return
 			}
 		}
-	}()
+	})
 	p.free(l)
 }
 
@@ -223,7 +228,7 @@
 	case p.opt.Sockets.scarce():
 		p.close(l)
 	default:
-		l.since = time.Now()
+		l.since = p.now()
 		p.idle = append(p.idle, l)
 	}
 }
@@ -234,7 +239,7 @@
 		p.done(Result[K]{o.key, o.note, NotSent, nil})
 		return
 	}
-	l.under, l.wrote, l.idled = o, time.Now(), 0
+	l.under, l.wrote, l.idled = o, p.now(), 0
 	if !l.since.IsZero() {
 		l.idled = l.wrote.Sub(l.since)
 	}
@@ -254,7 +259,7 @@
 		fasthttp.ReleaseResponse(m.resp)
 	}
 	if o != nil && l.idled > 0 {
-		now := time.Now()
+		now := p.now()
 		broke := m.err != nil && !errors.Is(m.err, errSpoilt) && now.Sub(l.wrote) < atOnce
 		p.opt.Keep.used(l.idled, broke, now)
 	}
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/seam"
 )
 
 // A write that breaks off has not sent the request's last byte: it never ran,
@@ -19,10 +21,10 @@
 			there.Close()
 		}()
 		var got []Result[int]
-		p := &Peer[int]{opt: PeerOptions{Sockets: NewSockets(1)}, busy: map[int]*link[int]{},
+		p := &Peer[int]{opt: PeerOptions{World: seam.Real, Sockets: NewSockets(1)}, busy: map[int]*link[int]{},
 			done: func(r Result[int]) { got = append(got, r) }}
 		p.opt.Sockets.take()
-		l := &link[int]{conn: newConn(here), open: true}
+		l := &link[int]{conn: newConn(nil, here), open: true}
 		p.write(l, &order[int]{key: 3, wire: []byte("GET / HTTP/1.1\r\n\r\n")})
 		if len(got) != 1 || got[0].Key != 3 || got[0].End != NotSent || l.open || len(p.busy) != 0 || p.opt.Sockets.Used() != 0 {
 			t.Errorf("%d bytes read: %+v, open %v", read, got, l.open)
@@ -33,11 +35,11 @@
 // A connection that has just answered may still bring more: the next request
 // takes another one, the newest that has been quiet for a while.
 func TestConnectionsSettle(t *testing.T) {
-	p := &Peer[int]{opt: PeerOptions{Sockets: NewSockets(9), Keep: NewKeep(time.Hour / 2)}, busy: map[int]*link[int]{}}
+	p := &Peer[int]{opt: PeerOptions{World: seam.Real, Sockets: NewSockets(9), Keep: NewKeep(time.Hour / 2)}, busy: map[int]*link[int]{}}
 	idle := func(since time.Duration) *link[int] {
 		here, there := net.Pipe()
 		go io.Copy(io.Discard, there)
-		return &link[int]{conn: newConn(here), open: true, since: time.Now().Add(since)}
+		return &link[int]{conn: newConn(nil, here), open: true, since: time.Now().Add(since)}
 	}
 	fresh, quiet, old := idle(time.Hour), idle(-time.Minute), idle(-20*time.Minute)
 	p.idle = []*link[int]{old, quiet, fresh}
@@ -57,7 +59,7 @@
 	defer ln.Close()
 	for name, disturb := range map[string]func(net.Conn){
 		"bytes": func(c net.Conn) { c.Write([]byte("x")) }, "end": func(c net.Conn) { c.Close() }} {
-		conn, err := Dial(ln.Addr().String(), time.Minute)
+		conn, err := Dial(nil, ln.Addr().String(), time.Minute)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -116,9 +118,9 @@
 	dial := func(idle time.Duration) *link[int] {
 		here, there := net.Pipe()
 		go io.Copy(io.Discard, there)
-		return &link[int]{conn: newConn(here), open: true, since: time.Now().Add(-idle)}
+		return &link[int]{conn: newConn(nil, here), open: true, since: time.Now().Add(-idle)}
 	}
-	p := &Peer[int]{opt: PeerOptions{Sockets: NewSockets(9), Keep: NewKeep(time.Minute)}, busy: map[int]*link[int]{},
+	p := &Peer[int]{opt: PeerOptions{World: seam.Real, Sockets: NewSockets(9), Keep: NewKeep(time.Minute)}, busy: map[int]*link[int]{},
 		done: func(Result[int]) {}}
 	for range 5 {
 		l := dial(time.Second)
