--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -26,7 +26,7 @@
 func main() {
 	root := &cobra.Command{Use: "asterlab", Short: "Stand-ins and measurements for asterwell, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(standins(), measures())
+	root.AddCommand(standins(), measures(), seeds(), replay(), shrink())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "asterlab:", err)
 		os.Exit(1)
@@ -160,6 +160,15 @@
 	srv.Flags().IntVar(&gateways, "gateways", 2, "how many gateways")
 	srv.Flags().Float64Var(&rate, "rate", 300, "tries a second at each gateway")
 	c.AddCommand(srv)
+	var repo string
+	var most int
+	var only []string
+	mutants := &cobra.Command{Use: "seeds", Short: "The simulator's rule checkers: faults put into the gateway's source, and the seeds until they are found",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return print(lab.MeasureSeeds(repo, only, seed, most)) }}
+	mutants.Flags().StringVar(&repo, "repo", ".", "the repository")
+	mutants.Flags().StringSliceVar(&only, "only", nil, "only these mutants")
+	mutants.Flags().IntVar(&most, "count", 2000, "seeds for each, at the most")
+	c.AddCommand(mutants)
 	return c
 }
 
--- a/internal/program/srv.go
+++ b/internal/program/srv.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("ASTERWELL_SRV: %w", err)
 	}
-	s, err := parseSRV(text)
+	s, err := ParseSRV(text)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -107,7 +107,8 @@
 		LeaveAbove: 0.9, LeaveHoldMs: 10e3, DeadAfter: 3}
 }
 
-func parseSRV(text []byte) (*SRV, error) {
+// ParseSRV reads the text of an operator's file. An error names the key.
+func ParseSRV(text []byte) (*SRV, error) {
 	s := defaultSRV()
 	in := json.NewDecoder(bytes.NewReader(text))
 	in.DisallowUnknownFields()
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -16,8 +16,9 @@
 	Gateways int           `json:"gateways"`
 	Nodes    int           `json:"nodes"`
 	Shippers int           `json:"shippers"`
-	Rate     float64       `json:"rate"`   // tries a second, client repeats left out
-	Pieces   bool          `json:"pieces"` // reads return less than has come
+	Rate     float64       `json:"rate"`          // tries a second, client repeats left out
+	SRV      bool          `json:"srv,omitempty"` // nodes are named by DNS as well
+	Pieces   bool          `json:"pieces"`        // reads return less than has come
 	Load     time.Duration `json:"load_ns"`
 	Faults   []Fault       `json:"faults"`
 }
@@ -41,7 +42,7 @@
 	"node-stall", "node-slow", "all-slow", "node-restart", "node-vanish", "node-replaced", "node-busy", "node-spoils", "node-drops-idle",
 	"drain", "remove", "list-silent", "list-late", "silence-ends-in-drain",
 	"gateway-term", "gateway-kill", "gateway-pause", "gateway-hup", "gateway-hup-bad", "way-cut",
-	"clients-bad", "surge",
+	"clients-bad", "surge", "dns-silent", "dns-truncates", "dns-half", "dns-servfail", "dns-forges",
 }
 
 // Draw makes the plan of a seed. Each seed draws its own kinds of faults and how
@@ -51,6 +52,11 @@
 	rng := rand.New(rand.NewPCG(seed, 0x91a))
 	p := Plan{Seed: seed, Gateways: 3, Nodes: 9, Shippers: 24, Rate: 25 + 35*rng.Float64(), Pieces: rng.IntN(2) == 0,
 		Load: 20 * time.Second}
+	if rng.IntN(4) == 0 { // a fleet that has little to spare
+		p.Nodes = 3 + rng.IntN(4)
+		p.Rate = float64(p.Nodes) * 16 * (0.4 + 0.4*rng.Float64())
+	}
+	p.SRV = rng.IntN(3) == 0
 	kinds := Kinds
 	if len(only) > 0 {
 		kinds = only
@@ -68,6 +74,7 @@
 		f := Fault{Kind: mine[rng.IntN(len(mine))], At: 2*time.Second + time.Duration(rng.Int64N(int64(8*time.Second))),
 			For: 200*time.Millisecond + time.Duration(rng.Int64N(int64(4*time.Second))), Much: rng.Float64()}
 		f.Who = rng.IntN(p.Nodes)
+		p.SRV = p.SRV || strings.HasPrefix(f.Kind, "dns-")
 		if strings.HasPrefix(f.Kind, "gateway") || strings.HasPrefix(f.Kind, "list") || f.Kind == "way-cut" {
 			f.Who = rng.IntN(p.Gateways)
 		}
@@ -180,7 +187,10 @@
 		n.caught = true
 		after(func() { n.caught = false })
 	case "node-spoils":
-		n.spoil = 0.3 * f.Much
+		n.spoil, n.kind = 0.3*f.Much, int(f.Much*1e6)%10
+		if n.kind == 9 {
+			n.kind = -1
+		}
 		after(func() { n.spoil = 0 })
 	case "node-drops-idle":
 		n.idle = 20*time.Millisecond + time.Duration(f.Much*float64(300*time.Millisecond))
@@ -226,6 +236,19 @@
 	case "surge":
 		w.surge = 1 + 3*f.Much
 		after(func() { w.surge = 1 })
+	case "dns-silent", "dns-truncates", "dns-half", "dns-servfail", "dns-forges":
+		which := w.names // both, or one
+		if len(which) > 0 && f.Much < 0.5 {
+			which = which[f.Who%len(which):][:1]
+		}
+		for _, d := range which {
+			d.mode = strings.TrimPrefix(f.Kind, "dns-")
+		}
+		after(func() {
+			for _, d := range which {
+				d.mode = ""
+			}
+		})
 	default:
 		panic("unknown fault " + f.Kind)
 	}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -12,6 +12,7 @@
 type rules struct {
 	w      *World
 	broken string
+	at     time.Duration
 	tries  map[string]*judged // by id
 	told   map[toldKey]time.Duration
 	pro    map[string]*ceiling
@@ -58,7 +59,7 @@
 // breaks notes the first broken rule.
 func (r *rules) breaks(rule, format string, args ...any) {
 	if r.broken == "" {
-		r.broken = rule
+		r.broken, r.at = rule, r.w.s.now
 		r.w.note("broken %s: %s", rule, fmt.Sprintf(format, args...))
 		r.w.detail = fmt.Sprintf(format, args...)
 	}
@@ -83,8 +84,8 @@
 	}
 }
 
-// arrives: the last byte of an attempt has come to a node. begun is when its first
-// one did.
+// arrives: the last byte of an attempt has come to a node. begun is when its
+// first one was sent.
 func (r *rules) arrives(n *node, gateway int, id string, begun time.Duration) *judged {
 	now := r.w.s.now
 	j := r.try(id)
@@ -92,6 +93,9 @@
 	if j.arrivals > mostTries {
 		r.breaks("attempts", "%s came to a node %d times", id, j.arrivals)
 	}
+	if _, ok := r.told[toldKey{gateway, n.id}]; ok {
+		r.w.seen("work within the hold of a drain")
+	}
 	if at, ok := r.told[toldKey{gateway, n.id}]; ok && begun > at+drainGrace {
 		r.breaks("drain", "g%d sent %s to %s %v after it was told that it drains or is gone", gateway, id, n.id, begun-at)
 	}
@@ -112,6 +116,9 @@
 	}
 	s.room = min(most, s.room+(now-s.at).Seconds()*proRate)
 	s.at = now
+	if s.room < most/4 {
+		r.w.seen("a customer of pro near its ceiling")
+	}
 	if s.room--; s.room < 0 {
 		r.breaks("ceiling", "customer %s of pro: %.2f units over its ceiling", key, -s.room)
 	}
@@ -119,6 +126,9 @@
 
 // mayRun: an attempt was not turned away with proof.
 func (r *rules) mayRun(id string, j *judged) {
+	if j.arrivals > 1 {
+		r.w.seen("attempt after another")
+	}
 	if j.mayRun++; j.submit && j.mayRun > 1 {
 		r.breaks("twice", "submission %s may have run %d times", id, j.mayRun)
 	}
@@ -136,6 +146,9 @@
 	if n.knownAt == 0 || now < n.knownAt+drainGrace {
 		return
 	}
+	if n.warmth() < 1 {
+		r.w.seen("work for a cold node")
+	}
 	n.window = append(n.window, arrived{now, work})
 	for n.window[0].at <= now-tipAfter {
 		n.window = n.window[1:]
@@ -175,6 +188,19 @@
 	r.breaks("lost", "%s was taken by g%d and %s", t.id, t.gateway, how)
 }
 
+// idle: long after the last fault, a node that is well gets work again.
+func (r *rules) idle() {
+	const long = 5 * time.Second
+	if r.broken != "" || r.w.s.fault != nil || r.w.quiet > r.w.s.now-long || len(r.w.nodes) < 2 {
+		return
+	}
+	for _, n := range r.w.nodes {
+		if since := r.w.s.now - n.last; since > long && !n.proc.dead {
+			r.breaks("liveness", "%s is well and has got no work for %v", n.id, since)
+		}
+	}
+}
+
 // books: what a gateway at rest takes to be open.
 func (r *rules) books(g *gateway) {
 	b := g.program.Books()
--- a/internal/sim/standin_client.go
+++ b/internal/sim/standin_client.go
@@ -88,6 +88,10 @@
 	})
 }
 
+// frontNotices is how long the front in front of the gateways opens connections to
+// one that is about to end.
+const frontNotices = 400 * time.Millisecond
+
 // conn is one to a gateway: that used last, or a new one.
 func (c *clients) conn(gateway int, fresh bool) (*clientConn, error) {
 	if idle := c.idle[gateway]; len(idle) > 0 && !fresh {
@@ -99,7 +103,11 @@
 		k.Close()
 		return c.conn(gateway, fresh)
 	}
-	nc, err := c.host.Dial(c.w.gateways[gateway].addr, 500*time.Millisecond)
+	g := c.w.gateways[gateway]
+	if g.termAt > 0 && c.w.s.now > g.termAt+frontNotices {
+		return nil, errors.New("the front has taken it out")
+	}
+	nc, err := c.host.Dial(g.addr, 500*time.Millisecond)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sim/standin_rest.go
+++ b/internal/sim/standin_rest.go
@@ -128,6 +128,7 @@
 	changed map[string]int64
 	silent  bool
 	bells   []*bell
+	heard   map[string]bool          // nodes that the gateway knows of in this life
 	wrote   map[string]time.Duration // started of the node, as written to the gateway
 }
 
@@ -214,11 +215,14 @@
 	for _, n := range a.w.nodes {
 		e, ok := a.entries[n.id]
 		if ok && from == 0 && e.State == "removed" {
-			a.w.rules.tells(a.index, n.id, false, a.w.s.now)
+			if a.heard[n.id] { // else this life of the gateway has never heard of it
+				a.w.rules.tells(a.index, n.id, false, a.w.s.now)
+			}
 			continue
 		}
 		if ok && a.changed[n.id] > from {
 			out.Servers = append(out.Servers, e)
+			a.heard[n.id] = true
 			a.w.rules.tells(a.index, n.id, e.State == "up", a.w.s.now)
 			a.wrote[n.id] = e.started
 			a.w.known(n)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -341,12 +341,12 @@
 }
 
 // at is a deadline of the library's, which goes by the machine's clock, in the
-// connection's world. It sets none finer than that.
+// connection's world. They are whole seconds.
 func (c *ClientConn) at(t time.Time) time.Time {
 	if t.IsZero() {
 		return t
 	}
-	return c.list.world.Now().Add(time.Until(t).Round(100 * time.Millisecond))
+	return c.list.world.Now().Add(time.Until(t).Round(time.Second))
 }
 
 // SetReadDeadline bounds Read; the pump reads on.
