--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -28,6 +28,8 @@
 //	srv     stale                     all it has said stands
 //	srv     lost: stale for too long  servers that only SRV names drain if the list is heard;
 //	                                  without one all stands
+//	srv     a target that the list    with OnlySilent it is used only while the list is silent:
+//	        does not name             what the list has removed before this start stays out
 //	both    silent for Keep           all stands, and Trusted says no
 //
 // A target that has an address which the list names is the list's server there.
@@ -59,6 +61,7 @@
 	DrainFor     time.Duration // what drains is forgotten after that
 	Keep         time.Duration // both sources silent for so long: no longer Trusted
 	KeepListed   bool          // SRV can't take back what the list names
+	OnlySilent   bool          // what only SRV names is used only while the list is silent
 	NoList       bool          // there is no list; its silence counts for nothing
 	JoinBelow    float64       // share of the first tier
 	LeaveAbove   float64       // share of the first tier, at least JoinBelow
@@ -208,6 +211,8 @@
 	if saved && m.heard {
 		return
 	}
+	before := m.speaks()
+	defer func() { m.turn(now, before) }()
 	m.heard, m.saved = m.heard || !saved, saved
 	if !saved {
 		m.broken = never
@@ -256,11 +261,33 @@
 }
 
 // ListBroken tells that the list can't be reached.
-func (m *Membership) ListBroken(now time.Duration) { m.broken = min(m.broken, now) }
+func (m *Membership) ListBroken(now time.Duration) {
+	before := m.speaks()
+	m.broken = min(m.broken, now)
+	m.turn(now, before)
+}
+
+// speaks reports whether the list can be heard.
+func (m *Membership) speaks() bool { return m.heard && m.broken == never && !m.opt.NoList }
+
+// turn decides anew on what only SRV names, if that depends on the list's silence.
+func (m *Membership) turn(now time.Duration, before bool) {
+	if !m.opt.OnlySilent || m.speaks() == before {
+		return
+	}
+	for _, n := range m.byNum {
+		if n.own {
+			m.dirtyN[n] = true
+		}
+	}
+	m.settle(now)
+}
 
 // ListHeard tells that the list has been reached, if with nothing new.
 func (m *Membership) ListHeard(now time.Duration) {
+	before := m.speaks()
 	m.broken = never
+	m.turn(now, before)
 	m.dropLost(now)
 }
 
@@ -633,7 +660,7 @@
 		return false
 	}
 	if n.own {
-		return true
+		return !m.opt.OnlySilent || !m.speaks()
 	}
 	return n.list.State == choice.Up && m.byAddr[n.addr] == n &&
 		(len(n.srv) > 0 || !n.named || m.opt.KeepListed)
@@ -655,7 +682,7 @@
 // count puts a server into its tier, and notes whether it lives.
 func (m *Membership) count(n *node) {
 	p := m.priority(n)
-	in := !n.gone && (n.own || len(n.srv) > 0 || !n.named || m.opt.KeepListed)
+	in := !n.gone && (n.own && m.usable(n) || !n.own && (len(n.srv) > 0 || !n.named || m.opt.KeepListed))
 	if n.tier != nil && (!in || n.tier.priority != p) {
 		m.leaveTier(n)
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -305,6 +305,20 @@
 	}
 }
 
+// A gateway that starts after the list has removed a server must not take it from
+// DNS, where the list decides; while the list is silent DNS is better than nothing.
+func TestOnlySilent(t *testing.T) {
+	opt := options
+	opt.OnlySilent = true
+	w := newWorld(opt)
+	for _, c := range [][2]string{{"srv a=1 b=2", "1 2"}, {"list s=1", "1 2~"}, {"wait 11s", "1"}, {"srv a=1 b=2 c=3", "1"},
+		{"broken", "1 2 3!"}, {"heard", "1 2~ 3~"}, {"news t=2", "1 2 3~"}, {"wait 11s", "1 2"}} {
+		if w.step(c[0]); w.view() != c[1] {
+			t.Errorf("after %q: %q, want %q", c[0], w.view(), c[1])
+		}
+	}
+}
+
 // Saved is so until a source has spoken.
 func TestSaved(t *testing.T) {
 	w := newWorld(options)
--- a/internal/program/srv.go
+++ b/internal/program/srv.go
@@ -48,6 +48,7 @@
 
 	List            bool    `json:"list"`
 	ListPriority    uint16  `json:"list_priority"`
+	SRVOnly         string  `json:"srv_only"`
 	WithdrawnListed string  `json:"withdrawn_listed"`
 	RemovedHoldMs   float64 `json:"removed_hold_ms"`
 	DrainMs         float64 `json:"drain_ms"`
@@ -76,6 +77,12 @@
 	withdrawnKeep  = "keep"
 )
 
+// What srv_only may say.
+const (
+	srvOnlyUse    = "use"
+	srvOnlySilent = "list_silent"
+)
+
 var families = map[string]uint16{"ipv4": mdns.TypeA, "ipv6": mdns.TypeAAAA}
 
 // ReadSRV reads the operator's file, gives it its defaults and checks it. Without
@@ -103,7 +110,7 @@
 	return &SRV{Families: []string{"ipv4", "ipv6"}, TimeoutMs: 800, Attempts: 4, QueriesPerS: 200, QueriesOut: 32,
 		BackMs: 500, MostBackMs: 30e3, MinTTLMs: 1000, MaxTTLMs: 300e3, NegativeMaxTTLMs: 60e3, StaleMs: 86400e3,
 		RetryMs: 1000, ShrinkShare: 0.3, ShrinkLeast: 2, ShrinkHoldMs: 10e3, List: true,
-		WithdrawnListed: withdrawnDrain, RemovedHoldMs: 60e3, DrainMs: 10e3, KeepMs: 300e3, JoinBelow: 0.7,
+		SRVOnly: srvOnlyUse, WithdrawnListed: withdrawnDrain, RemovedHoldMs: 60e3, DrainMs: 10e3, KeepMs: 300e3, JoinBelow: 0.7,
 		LeaveAbove: 0.9, LeaveHoldMs: 10e3, DeadAfter: 3}
 }
 
@@ -194,6 +201,9 @@
 	if s.WithdrawnListed != withdrawnDrain && s.WithdrawnListed != withdrawnKeep {
 		return fmt.Errorf("withdrawn_listed must be %s or %s, got %q", withdrawnDrain, withdrawnKeep, s.WithdrawnListed)
 	}
+	if s.SRVOnly != srvOnlyUse && s.SRVOnly != srvOnlySilent {
+		return fmt.Errorf("srv_only must be %s or %s, got %q", srvOnlyUse, srvOnlySilent, s.SRVOnly)
+	}
 	return nil
 }
 
@@ -222,7 +232,7 @@
 // membership are the figures of the rule.
 func (s *SRV) membership() membership.Options {
 	return membership.Options{RemovedHold: ms(s.RemovedHoldMs), DrainFor: ms(s.DrainMs), Keep: ms(s.KeepMs),
-		KeepListed: s.WithdrawnListed == withdrawnKeep, NoList: !s.List, JoinBelow: s.JoinBelow,
+		KeepListed: s.WithdrawnListed == withdrawnKeep, OnlySilent: s.SRVOnly == srvOnlySilent, NoList: !s.List, JoinBelow: s.JoinBelow,
 		LeaveAbove: s.LeaveAbove, LeaveHold: ms(s.LeaveHoldMs), DeadAfter: s.DeadAfter, ListPriority: s.ListPriority}
 }
 
--- a/internal/program/srv_test.go
+++ b/internal/program/srv_test.go
@@ -52,6 +52,7 @@
 		"max_ttl_ms must be 5000":                onSRV + `,"min_ttl_ms":5000,"max_ttl_ms":4000}`,
 		"shrink_share must be 0 to 1":            onSRV + `,"shrink_share":30}`,
 		"leave_above must be 0.95 to 1":          onSRV + `,"join_below":0.95}`,
+		"srv_only must be":                       onSRV + `,"srv_only":"never"}`,
 		"withdrawn_listed must be":               onSRV + `,"withdrawn_listed":"x"}`,
 		"list_priority: a number":                onSRV + `,"list_priority":70000}`,
 	} {
