Show what no seed has met, and which faults were on together; one accept loop for stand-ins

Situations that rules are about are listed beside the faults, those that never came up are marked, and pairs of faults on at once are counted.

--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -39,96 +39,85 @@
 	return c
 }
 
-// until waits to be told to end.
-func until() {
-	end := make(chan os.Signal, 1)
-	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
-	<-end
+// standin is a command that plays one until it is interrupted. start tells where it
+// listens, and how to end it.
+func standin(use, short, addr string, args cobra.PositionalArgs, start func(listen string, args []string) (at string, end func(), err error)) *cobra.Command {
+	var listen string
+	c := &cobra.Command{Use: use, Short: short, Args: args, RunE: func(_ *cobra.Command, args []string) error {
+		at, end, err := start(listen, args)
+		if err != nil {
+			return err
+		}
+		defer end()
+		fmt.Println("listening on", at)
+		told := make(chan os.Signal, 1)
+		signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+		<-told
+		return nil
+	}}
+	c.Flags().StringVar(&listen, "listen", addr, "address")
+	return c
 }
 
 func standinDNS() *cobra.Command {
-	var listen string
-	c := &cobra.Command{Use: "dns SCRIPT", Short: "A name server that answers by a script, over UDP and TCP", Args: cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
+	return standin("dns SCRIPT", "A name server that answers by a script, over UDP and TCP", "127.0.0.1:5353", cobra.ExactArgs(1),
+		func(listen string, args []string) (string, func(), error) {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
-				return err
+				return "", nil, err
 			}
 			script, err := dns.Parse(string(text))
 			if err != nil {
-				return fmt.Errorf("%s: %w", args[0], err)
+				return "", nil, fmt.Errorf("%s: %w", args[0], err)
 			}
 			s, err := dns.Listen(listen, script)
 			if err != nil {
-				return err
+				return "", nil, err
 			}
-			defer s.Close()
-			fmt.Println("listening on", s.Addr)
-			until()
-			return nil
-		}}
-	c.Flags().StringVar(&listen, "listen", "127.0.0.1:5353", "address for UDP and TCP")
-	return c
+			return s.Addr, s.Close, nil
+		})
 }
 
 func standinServer() *cobra.Command {
-	var listen string
 	var work time.Duration
 	var most int
-	c := &cobra.Command{Use: "server", Short: "A nomination server", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			s, err := server.Listen(listen, server.Options{Name: listen, Most: most, Keep: 1000,
-				Work: func() time.Duration { return work }, Log: func(text string) { fmt.Println(text) }})
-			if err != nil {
-				return err
-			}
-			defer s.Close()
-			fmt.Println("listening on", s.Addr)
-			until()
-			return nil
-		}}
-	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8081", "address")
+	c := standin("server", "A nomination server", "127.0.0.1:8081", cobra.NoArgs, func(listen string, _ []string) (string, func(), error) {
+		s, err := server.Listen(listen, server.Options{Name: listen, Most: most, Keep: 1000,
+			Work: func() time.Duration { return work }, Log: func(text string) { fmt.Println(text) }})
+		if err != nil {
+			return "", nil, err
+		}
+		return s.Addr, s.Close, nil
+	})
 	c.Flags().DurationVar(&work, "work", 50*time.Millisecond, "time that each request takes")
 	c.Flags().IntVar(&most, "most", 0, "requests under way; more are turned away (0: no limit)")
 	return c
 }
 
 func standinList() *cobra.Command {
-	var listen string
-	c := &cobra.Command{Use: "list ADDR...", Short: "Discovery, which tells these servers for good", Args: cobra.MinimumNArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
+	return standin("list ADDR...", "Discovery, which tells these servers for good", "127.0.0.1:8500", cobra.MinimumNArgs(1),
+		func(listen string, args []string) (string, func(), error) {
 			var entries []list.Entry
 			for i, a := range args {
 				entries = append(entries, list.Entry{ID: fmt.Sprint("s-", i+1), Addr: a, State: "up", Weight: 1})
 			}
 			a, err := list.Listen(listen, list.New(entries...))
 			if err != nil {
-				return err
+				return "", nil, err
 			}
-			defer a.Close()
-			fmt.Println("listening on", a.Addr)
-			until()
-			return nil
-		}}
-	c.Flags().StringVar(&listen, "listen", "127.0.0.1:8500", "address")
-	return c
+			return a.Addr, a.Close, nil
+		})
 }
 
 func standinCounter() *cobra.Command {
-	var listen string
-	c := &cobra.Command{Use: "counter", Short: "The shared quota counter", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
+	return standin("counter", "The shared quota counter", "127.0.0.1:6400", cobra.NoArgs,
+		func(listen string, _ []string) (string, func(), error) {
 			s, err := counter.Listen(listen)
 			if err != nil {
-				return err
+				return "", nil, err
 			}
-			defer s.Close()
-			fmt.Println("listening on", s.Addr)
-			until()
-			return nil
-		}}
-	c.Flags().StringVar(&listen, "listen", "127.0.0.1:6400", "address")
-	return c
+			return s.Addr, s.Close, nil
+		})
 }
 
 // measures all take a seed and a file for the figures.
--- a/cmd/asterlab/seeds.go
+++ b/cmd/asterlab/seeds.go
@@ -84,6 +84,8 @@
 		fmt.Fprintf(tw, "%s\t%d\t%d%s\n", k, sum.Seen[k], sum.In[k], note)
 	}
 	tw.Flush()
+	kinds := len(sim.Kinds)
+	fmt.Printf("two faults at once: %d of %d pairs\n", len(sum.Pairs), kinds*(kinds+1)/2)
 	for _, r := range sum.Failing {
 		fmt.Printf("seed %d broke %q after %v: %s\n  asterlab replay %d --trace trace.txt\n", r.Seed, r.Broken, r.At, r.Detail, r.Seed)
 	}
@@ -93,7 +95,7 @@
 		failing = append(failing, r.Seed)
 	}
 	line, err := json.Marshal(map[string]any{"seeds": sum.Seeds, "seeds_per_min": int(perMin), "virtual_seconds": int(sum.Virtual.Seconds()),
-		"failing": failing, "requests": sum.Requests, "steps": sum.Steps, "holes": holes, "coverage": sum.Seen})
+		"failing": failing, "requests": sum.Requests, "steps": sum.Steps, "holes": holes, "pairs": len(sum.Pairs), "coverage": sum.Seen})
 	if err != nil {
 		return err
 	}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -40,10 +40,9 @@
 // Host is a process on a machine: its seam.Seam.
 type Host struct {
 	*Proc
-	net  *Net
-	ip   string
-	rng  *rand.Rand
-	most int // connections; 0: no limit
+	net *Net
+	ip  string
+	rng *rand.Rand
 }
 
 var _ seam.Seam = (*Host)(nil)
@@ -112,6 +111,23 @@
 	return ln, nil
 }
 
+// accept serves each connection to an address on a task of its own. Stand-ins use it.
+func (h *Host) accept(addr string, serve func(*conn)) {
+	h.Go(func() {
+		ln, err := h.Listen(addr)
+		if err != nil {
+			panic(err)
+		}
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			h.Go(func() { serve(c.(*conn)) })
+		}
+	})
+}
+
 type listener struct {
 	h      *Host
 	addr   string
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -45,6 +45,18 @@
 	"clients-bad", "surge", "dns-silent", "dns-truncates", "dns-half", "dns-servfail", "dns-forges",
 }
 
+// Situations are what a run of seeds should have met besides faults: outcomes, and
+// what rules are about.
+var Situations = []string{
+	"answer 0", "answer 200", "answer 429", "answer 502", "answer 503", "answer 504", "turned away", "attempt after another",
+	"work for a cold node", "work within the hold of a drain", "a customer of pro near its ceiling", "counter busy",
+	"answer 500", "answer 503 without proof", "answer cut short", "answer with two lengths", "answer without a length",
+	"answer is no HTTP", "answer reset half way", "answer never comes", "answer with another behind it",
+	"client resets at once", "client resets while it waits", "client sends half", "client sends two lengths", "client drips",
+	"client: closing crossed the request", "client: gateway died", "client: no connection",
+	"dns query", "dns answer with half of the nodes", "dns answer cut short",
+}
+
 // Draw makes the plan of a seed. Each seed draws its own kinds of faults and how
 // many, so that some meet much of few and others little of many (swarm testing).
 // only, if there are any, are the kinds to draw from.
@@ -117,6 +129,13 @@
 func (w *World) begin(f Fault) {
 	w.seen("fault " + f.Kind)
 	w.note("fault %v", f)
+	for _, k := range Kinds {
+		if w.on[k] > 0 {
+			w.pairs[min(k, f.Kind)+" + "+max(k, f.Kind)]++
+		}
+	}
+	w.on[f.Kind]++
+	w.s.after(f.For, func() { w.on[f.Kind]-- })
 	n := w.nodes[f.Who%len(w.nodes)]
 	g := w.gateways[f.Who%len(w.gateways)]
 	after := func(do func()) {
--- a/internal/sim/seeds.go
+++ b/internal/sim/seeds.go
@@ -17,6 +17,7 @@
 	Steps    uint64
 	Failing  []Result
 	Seen     map[string]int // by fault and outcome
+	Pairs    map[string]int // two faults that were on at once
 	In       map[string]int // seeds in which it came up
 }
 
@@ -24,10 +25,13 @@
 // every result, one at a time. limit, if above 0, ends it early, and first the first
 // seed that fails.
 func Seeds(from uint64, count, workers int, limit time.Duration, only []string, first bool, each func(Result)) Sweep {
-	sum := Sweep{Seen: map[string]int{}, In: map[string]int{}}
+	sum := Sweep{Seen: map[string]int{}, In: map[string]int{}, Pairs: map[string]int{}}
 	for _, k := range Kinds { // what never comes up is to be seen
 		sum.Seen["fault "+k] = 0
 	}
+	for _, k := range Situations {
+		sum.Seen[k] = 0
+	}
 	var mu sync.Mutex
 	var next atomic.Int64
 	var failed atomic.Bool
@@ -74,6 +78,9 @@
 	if r.Broken != "" {
 		s.Failing = append(s.Failing, r)
 	}
+	for k, n := range r.Pairs {
+		s.Pairs[k] += n
+	}
 	for k, n := range r.Seen {
 		s.Seen[k] += n
 		s.In[k]++
--- a/internal/sim/standin_dns.go
+++ b/internal/sim/standin_dns.go
@@ -39,19 +39,7 @@
 			d.udp(c, buf[:n], from)
 		}
 	})
-	proc.Go(func() {
-		ln, err := d.host.Listen(d.addr())
-		if err != nil {
-			panic(err)
-		}
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			proc.Go(func() { d.tcp(c.(*conn)) })
-		}
-	})
+	d.host.accept(d.addr(), d.tcp)
 }
 
 func (d *names) udp(c *packetConn, raw []byte, from netip.AddrPort) {
--- a/internal/sim/standin_node.go
+++ b/internal/sim/standin_node.go
@@ -97,19 +97,7 @@
 	n.proc = n.w.s.NewProc(n.id)
 	n.host = n.w.net.Host(n.proc, fmt.Sprintf("10.1.0.%d", n.index+1), uint64(n.index))
 	n.free, n.waiting, n.window = nodeCores, nil, nil
-	n.proc.Go(func() {
-		ln, err := n.host.Listen(n.addr)
-		if err != nil {
-			panic(err)
-		}
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			n.proc.Go(func() { n.serve(c.(*conn)) })
-		}
-	})
+	n.host.accept(n.addr, n.serve)
 }
 
 // warmth is the share of its capacity that it has now.
--- a/internal/sim/standin_rest.go
+++ b/internal/sim/standin_rest.go
@@ -33,19 +33,7 @@
 func (c *count) start() {
 	c.proc = c.w.s.NewProc("counter")
 	c.host = c.w.net.Host(c.proc, "10.2.0.2", 2)
-	c.proc.Go(func() {
-		ln, err := c.host.Listen(counterAddr)
-		if err != nil {
-			panic(err)
-		}
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			c.proc.Go(func() { c.serve(nc.(*conn)) })
-		}
-	})
+	c.host.accept(counterAddr, c.serve)
 }
 
 // speak ends a silence.
@@ -145,19 +133,7 @@
 func (a *agent) start() {
 	proc := a.w.s.NewProc(fmt.Sprint("agent", a.index))
 	a.host = a.w.net.Host(proc, "10.3.0."+strconv.Itoa(a.index), 3)
-	proc.Go(func() {
-		ln, err := a.host.Listen(a.addr)
-		if err != nil {
-			panic(err)
-		}
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			proc.Go(func() { a.serve(nc.(*conn)) })
-		}
-	})
+	a.host.accept(a.addr, a.serve)
 }
 
 // set takes a change.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -37,6 +37,8 @@
 	quiet     time.Duration        // from then on service is to be as if nothing had been
 	requests  int
 	saw       map[string]int
+	on        map[string]int // faults that are on, by kind
+	pairs     map[string]int // two that were on at once
 	hash      *xxhash.Digest
 	trace     io.Writer
 	detail    string
@@ -51,6 +53,7 @@
 	Steps    uint64
 	Requests int
 	Hash     uint64
+	Pairs    map[string]int // two faults that were on at once
 	Seen     map[string]int // how often each fault and outcome came up
 }
 
@@ -91,13 +94,13 @@
 // happens; until, if above 0, ends it after so many steps.
 func Run(plan Plan, trace io.Writer, until uint64) Result {
 	w := &World{plan: plan, s: NewSched(plan.Seed), rng: rand.New(rand.NewPCG(plan.Seed, 0x3017d)), surge: 1,
-		customers: map[string]*customer{}, saw: map[string]int{}, hash: xxhash.New(), trace: trace}
+		customers: map[string]*customer{}, saw: map[string]int{}, on: map[string]int{}, pairs: map[string]int{}, hash: xxhash.New(), trace: trace}
 	w.net = NewNet(w.s, plan.Seed, 200*time.Microsecond, 1500*time.Microsecond, plan.Pieces)
 	w.rules = newRules(w)
 	w.start()
 	w.play(until)
 	r := Result{Seed: plan.Seed, Broken: w.rules.broken, Detail: w.detail, At: w.s.now, Steps: w.s.steps, Requests: w.requests,
-		Hash: w.hash.Sum64(), Seen: w.saw}
+		Hash: w.hash.Sum64(), Seen: w.saw, Pairs: w.pairs}
 	if w.s.fault != nil {
 		r.Broken, r.Detail = "panic", fmt.Sprint(w.s.fault)
 	}
