Let descriptors run out in the virtual world

The network of the simulator could not refuse a gateway a descriptor, which a machine under load does. The fault descriptors leaves hardly any for up to 0.4 s, to dial and to accept; it is drawn apart, so that the other faults of a seed stay the same.

--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -40,9 +40,10 @@
 // Host is a process on a machine: its seam.Seam.
 type Host struct {
 	*Proc
-	net *Net
-	ip  string
-	rng *rand.Rand
+	net  *Net
+	ip   string
+	rng  *rand.Rand
+	most int // descriptors for connections; 0: no limit
 }
 
 var _ seam.Seam = (*Host)(nil)
@@ -111,6 +112,9 @@
 	return ln, nil
 }
 
+// short reports whether the process has no descriptor left.
+func (h *Host) short() bool { return h.most > 0 && len(h.conns) >= h.most }
+
 // accept serves each connection to an address on a task of its own. Stand-ins use it.
 func (h *Host) accept(addr string, serve func(*conn)) {
 	h.Go(func() {
@@ -143,6 +147,9 @@
 			return nil, fail("accept", net.ErrClosed)
 		}
 		if len(l.queue) > 0 {
+			if l.h.short() {
+				return nil, fail("accept", syscall.EMFILE)
+			}
 			c := l.queue[0]
 			l.queue = l.queue[1:]
 			return c, nil
@@ -183,6 +190,9 @@
 		return nil, fail("dial", net.ErrClosed)
 	}
 	to, _, _ := net.SplitHostPort(addr)
+	if h.short() {
+		return nil, fail("dial", syscall.EMFILE)
+	}
 	n.ports++
 	here := &conn{h: h, local: h.ip + ":" + strconv.Itoa(n.ports%40000+20000), remote: addr}
 	up := &bell{s: h.s}
--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -42,7 +42,7 @@
 	"node-stall", "node-slow", "all-slow", "node-restart", "node-vanish", "node-replaced", "node-busy", "node-spoils", "node-drops-idle",
 	"drain", "remove", "list-silent", "list-late", "silence-ends-in-drain",
 	"gateway-term", "gateway-kill", "gateway-pause", "gateway-hup", "gateway-hup-bad", "way-cut",
-	"clients-bad", "surge", "dns-silent", "dns-truncates", "dns-half", "dns-servfail", "dns-forges",
+	"clients-bad", "surge", "dns-silent", "dns-truncates", "dns-half", "dns-servfail", "dns-forges", "descriptors",
 }
 
 // Situations are what a run of seeds should have met besides faults: outcomes, and
@@ -75,10 +75,19 @@
 	}
 	var mine []string
 	for _, k := range kinds {
+		if k == "descriptors" && len(only) == 0 {
+			continue // see below
+		}
 		if len(only) > 0 || rng.IntN(3) == 0 {
 			mine = append(mine, k)
 		}
 	}
+	// From a sequence of its own, so that the other faults of a seed stay as they were
+	// before this kind came.
+	if more := rand.New(rand.NewPCG(seed, 0xfd)); len(only) == 0 && more.IntN(6) == 0 {
+		p.Faults = append(p.Faults, Fault{Kind: "descriptors", At: 2*time.Second + time.Duration(more.Int64N(int64(8*time.Second))),
+			Who: more.IntN(p.Gateways), For: time.Duration(1+more.IntN(400)) * time.Millisecond, Much: more.Float64()})
+	}
 	if len(mine) == 0 {
 		return p
 	}
@@ -268,6 +277,10 @@
 				d.mode = ""
 			}
 		})
+	case "descriptors": // none are left but a few
+		g.host.most = len(g.host.conns) + int(f.Much*3)
+		host := g.host
+		w.s.after(min(f.For, 400*time.Millisecond), func() { host.most = 0 })
 	default:
 		panic("unknown fault " + f.Kind)
 	}
