Break the rule on single answers by a mutant, and see stray bytes on idle connections

Each rule should have a mutant that breaks it; the one on single answers had none, and a second answer that came after the first was only seen if the two were in one read. A client that takes an idle connection with bytes on it now tells.

--- a/internal/lab/mutants_test.go
+++ b/internal/lab/mutants_test.go
@@ -25,7 +25,7 @@
 			t.Error(err)
 		}
 	}
-	for _, rule := range []string{"twice", "drain", "cold", "ceiling", "attempts", "bytes", "lost", "books", "liveness", "end"} {
+	for _, rule := range []string{"twice", "drain", "cold", "ceiling", "attempts", "answers", "bytes", "lost", "books", "liveness", "end"} {
 		if !rules[rule] {
 			t.Errorf("no mutant breaks the rule %q", rule)
 		}
--- a/internal/sim/standin_client.go
+++ b/internal/sim/standin_client.go
@@ -100,6 +100,9 @@
 		if k.Quiet() {
 			return k, nil
 		}
+		if len(k.in) > 0 {
+			c.w.rules.breaks("answers", "g%d sent %d bytes that nobody had asked for", gateway, len(k.in))
+		}
 		k.Close()
 		return c.conn(gateway, fresh)
 	}
