Probe for a request only where a probe costs little; log refusals by reason

At fault: admit, which called scout twice for every request, and the settings' price of probes, which was not decoded.

--- a/choice/api.go
+++ b/choice/api.go
@@ -91,6 +91,7 @@
 	FallAfter     time.Duration
 	CrossZone     float64 // price of an attempt that crosses zones
 	CounterPrice  float64 // price of one counter call a request
+	ProbePrice    float64 // price of one probe a request
 	WastePrice    float64
 	LateFailPrice float64
 }
@@ -186,6 +187,28 @@
 	Elapsed time.Duration
 }
 
+// Reason is why a request was refused.
+type Reason int
+
+// The reasons of refusals.
+const (
+	TooLate  Reason = iota // its client's time was up when it came
+	NoServer               // none may be sent anything now
+	Beyond                 // its customer's quota
+	Pressed                // servers: it would have come late, or made others late
+	Ceiling                // this gateway's share of its customer's ceiling
+	Spent                  // attempts failed without having run, and no further one was allowed
+	reasons
+)
+
+// Books are totals of a Balancer since its start, and figures that it goes by.
+type Books struct {
+	Refused  [reasons]int // by Reason
+	Out      float64      // mean attempts out, of late
+	Limit    float64      // how many may be out before requests are refused
+	WarmRate float64      // answers a second that a warm backend gives this gateway
+}
+
 // Actions is what a host carries out for a Balancer.
 type Actions interface {
 	Send(id, backend uint32, limit time.Duration) // limit 0: as long as the client waits
@@ -210,6 +233,9 @@
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("Classes must not be empty")
 	}
+	if !(s.ProbePrice >= 0) {
+		return fmt.Errorf("ProbePrice must not be negative, got %v", s.ProbePrice)
+	}
 	for i, c := range s.Classes {
 		switch {
 		case c.Name == "":
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	started, beat, slotPeriod, loadAt time.Duration // first request; housekeeping; longest attempt; of load
 
 	retries, spread           float64            // retry budget; of the choice: wider the less is seen
+	looks                     int                // probes for each request
 	warmRate, answers, warmed float64            // a warm backend's a second; since the beat; beats
 	quickest                  map[string]float64 // probe of each zone, in seconds
 	usual                     float64            // time of a probe past it
@@ -48,6 +49,7 @@
 	fails               int           // counter calls in a row without an answer
 	callAfter, silentAt time.Duration // no counter call before; start of its silence
 	backAt              time.Duration // end of its last silence
+	books               Books
 }
 
 // class is a Class with what has been learnt of its answers.
@@ -153,6 +155,8 @@
 	lateShare   = 0.05 // of answers near or past their aim: what the limit steers for
 	startOver   = 2    // where the limit starts, in its floor
 	mostOver    = 4    // where it ends
+	mostLooks   = 2    // probes for a request
+	worthLooks  = 0.02 // share of a request's worth that they may cost
 )
 
 // New returns a Balancer that acts through act. It reports settings that make no sense.
@@ -176,6 +180,7 @@
 	b.beat = max(b.beat/8, set.Tick)
 	b.limit, b.retries = math.Inf(1), mostRetries
 	b.spread = math.Sqrt(float64(set.Doors)) / 20
+	b.looks = int(min(worthLooks/max(set.ProbePrice, 1e-9), mostLooks))
 	for _, p := range set.Plans {
 		b.plans[p.Name] = &p
 	}
@@ -186,6 +191,12 @@
 	return b, nil
 }
 
+// Books tells what it has counted, and what it goes by now.
+func (b *Balancer) Books() Books {
+	b.books.Out, b.books.Limit, b.books.WarmRate = b.load, b.limit, b.warmRate
+	return b.books
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (b *Balancer) logOnce(text string) {
@@ -262,7 +273,7 @@
 		r.aimAt = min(r.aimAt, q.NotAfter-cl.Deadline+cl.Aim)
 	}
 	if left <= 0 {
-		b.refuse(now, r, 0)
+		b.refuse(now, r, TooLate, 0)
 		return
 	}
 	b.act.SetTimer(left, "end "+strconv.FormatUint(uint64(q.ID), 10))
@@ -279,8 +290,9 @@
 	if b.shed(now, r, true) {
 		return
 	}
-	b.scout(now)
-	b.scout(now)
+	for range b.looks {
+		b.scout(now)
+	}
 	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit) // the busier, the more it keeps out
 	loss := r.class.Value * p.ValueFactor * r.Units * max(share, 0.1)    // if beyond the quota
 	b.stake += (loss - b.stake) * 0.02
@@ -348,7 +360,7 @@
 	c := r.cust
 	to, delay := b.pick(now, r)
 	if to == nil {
-		b.refuse(now, r, r.class.Aim/2)
+		b.refuse(now, r, NoServer, r.class.Aim/2)
 		return
 	}
 	inside, wait := b.inside(now, c, r)
@@ -357,7 +369,7 @@
 	}
 	p := r.plan
 	if !inside && (p.ExcessWorth <= p.OverrunCost || delay > r.class.Aim/3) {
-		b.refuse(now, r, wait)
+		b.refuse(now, r, Beyond, wait)
 		return
 	}
 	if !r.known && c.readAt == 0 {
@@ -389,7 +401,7 @@
 	if b.busy(now) < b.limit*keen {
 		return false
 	}
-	b.refuse(now, r, seconds(r.class.Aim.Seconds()*(0.25+b.rng.Float64()/2))) // not all together
+	b.refuse(now, r, Pressed, seconds(r.class.Aim.Seconds()*(0.25+b.rng.Float64()/2))) // not all together
 	return true
 }
 
@@ -439,7 +451,7 @@
 		case r.done:
 			b.release(now, r)
 		case to == nil || !inside || c.out+others >= r.plan.MaxOut:
-			b.refuse(now, r, max(wait, seconds(r.class.mean)))
+			b.refuse(now, r, Beyond, max(wait, seconds(r.class.mean)))
 		default:
 			b.place(now, r, to, true, wait)
 		}
@@ -463,7 +475,7 @@
 		// start, since an earlier life may have spent it (rule 5).
 		c.room = min(p.CeilingBurst/w, c.room+p.CeilingRate/w*(now-c.roomAt).Seconds())
 		if c.roomAt = now; c.room < r.Units {
-			b.refuse(now, r, wait)
+			b.refuse(now, r, Ceiling, wait)
 			return
 		}
 		c.room -= r.Units
@@ -746,7 +758,8 @@
 }
 
 // refuse answers that a new try does no harm; only for what has not run, or may run again.
-func (b *Balancer) refuse(now time.Duration, r *request, wait time.Duration) {
+func (b *Balancer) refuse(now time.Duration, r *request, why Reason, wait time.Duration) {
+	b.books.Refused[why]++
 	if !b.set.RetryAfter {
 		wait = 0
 	}
@@ -757,7 +770,7 @@
 // giveUp gives the final answer to a request that was not served.
 func (b *Balancer) giveUp(now time.Duration, r *request) {
 	if r.bound() == nil || r.class.Effect == Retryable {
-		b.refuse(now, r, seconds(r.class.mean)) // what failed it may last; at once would be a storm
+		b.refuse(now, r, Spent, seconds(r.class.mean)) // what failed it may last; at once would be a storm
 	} else {
 		b.end(now, r)
 		b.act.Fail(r.ID)
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -403,3 +403,21 @@
 		t.Errorf("too little happened: %d sends, %d refused, %d failed, %d counts", sends, refused, failed, counts)
 	}
 }
+
+func TestProbesForRequestsGoByTheirPrice(t *testing.T) {
+	for _, tc := range []struct {
+		price float64
+		want  int
+	}{{0, 2}, {0.01, 2}, {0.02, 1}, {0.08, 0}} {
+		b, rec := start(t, func(s *Settings) { s.Probes, s.ProbePrice = true, tc.price })
+		b.Request(0, ask(1, "read", "free", 0))
+		if got := len(rec.probes); got != tc.want {
+			t.Errorf("price %v: %d probes for a request, want %d", tc.price, got, tc.want)
+		}
+	}
+	set := settings()
+	set.ProbePrice = -1
+	if err := set.Validate(); err == nil {
+		t.Error("a negative price was taken")
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -314,8 +314,9 @@
 func (g *Gateway) report() {
 	b := g.Books()
 	log.Printf("event=totals requests=%d served=%d refused=%d failed=%d gone=%d attempts=%d probes=%d counts=%d "+
-		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
-		b.Probes, b.Counts, b.Outcomes, b.Open, b.Clients, b.Out, b.Under, b.Servers)
+		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d why=%v limit=%.2f load=%.2f warm_rate=%.3f", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
+		b.Probes, b.Counts, b.Outcomes, b.Open, b.Clients, b.Out, b.Under, b.Servers,
+		b.Module.Refused, b.Module.Limit, b.Module.Out, b.Module.WarmRate)
 	g.srv.report()
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -96,6 +96,7 @@
 	Outcomes                                [choice.Moot + 1]int
 	Open, Ready                             int
 	Out                                     int // attempts and probes under way
+	Module                                  choice.Books
 }
 
 // Core is the actor round the module.
@@ -347,7 +348,7 @@
 	if s.Open = len(c.open); c.told || now >= c.trust {
 		s.Ready = len(c.up)
 	}
-	s.Out = len(c.probes)
+	s.Out, s.Module = len(c.probes), c.bal.Books()
 	for _, o := range c.open {
 		s.Out += o.out
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,7 @@
 	} `json:"loadInfo"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
+		Probe     float64 `json:"probe"`
 		Waste     float64 `json:"waste"`
 		LateFail  float64 `json:"lateFail"`
 	} `json:"prices"`
@@ -106,7 +107,7 @@
 		ColdFrom: e.Safety.ColdFrom, ColdFor: Span(e.Safety.ColdMs),
 		FallMultiple: e.Safety.FallMultiple, FallAfter: Span(e.Safety.TipAfterMs),
 		CrossZone: e.Prices.CrossZone, CounterPrice: e.FamilyInfo.CountFee,
-		WastePrice: e.Prices.Waste, LateFailPrice: e.Prices.LateFail,
+		ProbePrice: e.Prices.Probe, WastePrice: e.Prices.Waste, LateFailPrice: e.Prices.LateFail,
 	}
 	for _, c := range e.Services {
 		effect, ok := map[string]choice.Effect{
@@ -150,7 +151,7 @@
 }
 
 // keys maps the names in the module's complaints to the keys an operator wrote.
-var keys = strings.NewReplacer("Doors", "balancers", "Tick", "tickMs", "Classes", "services", "Plans", "contracts",
+var keys = strings.NewReplacer("ProbePrice", "prices.probe", "Doors", "balancers", "Tick", "tickMs", "Classes", "services", "Plans", "contracts",
 	".Name", ".name", ".Aim", ".aimMs", ".Effect", ".effect", ".Group", ".group", ".Rate", ".quotaRate",
 	".Burst", ".peakUnits", ".MaxOut", ".maxOut", ".CeilingRate", ".neverOverRate", ".CeilingBurst", ".ceilingBurst")
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -14,13 +14,13 @@
 		"caps":{"cancel":true,"tryLimit":5,"idleCloseMs":15000,"connectTimeoutMs":250.5},"loadInfo":{"source":"on_probe"},
 		"services":[{"name":"s","aimMs":800,"deadlineMs":3000,"effect":"dedup","group":"zone","keyTtlMs":5000,"value":3}],
 		"contracts":[{"name":"p","quotaRate":0.76,"peakUnits":3,"neverOverRate":12,"ceilingBurst":32,"hardSlack":3}],
-		"familyInfo":{"sharedCounter":true,"counterTimeoutMs":50}}`))
+		"prices":{"probe":0.08},"familyInfo":{"sharedCounter":true,"counterTimeoutMs":50}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := Settings{IdleClose: 15 * time.Second, Reports: true, Settings: choice.Settings{Doors: 3, Zone: "a",
 		Tick: 2 * time.Millisecond, Cancels: true, MaxTries: 5, ConnectTimeout: 250500 * time.Microsecond,
-		Counter: true, CounterTimeout: 50 * time.Millisecond,
+		Counter: true, CounterTimeout: 50 * time.Millisecond, ProbePrice: 0.08,
 		Classes: []choice.Class{{Name: "s", Aim: 800 * time.Millisecond, Deadline: 3 * time.Second, Effect: choice.Keyed,
 			Group: choice.SameZone, KeyTTL: 5 * time.Second, Value: 3}},
 		Plans: []choice.Plan{{Name: "p", Rate: 0.76, Burst: 3, CeilingRate: 12, CeilingBurst: 32, CeilingSlack: 3}}}}
