Let each gateway use a part of a large fleet; take the counter's word under ceilings

At fault: (1) pick, which used the whole fleet at each gateway; (2) place, which let an even share of the ceiling, empty at a start, refuse what the counter had just put inside the quota; (3) Counted, which took a crowd back by 5% an answer: at 3 answers a second that is 20 s of guessing.

Change: internal/aperture puts the servers in an order that all gateways have, zones in turn, and gives each gateway a place on it; it uses as many from there as it sends requests in 3 s, 8 at least. A request known to be inside its quota needs no share of the ceiling while the counter's counts are to be trusted; all others share what the ceiling leaves beyond the quota. A crowd of a second ago counts for a third.

--- a/choice/api.go
+++ b/choice/api.go
@@ -62,6 +62,7 @@
 // Settings are all that a Balancer is told at its start.
 type Settings struct {
 	Doors   int // gateways in all
+	Index   int // which of them this one is, from 0
 	Zone    string
 	Classes []Class
 	Plans   []Plan
@@ -122,6 +123,7 @@
 // Member is a roster entry.
 type Member struct {
 	ID      uint32
+	Key     uint64 // the same at every gateway, whatever number it has there; 0: its ID is
 	Zone    string
 	Kind    string
 	Cell    int
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"asterwell/internal/aperture"
 )
 
 // Balancer decides for one gateway.
@@ -27,9 +29,11 @@
 	reqs          map[uint32]*request
 	byID          map[uint32]*backend
 	fleet         []*backend // in order of id
+	ring          []*backend // in an order that all gateways have, zones taking turns
+	reach         int        // how many of them it uses
 	share, weight float64    // backends up, for this gateway; mean weight
 	customers     map[string]*customer
-	ring          []*customer // in order of arrival
+	idlers        []*customer // in order of arrival
 	logged        map[string]bool
 
 	started, beat, slotPeriod, loadAt time.Duration // first request; housekeeping; longest attempt; of load
@@ -37,6 +41,7 @@
 	retries, spread           float64            // retry budget; of the choice: wider the less is seen
 	looks                     int                // probes for each request
 	warmRate, answers, warmed float64            // a warm backend's a second; since the beat; beats
+	sends, sent               float64            // attempts a second; since the beat
 	quickest                  map[string]float64 // probe of each zone, in seconds
 	usual                     float64            // time of a probe past it
 	density                   float64            // mean worth per second of work among requests seen
@@ -49,6 +54,7 @@
 	fails               int           // counter calls in a row without an answer
 	callAfter, silentAt time.Duration // no counter call before; start of its silence
 	backAt              time.Duration // end of its last silence
+	countedAt, doubtAt  time.Duration // its last answer; last sign that it may have lost its counts
 	books               Books
 }
 
@@ -106,6 +112,7 @@
 type backend struct {
 	Member
 	listed, probing bool
+	near            bool    // among those that this gateway uses
 	slow            float64 // latency against the class mean
 	outs            []*attempt
 	strikes         int
@@ -137,6 +144,7 @@
 
 	slots
 	heat, room     float64 // arrivals a second; this gateway's store of the ceiling
+	spare          float64 // of what the ceiling has beyond the quota
 	heatAt, roomAt time.Duration
 }
 
@@ -150,13 +158,16 @@
 }
 
 const (
-	namePeriod  = NameLife / 3
-	mostRetries = 10   // in the budget, which a tenth of each request fills
-	lateShare   = 0.05 // of answers near or past their aim: what the limit steers for
-	startOver   = 2    // where the limit starts, in its floor
-	mostOver    = 4    // where it ends
-	mostLooks   = 2    // probes for a request
-	worthLooks  = 0.02 // share of a request's worth that they may cost
+	namePeriod   = NameLife / 3
+	mostRetries  = 10              // in the budget, which a tenth of each request fills
+	lateShare    = 0.05            // of answers near or past their aim: what the limit steers for
+	quietCounter = 2 * time.Second // without an answer: it may have been emptied meanwhile
+	startOver    = 2               // where the limit starts, in its floor
+	mostOver     = 4               // where it ends
+	mostLooks    = 2               // probes for a request
+	leastReach   = 8               // backends used, where there are so many
+	meetWithin   = 3 * time.Second // each should be sent something so often
+	worthLooks   = 0.02            // share of a request's worth that they may cost
 )
 
 // New returns a Balancer that acts through act. It reports settings that make no sense.
@@ -246,12 +257,41 @@
 		}
 	}
 	b.share = n / float64(b.set.Doors)
+	b.order()
 	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests
 		b.limit = startOver * b.floorOut()
 		b.load, b.loadAt = min(b.limit, 1), now
 	}
 }
 
+// order puts the backends in the order that all gateways have.
+func (b *Balancer) order() {
+	nodes := make([]aperture.Node, len(b.fleet))
+	for i, be := range b.fleet {
+		nodes[i] = aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Zone}
+	}
+	b.ring = b.ring[:0]
+	for _, i := range aperture.Ring(nodes) {
+		b.ring = append(b.ring, b.fleet[i])
+	}
+	b.survey()
+}
+
+// survey marks the backends that this gateway uses: so few that it meets each often enough to know it, and to
+// find its connection still open. What looks dead is made up for.
+func (b *Balancer) survey() {
+	if want := max(leastReach, b.sends*meetWithin.Seconds()); want > 1.25*float64(b.reach) || want < 0.6*float64(b.reach) {
+		b.reach = int(math.Ceil(want))
+	}
+	used, at := 0, aperture.Start(b.set.Index, len(b.ring))
+	for i := range b.ring {
+		be := b.ring[(at+i)%len(b.ring)]
+		if be.near = used < b.reach; be.listed && be.until == 0 {
+			used++
+		}
+	}
+}
+
 // Request takes a client's try.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.started = cmp.Or(b.started, now) // the time before the first request earns no room under a ceiling
@@ -328,7 +368,7 @@
 	var best *backend
 	least := math.MaxFloat64
 	for _, be := range b.fleet {
-		if be.listed && !be.probing && be.until == 0 && !b.fresh(now, be) && b.coldRoom(now, be) {
+		if be.near && be.listed && !be.probing && be.until == 0 && !b.fresh(now, be) && b.coldRoom(now, be) {
 			if e := b.rng.ExpFloat64() / b.size(be); e < least {
 				best, least = be, e
 			}
@@ -470,15 +510,9 @@
 // place takes a request's units and sends it.
 func (b *Balancer) place(now time.Duration, r *request, to *backend, inside bool, wait time.Duration) {
 	c := r.cust
-	if p, w := r.plan, float64(r.Width); p.CeilingRate > 0 {
-		// This gateway's share of the ceiling needs no agreement: rate and burst over width. It is empty at a
-		// start, since an earlier life may have spent it (rule 5).
-		c.room = min(p.CeilingBurst/w, c.room+p.CeilingRate/w*(now-c.roomAt).Seconds())
-		if c.roomAt = now; c.room < r.Units {
-			b.refuse(now, r, Ceiling, wait)
-			return
-		}
-		c.room -= r.Units
+	if r.plan.CeilingRate > 0 && !b.underCeiling(now, r, inside) {
+		b.refuse(now, r, Ceiling, wait)
+		return
 	}
 	if r.inside = inside; inside && r.plan.Rate > 0 {
 		c.tat = max(now, c.tat) + r.plan.span(r.Units)
@@ -488,6 +522,34 @@
 	b.sync(now, c, r.pays)
 }
 
+// underCeiling takes a request's units from this gateway's share of the ceiling, rate and burst over width. Shares
+// need no agreement. They are empty at a start, since an earlier life may have spent them (rule 5). What the
+// counter has just put inside the quota needs none: all that is inside stays under the ceiling by itself, and
+// the rest has what the ceiling leaves beyond the quota. That holds while the counter's counts can be trusted:
+// not for the time in which a store fills after a period's start, or after a sign that counts were lost.
+func (b *Balancer) underCeiling(now time.Duration, r *request, inside bool) bool {
+	c, p, w := r.cust, r.plan, float64(r.Width)
+	past := (now - c.roomAt).Seconds()
+	c.roomAt = now
+	c.room = min(p.CeilingBurst/w, c.room+p.CeilingRate/w*past)
+	c.spare = min((p.CeilingBurst-p.Burst)/w, c.spare+(p.CeilingRate-p.Rate)/w*past)
+	sure := b.set.Counter && p.Rate > 0 && p.CeilingRate > p.Rate && p.CeilingBurst > p.Burst && !b.silent(now)
+	known := sure && inside && r.known
+	refilled := seconds(p.CeilingBurst / max(p.CeilingRate-p.Rate, 1e-9))
+	if known && now%namePeriod >= p.span(p.Burst) && now-b.doubtAt >= refilled {
+		c.room -= r.Units
+		return true
+	}
+	if c.room < r.Units || sure && !known && c.spare < r.Units {
+		return false
+	}
+	c.room -= r.Units
+	if !known {
+		c.spare -= r.Units
+	}
+	return true
+}
+
 // span is the time that units stand for: each the emission interval T.
 func (p *Plan) span(units float64) time.Duration { return seconds(units / p.Rate) }
 
@@ -502,7 +564,7 @@
 			c.tat = now + r.plan.span(r.plan.Burst-free)
 		}
 		b.customers[r.Customer] = c
-		b.ring = append(b.ring, c)
+		b.idlers = append(b.idlers, c)
 	}
 	c.seen, c.width = now, r.Width
 	return c
@@ -569,8 +631,16 @@
 	failed := e.Status != OK && e.Status != Error     // a spoilt answer is one: neither crowd nor silence
 	if failed || e.Elapsed > b.set.CounterTimeout/2 { // crowded
 		b.floor = min(max(b.floor*2, b.stake/4), 8*b.stake)
-	} else if b.floor *= 0.95; b.floor < b.stake/16 {
-		b.floor = 0
+	} else if b.floor *= 0.95 * math.Exp(-(now - b.countedAt).Seconds()); b.floor < b.stake/16 {
+		b.floor = 0 // a crowd of a second ago says little, however few calls were answered since
+	}
+	if e.Status == OK {
+		if b.countedAt > 0 && now-b.countedAt > quietCounter {
+			b.doubtAt = now
+		}
+		b.countedAt = now
+	} else if failed && e.Status != Full {
+		b.doubtAt = now
 	}
 	if b.fails == 0 {
 		b.silentAt = now
@@ -650,6 +720,10 @@
 		if !be.listed || !b.maySend(now, r, be) || !b.coldRoom(now, be) {
 			continue
 		}
+		far := 0.0
+		if !be.near { // before those that look bad
+			far = life / 2
+		}
 		e := b.expect(now, r.class, be)
 		if cold := b.warmth(now-b.set.FallAfter, be) < 1; !cold || e > r.class.Aim.Seconds()/3 {
 			e *= math.Pow(b.rng.ExpFloat64()/b.size(be), b.spread)
@@ -667,11 +741,11 @@
 		if d := b.expect(now, r.class, be); b.fresh(now, be) && be.until == 0 && d < 1.5*r.class.mean {
 			e = d*(0.5+be.wait)/16 - life
 		}
-		if e < bestAt {
+		if e += far; e < bestAt {
 			best, bestAt = be, e
 		}
 	}
-	return best, seconds(math.Mod(bestAt+life, life))
+	return best, seconds(math.Mod(bestAt+life, life/2))
 }
 
 // size is a backend's roster weight against the mean.
@@ -748,6 +822,7 @@
 	be.outs = append(be.outs, a)
 	be.allowed--
 	be.looked = 0
+	b.sent++
 	r.out++
 	b.open++
 	r.cust.out++
@@ -949,7 +1024,7 @@
 	warm := 0.0
 	for _, be := range b.fleet {
 		be.slow += (0.5 - be.slow) * b.beat.Seconds() / 30
-		if be.listed && b.warmth(now, be) >= 1 && be.until == 0 {
+		if be.near && be.listed && b.warmth(now, be) >= 1 && be.until == 0 {
 			warm++
 		}
 		if quiet := be.quiet(now); quiet > 0 && be.outs[0].req.class.lost(quiet) {
@@ -966,7 +1041,10 @@
 		b.warmRate += (b.answers/warm/b.beat.Seconds() - b.warmRate) * max(1/b.warmed, b.beat.Seconds()/10)
 	}
 	b.answers = 0
-	b.ring = slices.DeleteFunc(b.ring, func(c *customer) bool {
+	b.sends += (b.sent/b.beat.Seconds() - b.sends) * max(1/b.warmed, b.beat.Seconds()/5)
+	b.sent = 0
+	b.survey()
+	b.idlers = slices.DeleteFunc(b.idlers, func(c *customer) bool {
 		b.sync(now, c, false) // what is owed: no request may come to carry it
 		idle := c.out == 0 && c.call == "" && !c.asking && now-c.seen > NameLife/3 && now > c.tat
 		if idle {
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -421,3 +421,36 @@
 		t.Error("a negative price was taken")
 	}
 }
+
+// Where each gateway meets each backend seldom it uses a part of the fleet, and all gateways together use all of it
+// about alike; where it meets them often it uses all.
+func TestManyGatewaysUseThePartsOfAFleet(t *testing.T) {
+	const doors, size = 80, 60
+	used := map[uint32]int{}
+	for i := range doors {
+		b, _ := start(t, func(s *Settings) { s.Doors, s.Index = doors, i })
+		fleet := Roster{Whole: true}
+		for id := range uint32(size) {
+			fleet.Members = append(fleet.Members, Member{ID: 100 + id, Zone: string(rune('a' + id%3)), Weight: 1})
+		}
+		b.Roster(0, fleet)
+		b.sends, b.sent, b.warmed = 4, 4*b.beat.Seconds(), 100
+		b.housekeep(0)
+		for _, be := range b.fleet {
+			if be.near {
+				used[be.ID]++
+			}
+		}
+		if b.sends, b.sent = 100, 100*b.beat.Seconds(); i == 0 {
+			b.housekeep(0)
+			if n := slices.IndexFunc(b.fleet, func(be *backend) bool { return !be.near }); n >= 0 {
+				t.Errorf("at 100 requests a second backend %d is not used", b.fleet[n].ID)
+			}
+		}
+	}
+	for id := range uint32(size) { // 12 of 60 each: 16 gateways for a backend
+		if n := used[100+id]; n < 13 || n > 19 {
+			t.Errorf("backend %d is used by %d gateways, want about 16", id, n)
+		}
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"asterwell/choice"
@@ -286,7 +287,7 @@
 		} else {
 			delete(ids, e.ID)
 		}
-		n.Members = append(n.Members, routing.Member{Addr: e.Addr, Name: e.ID, Member: choice.Member{ID: id, Zone: e.Zone,
+		n.Members = append(n.Members, routing.Member{Addr: e.Addr, Name: e.ID, Member: choice.Member{ID: id, Key: xxhash.Sum64String(e.ID), Zone: e.Zone,
 			Kind: e.Kind, Cell: e.Cell, State: states[e.State], Weight: e.Weight,
 			Started: time.Duration(e.StartedMs) * time.Millisecond}})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 // wire is the settings object as it is written. Keys not named here are ignored.
 type wire struct {
 	Balancers int `json:"balancers"`
+	SelfIndex int `json:"selfIndex"`
 	Caps      struct {
 		Cancel           bool    `json:"cancel"`
 		ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
@@ -95,7 +96,7 @@
 	}
 	s := Settings{IdleClose: Span(e.Caps.IdleCloseMs), Reports: e.LoadInfo.Source != "" && e.LoadInfo.Source != "off"}
 	s.Settings = choice.Settings{
-		Doors: e.Balancers, Zone: e.Locality, Tick: Span(e.TickMs),
+		Doors: e.Balancers, Index: e.SelfIndex, Zone: e.Locality, Tick: Span(e.TickMs),
 		MaxTries: e.Caps.TryLimit, SecondCopies: e.Caps.SecondCopies, Cancels: e.Caps.Cancel, Probes: e.Caps.Probes,
 		RetryAfter: e.Caps.RetryAfter, MaxRetryAfter: Span(e.Caps.MaxRetryAfterMs),
 		ConnectTimeout: Span(e.Caps.ConnectTimeoutMs),
