--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -235,7 +235,13 @@
 	const doors = 8
 	bs, recs := make([]*Balancer, doors), make([]*recorder, doors)
 	for i := range bs {
-		bs[i], recs[i] = start(t, func(s *Settings) { s.Doors = doors })
+		bs[i], recs[i] = start(t, func(s *Settings) {
+			s.Doors = doors
+			for i := range s.Plans {
+				s.Plans[i].OverrunCost = 1 // worth a call
+			}
+		})
+		bs[i].limit = 100 // no load
 	}
 	sent, store, totals := 0, 20.0, map[string]float64{}
 	id, began := uint32(0), 40*time.Second+namePeriod/2 // well into a period
