Let the limit on attempts grow to eight a server at many gateways, too

Seen with refusals by reason: at 80 gateways most are for load (500 to 1,000 a second), while some 120 attempts are out at 60 servers of two cores, which answer in 1.5 times their work; and 230 to 360 a second are for the ceiling in the first 5 s, though their customers have full stores.

At fault: floorOut, which gave a gateway that sees a sliver of the traffic one attempt a server instead of two, and admit, which made no call for a customer with a full store: without the counter's word the ceiling's share refused it.

Change: two attempts a server are the floor everywhere; only the start is lower where gateways outnumber servers. A request whose ceiling has no share left here is worth a call. Refusals past the aim are counted apart from those by load.

--- a/choice/api.go
+++ b/choice/api.go
@@ -198,6 +198,7 @@
 	NoServer               // none may be sent anything now
 	Beyond                 // its customer's quota
 	Pressed                // servers: it would have come late, or made others late
+	PastAim                // its aim has gone by, and the servers have others to serve
 	Ceiling                // this gateway's share of its customer's ceiling
 	Spent                  // attempts failed without having run, and no further one was allowed
 	reasons
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -258,8 +258,8 @@
 	}
 	b.share = n / float64(b.set.Doors)
 	b.order()
-	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests
-		b.limit = startOver * b.floorOut()
+	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests, least of all of many gateways
+		b.limit = startOver * b.floorOut() * min(1, (1+b.share)/2)
 		b.load, b.loadAt = min(b.limit, 1), now
 	}
 }
@@ -345,6 +345,7 @@
 	room, age := p.Burst-(c.tat-now).Seconds()*p.Rate, now-c.readAt
 	metered := b.set.Counter && c.width > 1 && p.Rate > 0 && share > 0.5 && !b.silent(now)
 	fresh := age <= b.set.CounterTimeout/4 || room-r.Units >= max(p.Burst/2, 2*p.Rate*age.Seconds())
+	fresh = fresh && (p.CeilingRate == 0 || c.spare >= r.Units) // its word is needed under the ceiling, too
 	if metered && (c.readAt == 0 || pass && !fresh) {
 		// While calls are scarce, few for a customer whose store was empty at the last reads.
 		if r.pays = r.pays && (b.floor == 0 || b.rng.Float64() < 1/(1+c.over)); r.pays && b.callable(now) {
@@ -432,8 +433,9 @@
 // the smaller the part of the limit that is open to it.
 func (b *Balancer) shed(now time.Duration, r *request, inside bool) bool {
 	keen := 1 - 0.5/(1+2*max(0, r.worth)/b.density)
+	why := Pressed
 	if r.aimAt <= now { // a repeat too late for its aim: in a retry storm, most of the load
-		keen = r.class.LateWorth
+		keen, why = r.class.LateWorth, PastAim
 	}
 	if !inside {
 		keen = min(keen, 0.5)
@@ -441,7 +443,7 @@
 	if b.busy(now) < b.limit*keen {
 		return false
 	}
-	b.refuse(now, r, Pressed, seconds(r.class.Aim.Seconds()*(0.25+b.rng.Float64()/2))) // not all together
+	b.refuse(now, r, why, seconds(r.class.Aim.Seconds()*(0.25+b.rng.Float64()/2))) // not all together
 	return true
 }
 
@@ -934,9 +936,8 @@
 // pace is the weight of one answer in what is learnt of load: the more, the fewer there are.
 func (b *Balancer) pace() float64 { return max(0.08, min(0.8/b.load, 0.3)) }
 
-// floorOut is the least that the limit may be: two attempts a backend where this gateway can even them out by
-// its own count, towards one where it sees a sliver of them and some backends get far more than the mean.
-func (b *Balancer) floorOut() float64 { return max(1, min(2, b.share)) * b.share }
+// floorOut is the least that the limit may be: two attempts a backend.
+func (b *Balancer) floorOut() float64 { return 2 * b.share }
 
 // steer moves the limit on attempts out, so that few answers come late, be it of overload, a shrunken fleet
 // or slow backends. Its floor keeps answers to learn from. It may hurt where lateness does not come of load.
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -267,6 +267,37 @@
 	}
 }
 
+// A full store needs no call for the quota. Under a ceiling it does, where this gateway has no share of its own yet.
+func TestCeilingIsWorthACall(t *testing.T) {
+	for plan, want := range map[string]bool{"rated": false, "capped": true} {
+		b, rec := start(t, func(s *Settings) { s.Plans[3].OverrunCost = 1 })
+		b.limit = 100
+		now := 30 * time.Second
+		q := ask(1, "read", plan, now)
+		q.Width = 2
+		c := b.customer(now, &request{Request: q, plan: b.plans[plan]})
+		c.readAt = now - msec // just read, and full
+		b.Request(now, q)
+		if asked := len(rec.sends) == 0 && len(rec.counts) == 1; asked != want {
+			t.Errorf("%s: sends %v, calls %v, want the call first: %v", plan, rec.sends, rec.counts, want)
+		}
+	}
+}
+
+// What comes too late for its aim is told apart from what the servers have no room for.
+func TestReasonsOfRefusals(t *testing.T) {
+	b, _ := start(t, nil)
+	b.limit, b.open, b.load = 10, 12, 12
+	b.Request(0, ask(1, "read", "free", 0))
+	q := ask(2, "read", "free", 0)
+	b.classes["read"].votes, b.classes["read"].span = 50, q.NotAfter-2*b.set.Tick
+	q.NotAfter = time.Second // of a deadline of 3 s: it has been asked for 2 s
+	b.Request(0, q)
+	if r := b.Books().Refused; r[Pressed] != 1 || r[PastAim] != 1 {
+		t.Errorf("refused %v, want one for load and one past its aim", r)
+	}
+}
+
 // A crowd at the counter is over soon, however few calls a gateway makes that could tell it.
 func TestCrowdAgesByTime(t *testing.T) {
 	b, _ := start(t, nil)
