--- a/choice/api.go
+++ b/choice/api.go
@@ -206,10 +206,10 @@
 
 // Books are totals of a Balancer since its start, and figures that it goes by.
 type Books struct {
-	Refused  [reasons]int // by Reason
-	Out      float64      // mean attempts out, of late
-	Limit    float64      // how many may be out before requests are refused
-	WarmRate float64      // answers a second that a warm backend gives this gateway
+	Refused [reasons]int // by Reason
+	Out     float64      // mean attempts out, of late
+	Limit   float64      // how many may be out before requests are refused
+	Rate    float64      // attempts a second, of late
 }
 
 // Actions is what a host carries out for a Balancer.
--- a/internal/aperture/aperture.go
+++ b/internal/aperture/aperture.go
@@ -17,25 +17,33 @@
 	Zone string
 }
 
-// Ring returns the places of nodes in an order that is the same at every
+// Ring returns items, each a node, in an order that is the same at every
 // gateway. Zones take turns in it, so that any part of it in a row holds about
 // as much of each zone as the whole does. One node more or less moves the
 // others by at most a place or two.
-func Ring(nodes []Node) []int {
-	ring := make([]int, len(nodes))
-	for i := range ring {
-		ring[i] = i
+func Ring[T any](items []T, node func(T) Node) []T {
+	type place struct {
+		item T
+		Node
+		rank float64 // in its zone
 	}
-	slices.SortFunc(ring, func(x, y int) int { return cmp.Compare(nodes[x].Key, nodes[y].Key) })
-	size, rank := map[string]float64{}, make([]float64, len(nodes))
-	for _, i := range ring {
-		rank[i] = size[nodes[i].Zone] + 0.5
-		size[nodes[i].Zone]++
+	ring, size := make([]place, len(items)), map[string]float64{}
+	for i, it := range items {
+		ring[i] = place{item: it, Node: node(it)}
 	}
-	slices.SortStableFunc(ring, func(x, y int) int {
-		return cmp.Compare(rank[x]/size[nodes[x].Zone], rank[y]/size[nodes[y].Zone])
+	slices.SortFunc(ring, func(x, y place) int { return cmp.Compare(x.Key, y.Key) })
+	for i, p := range ring {
+		ring[i].rank = size[p.Zone] + 0.5
+		size[p.Zone]++
+	}
+	slices.SortStableFunc(ring, func(x, y place) int {
+		return cmp.Compare(x.rank/size[x.Zone], y.rank/size[y.Zone])
 	})
-	return ring
+	order := make([]T, len(ring))
+	for i, p := range ring {
+		order[i] = p.item
+	}
+	return order
 }
 
 // Start is where on a ring of n nodes a gateway's own part begins. Numbers that
--- /dev/null
+++ b/internal/ceiling/ceiling.go
@@ -0,0 +1,76 @@
+// Package ceiling keeps a customer's requests under a ceiling that holds over
+// all gateways together, without a word among them. Each gateway has an even
+// share of it, empty at its start, since an earlier life may have spent it.
+//
+// What the shared counter has just put inside the customer's quota needs no
+// share: the quota is below the ceiling, so that all of it fits. The rest then
+// shares what the ceiling has beyond the quota. Proof, for any time t in which
+// the counter's counts hold: by its word go at most burst + rate*t units of the
+// quota, by spare shares at most what the ceiling's burst and rate are more than
+// that; together no more than the ceiling's own burst and rate*t. Where the
+// counts can't be trusted all goes by full shares, which sum up to the ceiling
+// in any interleaving: each use is taken from the share, below nothing if need
+// be, and what a full one loses is lost. No I/O, no clock.
+package ceiling
+
+import "time"
+
+// Terms are a customer's, in units and units a second, over all gateways.
+type Terms struct {
+	Rate, Burst           float64 // of the ceiling
+	QuotaRate, QuotaBurst float64 // of the quota below it; 0: none
+	Width                 float64 // gateways that have a share
+}
+
+// Word is how far the counter vouches for a request.
+type Word int
+
+// The words.
+const (
+	None  Word = iota // it can't be asked, or there is no quota
+	Guess             // it counts, but has not been asked for this request
+	Late              // it has put the request inside, and may have lost counts of late
+	Sure              // it has put the request inside
+)
+
+// Share is what one gateway may still send on.
+type Share struct {
+	room, spare float64 // of the whole ceiling; of what it has beyond the quota
+	at          time.Duration
+}
+
+// New returns an empty share that fills from a time on.
+func New(at time.Duration) Share { return Share{at: at} }
+
+func (s *Share) fill(now time.Duration, t Terms) {
+	past := max(0, (now - s.at).Seconds())
+	s.at = now
+	s.room = min(t.Burst/t.Width, s.room+t.Rate/t.Width*past)
+	s.spare = min((t.Burst-t.QuotaBurst)/t.Width, s.spare+(t.Rate-t.QuotaRate)/t.Width*past)
+}
+
+// Has reports whether units would pass without the counter's word.
+func (s *Share) Has(now time.Duration, t Terms, units float64) bool {
+	s.fill(now, t)
+	return s.room >= units && s.spare >= units
+}
+
+// Take takes units if they stay under the ceiling.
+func (s *Share) Take(now time.Duration, t Terms, units float64, w Word) bool {
+	s.fill(now, t)
+	if w != Sure && s.room < units || w == Guess && s.spare < units {
+		return false
+	}
+	s.room -= units
+	if w < Late {
+		s.spare -= units
+	}
+	return true
+}
+
+// Trusted is how long counts have to be sound, after they may have been lost,
+// before the word counts for all: in that time the ceiling fills up beyond what
+// the quota can take meanwhile.
+func (t Terms) Trusted() time.Duration {
+	return time.Duration(t.Burst / max(t.Rate-t.QuotaRate, 1e-3) * float64(time.Second))
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -162,7 +162,7 @@
 	}
 	fleet.Ends = g.core
 	list := protocol.DiscoveryOptions{World: world, Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
-		Connect: 250 * time.Millisecond}
+		Connect: 250 * time.Millisecond, Crowd: time.Duration(set.Doors) * 50 * time.Millisecond}
 	news := g.core.News
 	if g.srv != nil {
 		list.Heard, news = g.srv.listHeard, g.srv.list
@@ -314,9 +314,9 @@
 func (g *Gateway) report() {
 	b := g.Books()
 	log.Printf("event=totals requests=%d served=%d refused=%d failed=%d gone=%d attempts=%d probes=%d counts=%d "+
-		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d why=%v limit=%.2f load=%.2f warm_rate=%.3f", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
+		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d why=%v limit=%.2f load=%.2f rate=%.2f", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
 		b.Probes, b.Counts, b.Outcomes, b.Open, b.Clients, b.Out, b.Under, b.Servers,
-		b.Module.Refused, b.Module.Limit, b.Module.Out, b.Module.WarmRate)
+		b.Module.Refused, b.Module.Limit, b.Module.Out, b.Module.Rate)
 	g.srv.report()
 }
 
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -92,6 +93,64 @@
 	}
 }
 
+// A discovery that has too much to do is left alone for longer each time, by as much as there are gateways to share
+// it, and by chance; any other failure is followed up soon, since news may wait.
+func TestDiscoveryIsLeftAloneWhereItIsCrowded(t *testing.T) {
+	for _, tc := range []struct {
+		err         error
+		crowd       time.Duration
+		least, most time.Duration // of the wait after the sixth failure in a row
+	}{
+		{statusError(503), 4 * time.Second, 5 * time.Second, 15 * time.Second},
+		{statusError(503), 0, 320 * time.Millisecond, 960 * time.Millisecond},
+		{io.EOF, 4 * time.Second, 160 * time.Millisecond, 480 * time.Millisecond},
+		{statusError(500), 4 * time.Second, 160 * time.Millisecond, 480 * time.Millisecond},
+	} {
+		waits := map[time.Duration]bool{}
+		for range 20 {
+			d := NewDiscovery(DiscoveryOptions{Crowd: tc.crowd}, List{}, false, func(routing.News) {})
+			var wait time.Duration
+			for range 6 {
+				d.ask = &ask{}
+				began := d.opt.World.Now()
+				d.told(told{ask: d.ask, err: tc.err})
+				wait = d.after.Sub(began)
+			}
+			if wait < tc.least || wait > tc.most+100*time.Millisecond {
+				t.Fatalf("%v at %v: waits %v, want %v to %v", tc.err, tc.crowd, wait, tc.least, tc.most)
+			}
+			waits[wait.Round(tc.least/20)] = true
+		}
+		if len(waits) < 3 {
+			t.Errorf("%v at %v: all wait alike: %v", tc.err, tc.crowd, waits)
+		}
+	}
+}
+
+// A start goes on from the list that is known, asks whether there is news at once, and says so if there is none.
+func TestDiscoveryGoesOnFromWhatIsKnown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	news := make(chan routing.News, 10)
+	d := NewDiscovery(DiscoveryOptions{Addr: ln.Addr().String(), Hold: time.Hour, Grace: time.Hour, Connect: time.Minute},
+		List{Version: 41, Servers: []Entry{{ID: "s-a", Addr: "127.0.0.1:1", State: "up"}}}, false, func(n routing.News) { news <- n })
+	defer d.Stop()
+	go d.Run()
+	none := `{"version":41,"full":false,"servers":[]}`
+	stage := scenario.Stage{Accept: map[string]net.Listener{"list": ln}, Vars: map[string]string{
+		"none": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(none), none)}}
+	stage.Play(t, `
+		list1 expect "GET /api/targets?from=41&hold_ms=50 HTTP/1.1\r\n"
+		list1 send "$none"
+		list1 expect "GET /api/targets?from=41&hold_ms=3600000 HTTP/1.1\r\n"`)
+	if saved, first := <-news, <-news; !saved.Saved || first.Saved || first.Whole || len(first.Members) > 0 {
+		t.Errorf("%+v, then %+v, want the saved list and that nothing is new", saved, first)
+	}
+}
+
 // What has left the list is forgotten: on a long day servers never stop coming.
 func TestNumbersAreForgotten(t *testing.T) {
 	d := NewDiscovery(DiscoveryOptions{}, List{}, false, func(routing.News) {})
