--- a/choice/choice.go
+++ b/choice/choice.go
@@ -724,7 +724,7 @@
 			e += r.class.Aim.Seconds() / 2
 		}
 		fault := be.Fault * r.class.Aim.Seconds() // no delay, but as bad
-		if be.Out() { // last of all, not never: when all look bad, the fault may be this gateway's
+		if be.Out() {                             // last of all, not never: when all look bad, the fault may be this gateway's
 			if b.set.Probes || now < be.Until || len(be.outs) > 0 || r.class.Effect == Fragile {
 				e += life
 			} // else this is a trial: one request shows whether it is back
