Let what the counter could not be asked about go last under load

Checked: calls are at the counter's limit (2 to 4% turned away), so that more calls are not to be had.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,6 +83,7 @@
 	inside, pays  bool    // took units from the quota; the loss if it is beyond is worth a counter call
 	beyond, known bool    // its customer is taken to have no room; decided on a fresh count
 	done, stream  bool
+	asks          bool  // the counter could tell more of it
 	slot          int64 // period whose count of attempts out holds this request; 0: none
 }
 
@@ -182,7 +183,7 @@
 		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
 	}
 	b.beat = max(b.beat/8, set.Tick)
-	b.limit, b.retries = math.Inf(1), mostRetries
+	b.limit, b.retries, b.beyond = math.Inf(1), mostRetries, 0.3
 	b.spread = math.Sqrt(float64(set.Doors)) / 20
 	b.looks = int(min(worthLooks/max(set.ProbePrice, 1e-9), mostLooks))
 	for _, p := range set.Plans {
@@ -337,7 +338,7 @@
 	metered := b.set.Counter && c.width > 1 && p.Rate > 0 && share > 0.5 && !b.silent(now)
 	fresh := age <= b.set.CounterTimeout/4 || room-r.Units >= max(p.Burst/2, 2*p.Rate*age.Seconds())
 	fresh = fresh && (p.CeilingRate == 0 || c.share.Has(now, r.terms(), r.Units)) // its word is needed under the ceiling, too
-	if metered && (c.readAt == 0 || pass && !fresh) {
+	if r.asks = metered && (c.readAt == 0 || pass && !fresh); r.asks {
 		// While calls are scarce, few for a customer whose store was empty at the last reads.
 		if r.pays = r.pays && (b.floor == 0 || b.rng.Float64() < 1/(1+c.over)); r.pays && b.callable(now) {
 			if c.queue = append(c.queue, r); c.call == "" {
@@ -407,8 +408,8 @@
 		b.refuse(now, r, Beyond, wait)
 		return
 	}
-	if !r.known && c.readAt == 0 {
-		r.worth *= 1 - b.beyond // it may be beyond its quota
+	if r.asks && !r.known { // it may be beyond its quota, and is less worth sending the likelier that is
+		r.worth *= max(0, 1-b.beyond*(1+p.OverrunCost-p.ExcessWorth))
 	}
 	if !(inside && r.known) && b.shed(now, r, inside) {
 		return
@@ -656,10 +657,10 @@
 	for _, r := range queue {
 		if r.known = e.Status == OK; r.known && !r.done {
 			pass, _ := b.inside(now, c, r)
-			if b.beyond *= 0.98; pass {
+			if b.beyond *= 0.95; pass {
 				c.over /= 2
 			} else {
-				c.over, b.beyond = c.over+1, b.beyond+0.02
+				c.over, b.beyond = c.over+1, b.beyond+0.05
 			}
 		}
 		if !r.done {
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -286,6 +286,21 @@
 	}
 }
 
+// Under load a request of which the counter could tell more, and can't be asked, goes last: by the odds it is beyond.
+func TestGuessesGoLastUnderLoad(t *testing.T) {
+	for odds, want := range map[float64]bool{0: true, 0.5: false} {
+		b, rec := start(t, nil)
+		b.limit, b.open, b.load, b.density, b.beyond = 10, 6, 6, 10, odds
+		b.fails, b.callAfter = 1, time.Hour
+		q := ask(1, "read", "rated", 0)
+		q.Width = 2
+		b.Request(0, q)
+		if sent := len(rec.sends) == 1; sent != want {
+			t.Errorf("odds %v of being beyond: sent %v, want %v", odds, sent, want)
+		}
+	}
+}
+
 // What comes too late for its aim is told apart from what the servers have no room for.
 func TestReasonsOfRefusals(t *testing.T) {
 	b, _ := start(t, nil)
