--- a/choice/api.go
+++ b/choice/api.go
@@ -236,6 +236,9 @@
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("Classes must not be empty")
 	}
+	if s.Index < 0 {
+		return fmt.Errorf("Index must not be negative, got %d", s.Index)
+	}
 	if !(s.ProbePrice >= 0) {
 		return fmt.Errorf("ProbePrice must not be negative, got %v", s.ProbePrice)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,7 +152,7 @@
 }
 
 // keys maps the names in the module's complaints to the keys an operator wrote.
-var keys = strings.NewReplacer("ProbePrice", "prices.probe", "Doors", "balancers", "Tick", "tickMs", "Classes", "services", "Plans", "contracts",
+var keys = strings.NewReplacer("Index", "selfIndex", "ProbePrice", "prices.probe", "Doors", "balancers", "Tick", "tickMs", "Classes", "services", "Plans", "contracts",
 	".Name", ".name", ".Aim", ".aimMs", ".Effect", ".effect", ".Group", ".group", ".Rate", ".quotaRate",
 	".Burst", ".peakUnits", ".MaxOut", ".maxOut", ".CeilingRate", ".neverOverRate", ".CeilingBurst", ".ceilingBurst")
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -43,3 +44,24 @@
 		}
 	}
 }
+
+// What makes no sense is told by the key that the operator wrote.
+func TestBadFiguresAreNamed(t *testing.T) {
+	const rest = `,"services":[{"name":"s","aimMs":800,"effect":"retryable"}]}`
+	for text, key := range map[string]string{
+		`{"balancers":3,"prices":{"probe":-0.1}` + rest:    "prices.probe",
+		`{"balancers":3,"prices":{"probe":"a"}` + rest:     "prices.probe",
+		`{"balancers":0` + rest:                            "balancers",
+		`{"prices":{}` + rest:                              "balancers",
+		`{"balancers":"many"` + rest:                       "balancers",
+		`{"balancers":3,"selfIndex":-1,"prices":{}` + rest: "selfIndex",
+	} {
+		s, err := Decode([]byte(text))
+		if err == nil {
+			err = s.Check()
+		}
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v, want %s named", text, err, key)
+		}
+	}
+}
