--- a/choice/choice.go
+++ b/choice/choice.go
@@ -172,8 +172,8 @@
 	}
 	b := &Balancer{set: set, act: act, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*class{},
 		plans: map[string]*Plan{}, reqs: map[uint32]*request{}, byID: map[uint32]*backend{},
-		customers: map[string]*customer{}, quickest: map[string]float64{}, zones: map[string]*health.Zone{}, logged: map[string]bool{},
-		calls: map[string]func(time.Duration, Counted){}}
+		customers: map[string]*customer{}, quickest: map[string]float64{}, logged: map[string]bool{},
+		zones: map[string]*health.Zone{}, calls: map[string]func(time.Duration, Counted){}}
 	b.set.MaxTries = max(set.MaxTries, 1)
 	b.set.MaxRetryAfter = cmp.Or(set.MaxRetryAfter, math.MaxInt64)
 	b.beat = set.Classes[0].Aim
@@ -258,7 +258,7 @@
 		return aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Member.Zone}
 	})
 	b.survey()
-	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests, least of all of many gateways
+	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests
 		b.limit = startOver * b.floorOut() * min(1, (1+b.share)/2)
 		b.load, b.loadAt = min(b.limit, 1), now
 	}
@@ -267,7 +267,8 @@
 // survey marks the backends that this gateway uses: so few that it meets each often enough to know it, and to
 // find its connection still open. What looks dead is made up for.
 func (b *Balancer) survey() {
-	if want := max(leastReach, b.sends*meetWithin.Seconds()); want > 1.25*float64(b.reach) || want < 0.6*float64(b.reach) {
+	want, now := max(leastReach, b.sends*meetWithin.Seconds()), float64(b.reach)
+	if want > 1.25*now || want < 0.6*now {
 		b.reach = int(math.Ceil(want))
 	}
 	b.stuck, b.mass = 0, 0
@@ -337,7 +338,7 @@
 	room, age := p.Burst-(c.tat-now).Seconds()*p.Rate, now-c.readAt
 	metered := b.set.Counter && c.width > 1 && p.Rate > 0 && share > 0.5 && !b.silent(now)
 	fresh := age <= b.set.CounterTimeout/4 || room-r.Units >= max(p.Burst/2, 2*p.Rate*age.Seconds())
-	fresh = fresh && (p.CeilingRate == 0 || c.share.Has(now, r.terms(), r.Units)) // its word is needed under the ceiling, too
+	fresh = fresh && (p.CeilingRate == 0 || c.share.Has(now, r.terms(), r.Units))
 	if r.asks = metered && (c.readAt == 0 || pass && !fresh); r.asks {
 		// While calls are scarce, few for a customer whose store was empty at the last reads.
 		if r.pays = r.pays && (b.floor == 0 || b.rng.Float64() < 1/(1+c.over)); r.pays && b.callable(now) {
@@ -519,13 +520,13 @@
 	b.sync(now, c, r.pays)
 }
 
-// underCeiling takes a request's units from this gateway's share of the ceiling (rule 5), where the counter's word
-// does not do. It doesn't for the time in which a store fills after a period's start, nor for a while after a sign
-// that counts were lost.
+// underCeiling takes a request's units from this gateway's share of the ceiling (rule 5), where the counter's
+// word does not do. It doesn't for the time in which a store fills after a period's start, nor for a while
+// after a sign that counts were lost.
 func (b *Balancer) underCeiling(now time.Duration, r *request, inside bool) bool {
 	p, t, word := r.plan, r.terms(), ceiling.None
 	switch {
-	case !b.set.Counter || p.Rate == 0 || p.CeilingRate <= p.Rate || p.CeilingBurst <= p.Burst || b.silent(now):
+	case !b.set.Counter || p.Rate == 0 || t.Rate <= p.Rate || t.Burst <= p.Burst || b.silent(now):
 	case !inside || !r.known:
 		word = ceiling.Guess
 	case now%namePeriod < p.span(p.Burst) || now-b.doubtAt < t.Trusted():
@@ -549,7 +550,8 @@
 func (b *Balancer) customer(now time.Duration, r *request) *customer {
 	c := b.customers[r.Customer]
 	if c == nil {
-		c = &customer{key: r.Customer, plan: r.plan, width: r.Width, share: ceiling.New(b.started), assumeAt: now}
+		c = &customer{key: r.Customer, plan: r.plan, width: r.Width, assumeAt: now}
+		c.share = ceiling.New(b.started)
 		if c.tat = now; r.plan.Rate > 0 {
 			free := min(max(r.plan.Burst/float64(r.Width), b.set.MaxUnits, 1), r.plan.Burst)
 			c.tat = now + r.plan.span(r.plan.Burst-free)
@@ -725,7 +727,8 @@
 			e += r.class.Aim.Seconds() / 2
 		}
 		fault := be.Fault * r.class.Aim.Seconds() // no delay, but as bad
-		if be.Out() {                             // last of all, not never: when all look bad, the fault may be this gateway's
+		// Last of all, not never: when all look bad, this gateway may be at fault.
+		if be.Out() {
 			if b.set.Probes || now < be.Until || len(be.outs) > 0 || r.class.Effect == Fragile {
 				e += life
 			} // else this is a trial: one request shows whether it is back
@@ -777,8 +780,8 @@
 	return from + (1-from)*max(0, age.Seconds())/b.set.ColdFor.Seconds()
 }
 
-// coldRoom keeps a cold backend from being pushed over (rule 4): FallMultiple times its even part of what this
-// gateway sends, by least capacity, half at a steady rate, half at once. It starts at random: gateways
+// coldRoom keeps a cold backend from being pushed over (rule 4): FallMultiple times its even part of what
+// this gateway sends, by least capacity, half at a steady rate, half at once. It starts at random: gateways
 // with far less than one request each take turns, and the sum stays right.
 func (b *Balancer) coldRoom(now time.Duration, be *backend) bool {
 	window := max(b.set.FallAfter, b.beat)
@@ -805,7 +808,8 @@
 		return false
 	}
 	group := r.class.Group
-	return group == All || be.Member.Zone == first.to.Member.Zone && (group == SameZone || be.Cell == first.to.Cell)
+	near := be.Member.Zone == first.to.Member.Zone
+	return group == All || near && (group == SameZone || be.Cell == first.to.Cell)
 }
 
 func (b *Balancer) send(now time.Duration, r *request, be *backend) {
@@ -899,7 +903,7 @@
 		be.heard = now
 		be.Failed()
 		b.faults += (1 - b.faults) * 0.02
-		b.steer(now, o.Status == Full && b.faults > 0.1) // they answer fast, and look idle; a few may be draining
+		b.steer(now, o.Status == Full && b.faults > 0.1) // they look idle; a few may be draining
 	case ConnectFailed, Reset:
 		b.eject(now, be)
 	case Timeout, Cancelled:
@@ -942,8 +946,8 @@
 }
 
 // eject takes a backend out of the choice for a time that doubles with each strike. It meets whatever makes a
-// backend useless from here: dead, silent, cut off, restarted. It may hurt when the link at fault is ours. Several
-// that fall silent in a row speak for their zone: what is left of it is not tried one by one.
+// backend useless from here: dead, silent, cut off, restarted. It may hurt when the link at fault is ours.
+// Several that fail in a row speak for their zone: what is left of it is not tried one by one.
 func (b *Balancer) eject(now time.Duration, be *backend) {
 	lost := be.Server.Zone.Silent(&be.Server, now)
 	be.Strike(now, 2*b.beat)
