Doubt the counter's counts for a while after a start: a ceiling could be passed

A new test plays 2 to 8 gateways with a counter that falls silent, is back with its counts or empty, restarts of gateways and new periods, at a ceiling 1.1 times the quota.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -287,6 +287,7 @@
 // Request takes a client's try.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.started = cmp.Or(b.started, now) // the time before the first request earns no room under a ceiling
+	b.doubtAt = cmp.Or(b.doubtAt, now) // counts may have been lost just before, and nobody tells
 	cl, pl := b.classes[q.Class], b.plans[q.Plan]
 	if cl == nil || pl == nil || b.reqs[q.ID] != nil {
 		b.logOnce(fmt.Sprintf("refused a request of unknown class %q or plan %q", q.Class, q.Plan))
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -257,3 +257,35 @@
 		t.Errorf("cold backends got %d of 400, want about 100", n)
 	}
 }
+
+// A backend that answers faults at once looks idle. It must not draw what the others would serve.
+func TestFaultsAreAvoided(t *testing.T) {
+	b, rec := start(t, nil)
+	b.limit = 1000
+	bad := 0
+	for i := range 200 {
+		now := time.Duration(i) * 20 * msec
+		b.Request(now, ask(uint32(i+1), "once", "free", now))
+		if s := rec.sends[len(rec.sends)-1]; s.to == 3 {
+			bad++
+			rec.end(b, now, 0, Error)
+		} else {
+			rec.end(b, now, 0, OK)
+		}
+	}
+	if bad > 20 { // an even part is 50
+		t.Errorf("%d of 200 went to a backend that fails all", bad)
+	}
+}
+
+// Under load what is worth little for a second of work goes first, long before what is worth much.
+func TestWorthDecidesUnderLoad(t *testing.T) {
+	for worth, want := range map[float64]bool{5: true, 1: false} {
+		b, rec := start(t, func(s *Settings) { s.Classes[2].Value = worth })
+		b.limit, b.open, b.load, b.density = 10, 8, 8, 30 // the mean of those asked is 3 in 0.1 s
+		b.Request(0, ask(1, "once", "free", 0))
+		if sent := len(rec.sends) == 1; sent != want {
+			t.Errorf("worth %v: sent %v, want %v", worth, sent, want)
+		}
+	}
+}
--- a/choice/meter_test.go
+++ b/choice/meter_test.go
@@ -243,7 +243,7 @@
 				s.Plans[i].OverrunCost = 1 // worth a call
 			}
 		})
-		bs[i].limit = 100 // no load
+		bs[i].limit, bs[i].doubtAt = 100, 1 // no load; started long ago
 	}
 	sent, store, totals := 0, 20.0, map[string]float64{}
 	id, began := uint32(0), 40*time.Second+namePeriod/2 // well into a period
--- a/choice/sums_test.go
+++ b/choice/sums_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -203,3 +204,82 @@
 		t.Errorf("%v units counted for %v sent on", counted, sent)
 	}
 }
+
+// A ceiling over many gateways, whatever becomes of the counter that vouches for the quota below it: silent, back with
+// its counts or empty, restarts of gateways, periods that change. The customer asks ten times its quota throughout.
+func TestCeilingHoldsWhateverTheCounterDoes(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		doors := 2 + rng.IntN(7)
+		gateway := func(i int, now time.Duration) (*Balancer, *recorder) {
+			b, rec := start(t, func(s *Settings) {
+				s.Doors, s.Index = doors, i
+				p := &s.Plans[3]
+				p.OverrunCost, p.CeilingRate, p.CeilingBurst = 1, 11, 12 // hardly more than the quota
+			})
+			b.limit, b.started = 1000, now
+			return b, rec
+		}
+		var bs []*Balancer
+		var recs []*recorder
+		began := time.Duration(20+rng.IntN(20)) * time.Second
+		for i := range doors {
+			b, rec := gateway(i, began)
+			bs, recs = append(bs, b), append(recs, rec)
+		}
+		totals, store, sent := map[string]float64{}, 12.0, 0
+		type late struct {
+			door int
+			name string
+			at   time.Duration
+		}
+		var unanswered []late
+		silent := began + time.Duration(rng.IntN(8000))*msec
+		back, empty := silent+time.Duration(500+rng.IntN(8000))*msec, rng.IntN(2) == 0
+		for tick := range 3000 { // 30 s
+			now := began + time.Duration(tick)*10*msec
+			if empty && now >= back && now < back+10*msec {
+				clear(totals)
+			}
+			if tick%500 == 250 && rng.IntN(2) == 0 {
+				i := rng.IntN(doors)
+				bs[i], recs[i] = gateway(i, now)
+			}
+			i := rng.IntN(doors)
+			q := ask(uint32(tick+1), "read", "capped", now)
+			q.Width = doors
+			n := len(recs[i].sends)
+			bs[i].Request(now, q)
+			for i, rec := range recs {
+				for len(rec.counts) > 0 {
+					c := rec.counts[0]
+					rec.counts = rec.counts[1:]
+					if now >= silent && now < back {
+						unanswered = append(unanswered, late{i, c.name, now + 40*msec})
+						continue
+					}
+					totals[c.name] += c.add
+					bs[i].Counted(now, Counted{Name: c.name, Status: OK, Total: totals[c.name], Elapsed: msec})
+				}
+			}
+			for len(unanswered) > 0 && unanswered[0].at <= now {
+				u := unanswered[0]
+				unanswered = unanswered[1:]
+				bs[u.door].Counted(now, Counted{Name: u.name, Status: Timeout, Elapsed: 40 * msec})
+			}
+			store = min(12, store+0.11)
+			if got := len(recs[i].sends); got > n {
+				store -= float64(got - n)
+				sent += got - n
+				recs[i].end(bs[i], now, 0, OK)
+			}
+			if store < -4 { // its slack
+				t.Fatalf("seed %d: ceiling passed by %.1f after %v of the day (silent from %v to %v, empty %v)", seed, -store,
+					now-began, silent-began, back-began, empty)
+			}
+		}
+		if sent < 150 {
+			t.Errorf("seed %d: %d sent in 30 s of a quota of 310", seed, sent)
+		}
+	}
+}
