--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -18,6 +18,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/actor"
+	"asterwell/internal/backoff"
 	"asterwell/internal/protocol"
 	"asterwell/internal/protocol/openapi"
 	"asterwell/internal/routing"
@@ -162,7 +163,7 @@
 	}
 	fleet.Ends = g.core
 	list := protocol.DiscoveryOptions{World: world, Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
-		Connect: 250 * time.Millisecond, Crowd: time.Duration(set.Doors) * 50 * time.Millisecond}
+		Connect: 250 * time.Millisecond, Pace: backoff.Terms{Shared: set.Subscribe, Within: set.AskWithin, Gateways: set.Doors}}
 	news := g.core.News
 	if g.srv != nil {
 		list.Heard, news = g.srv.listHeard, g.srv.list
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -14,6 +14,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/actor"
+	"asterwell/internal/backoff"
 	"asterwell/internal/routing"
 	"asterwell/internal/seam"
 	"asterwell/internal/transport"
@@ -62,7 +63,7 @@
 	Hold    time.Duration // how long a watch may wait for news
 	Grace   time.Duration // how long its answer may take beyond that
 	Connect time.Duration
-	Crowd   time.Duration // over so long gateways that start together make their first call
+	Pace    backoff.Terms // of the calls
 	World   seam.Seam     // nil: the real one
 	Heard   func()        // after each call that went well; nil: nobody asks
 }
@@ -81,8 +82,8 @@
 	lastID  uint32
 	ask     *ask            // under way
 	conn    *transport.Conn // of the last one, if it may carry another
-	pause   time.Duration   // after the next failure
-	after   time.Time       // no call before
+	pace    *backoff.Pace
+	after   time.Time // no call before
 }
 
 // ask is one call. It runs beside the actor, which can break it off.
@@ -108,10 +109,8 @@
 func NewDiscovery(opt DiscoveryOptions, known List, onDemand bool, news func(routing.News)) *Discovery {
 	opt.World = seam.Or(opt.World)
 	d := &Discovery{opt: opt, news: news, box: actor.NewBox[any](opt.World), on: !onDemand,
-		whole: len(known.Servers) == 0, ids: map[string]uint32{}, pause: firstPause}
-	if opt.Crowd > 0 {
-		d.after = opt.World.Now().Add(time.Duration(opt.World.Random() % uint64(opt.Crowd)))
-	}
+		whole: len(known.Servers) == 0, ids: map[string]uint32{}, pace: backoff.New(opt.Pace)}
+	d.after = opt.World.Now().Add(d.pace.First(d.odds()))
 	n := d.take(known, true)
 	n.Saved = true
 	news(n)
@@ -126,16 +125,8 @@
 // the whole list at once.
 func (d *Discovery) Move(addr string) { d.box.Put(move(addr)) }
 
-// The waits between failed calls, half as long or half as long again by chance.
-// Nothing is told of servers that come, drain or leave meanwhile, so they are
-// short. But where discovery answers that it has too much to do, short waits of
-// many gateways keep it so.
-const (
-	firstPause = 20 * time.Millisecond
-	mostPause  = 320 * time.Millisecond
-	mostCrowd  = 10 * time.Second
-	firstHold  = 50 * time.Millisecond // of the first watch: whether there is news is told at once
-)
+// firstHold is that of the first watch: whether there is news is told at once.
+const firstHold = 50 * time.Millisecond
 
 // statusError is an answer other than 200.
 type statusError int
@@ -176,7 +167,8 @@
 		return
 	}
 	d.breakOff()
-	d.opt.Addr, d.whole, d.pause, d.after = addr, true, firstPause, time.Time{}
+	d.opt.Addr, d.whole, d.after = addr, true, time.Time{}
+	d.pace.Heard()
 }
 
 // breakOff ends the call under way and its connection.
@@ -224,18 +216,15 @@
 			d.conn.Close()
 			d.conn = nil
 		}
-		most := mostPause
 		var status statusError
-		if errors.As(m.err, &status) && status == fasthttp.StatusServiceUnavailable {
-			most, d.pause = mostCrowd, max(d.pause, d.opt.Crowd)
-		}
-		pause := d.pause/2 + time.Duration(d.opt.World.Random()%uint64(d.pause))
-		d.after, d.pause = d.opt.World.Now().Add(pause), min(2*d.pause, most)
+		busy := errors.As(m.err, &status) && status == fasthttp.StatusServiceUnavailable
+		d.after = d.opt.World.Now().Add(d.pace.Failed(busy, d.odds()))
 		d.news(routing.News{Broken: true})
 		return
 	}
 	first := !d.heard
-	d.pause, d.whole, d.heard = firstPause, false, true
+	d.pace.Heard()
+	d.whole, d.heard = false, true
 	if d.opt.Heard != nil {
 		d.opt.Heard()
 	}
@@ -245,6 +234,9 @@
 	d.version = m.list.Version
 }
 
+// odds draws a number from 0 to 1.
+func (d *Discovery) odds() float64 { return float64(d.opt.World.Random()>>11) / (1 << 53) }
+
 // open makes sure of a connection that breakOff can close.
 func (a *ask) open(opt DiscoveryOptions) error {
 	if a.conn != nil {
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"asterwell/choice"
+	"asterwell/internal/backoff"
 	"asterwell/internal/routing"
 	"asterwell/internal/scenario"
 )
@@ -93,22 +94,26 @@
 	}
 }
 
-// A discovery that has too much to do is left alone for longer each time, by as much as there are gateways to share
-// it, and by chance; any other failure is followed up soon, since news may wait.
+// Which failures speak of a crowd, and that gateways which start or fail together do not come back together.
 func TestDiscoveryIsLeftAloneWhereItIsCrowded(t *testing.T) {
+	shared := backoff.Terms{Shared: true, Within: 10 * time.Second, Gateways: 80}
 	for _, tc := range []struct {
 		err         error
-		crowd       time.Duration
+		pace        backoff.Terms
 		least, most time.Duration // of the wait after the sixth failure in a row
 	}{
-		{statusError(503), 4 * time.Second, 5 * time.Second, 15 * time.Second},
-		{statusError(503), 0, 320 * time.Millisecond, 960 * time.Millisecond},
-		{io.EOF, 4 * time.Second, 160 * time.Millisecond, 480 * time.Millisecond},
-		{statusError(500), 4 * time.Second, 160 * time.Millisecond, 480 * time.Millisecond},
+		{statusError(503), shared, 5 * time.Second, 15 * time.Second},
+		{statusError(503), backoff.Terms{Gateways: 300}, 80 * time.Millisecond, 240 * time.Millisecond},
+		{io.EOF, shared, 160 * time.Millisecond, 480 * time.Millisecond},
+		{statusError(500), shared, 160 * time.Millisecond, 480 * time.Millisecond},
 	} {
 		waits := map[time.Duration]bool{}
 		for range 20 {
-			d := NewDiscovery(DiscoveryOptions{Crowd: tc.crowd}, List{}, false, func(routing.News) {})
+			began := time.Now()
+			d := NewDiscovery(DiscoveryOptions{Pace: tc.pace}, List{}, false, func(routing.News) {})
+			if late := d.after.Sub(began) > time.Second/2; late && !tc.pace.Shared {
+				t.Errorf("an agent is asked %v after the start", d.after.Sub(began))
+			}
 			var wait time.Duration
 			for range 6 {
 				d.ask = &ask{}
@@ -117,12 +122,12 @@
 				wait = d.after.Sub(began)
 			}
 			if wait < tc.least || wait > tc.most+100*time.Millisecond {
-				t.Fatalf("%v at %v: waits %v, want %v to %v", tc.err, tc.crowd, wait, tc.least, tc.most)
+				t.Fatalf("%v at %v: waits %v, want %v to %v", tc.err, tc.pace, wait, tc.least, tc.most)
 			}
 			waits[wait.Round(tc.least/20)] = true
 		}
 		if len(waits) < 3 {
-			t.Errorf("%v at %v: all wait alike: %v", tc.err, tc.crowd, waits)
+			t.Errorf("%v at %v: all wait alike: %v", tc.err, tc.pace, waits)
 		}
 	}
 }
--- a/internal/routing/layer_test.go
+++ b/internal/routing/layer_test.go
@@ -39,6 +39,7 @@
 		"../routing":    {"net*", "encoding/*", "github.com/*", "own", "!asterwell/internal/actor", "!asterwell/internal/seam", "!asterwell/choice"},
 		"../../choice":  {"net*", "os*", "log*", "encoding/*", "github.com/*", "own", "!asterwell/internal/aperture", "!asterwell/internal/ceiling", "!asterwell/internal/health"},
 		"../aperture":   {"net*", "os*", "log*", "io*", "time", "encoding/*", "github.com/*", "own"},
+		"../backoff":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../ceiling":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../health":     {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../membership": {"net*", "os*", "log*", "io*", "encoding/*", "own", "!asterwell/choice"},
