--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -190,6 +190,9 @@
 	}
 	// Nodes that came back cold are warm then, and what has been ejected is back.
 	w.quiet += coldFor + 3*time.Second
+	if c := p.ceiling(); c < 2 { // customers under a ceiling near their quota wait for it to refill after each doubt
+		w.quiet += time.Duration(proBurst / proQuota * c / (c - 1) * float64(time.Second))
+	}
 }
 
 // play runs the load, and then looks at what is left.
