--- a/internal/routing/layer_test.go
+++ b/internal/routing/layer_test.go
@@ -40,6 +40,7 @@
 		"../../choice":  {"net*", "os*", "log*", "encoding/*", "github.com/*", "own", "!asterwell/internal/aperture", "!asterwell/internal/ceiling", "!asterwell/internal/health"},
 		"../aperture":   {"net*", "os*", "log*", "io*", "time", "encoding/*", "github.com/*", "own"},
 		"../backoff":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
+		"../judge":      {"net*", "os*", "log*", "io*", "encoding/*", "own"},
 		"../ceiling":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../health":     {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../membership": {"net*", "os*", "log*", "io*", "encoding/*", "own", "!asterwell/choice"},
--- a/internal/sim/standin_node.go
+++ b/internal/sim/standin_node.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // message is a request or an answer as the stand-ins read it.
@@ -84,19 +82,14 @@
 	caught  bool          // turns all away, as one that drains does
 	done    int
 	since   time.Duration
-	window  []arrived
-}
-
-type arrived struct {
-	at   time.Duration
-	work float64
 }
 
 // start begins a process at the node's address.
 func (n *node) start() {
 	n.proc = n.w.s.NewProc(n.id)
 	n.host = n.w.net.Host(n.proc, fmt.Sprintf("10.1.0.%d", n.index+1), uint64(n.index))
-	n.free, n.waiting, n.window = nodeCores, nil, nil
+	n.free, n.waiting = nodeCores, nil
+	n.w.rules.Warm(n.id)
 	n.host.accept(n.addr, n.serve)
 }
 
@@ -152,7 +145,7 @@
 	id := m.headers["x-request-id"]
 	j := n.w.rules.arrives(n, gateway, id, m.begun)
 	n.w.note("arrives %s at %s from g%d", id, n.id, gateway)
-	work := n.work(j.submit)
+	work := n.work(j.Once)
 	n.w.rules.cold(n, work)
 	n.last = n.w.s.now
 	n.hold()
@@ -169,7 +162,7 @@
 	} else {
 		n.free--
 	}
-	n.w.rules.runs(id, j)
+	n.w.rules.Runs(id)
 	left := time.Duration(work / n.warmth() * n.slow * float64(time.Second))
 	n.host.Sleep(left)
 	n.hold()
@@ -183,9 +176,9 @@
 	n.done++
 	body := []byte(fmt.Sprintf("{\"id\":%q,\"by\":%q,\"n\":%d,\"len\":%d}", id, n.id, n.done, len(m.body)))
 	if n.spoil > 0 && n.rng.Float64() < n.spoil {
-		return n.spoilt(c, j, body)
+		return n.spoilt(c, id, body)
 	}
-	j.bodies = append(j.bodies, xxhash.Sum64(body))
+	n.w.rules.Made(id, body)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return err == nil
 }
@@ -200,7 +193,7 @@
 }
 
 // spoilt answers with what no client may see as a good answer to this request.
-func (n *node) spoilt(c *conn, j *judged, body []byte) bool {
+func (n *node) spoilt(c *conn, id string, body []byte) bool {
 	text := string(body)
 	kind := n.rng.IntN(9)
 	if n.kind >= 0 {
@@ -234,7 +227,7 @@
 		c.abort()
 	case 8:
 		n.w.seen("answer with another behind it")
-		j.bodies = append(j.bodies, xxhash.Sum64(nil)) // the first is the answer
+		n.w.rules.Made(id, nil) // the first is the answer
 		c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 		n.host.Sleep(time.Duration(n.rng.IntN(1500)) * time.Microsecond) // a gateway waits 3 ms for that
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
