--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -23,10 +23,13 @@
 // errBroken ends the program with status 1 after the report has been printed.
 var errBroken = errors.New("a rule broke")
 
+// errVoid: a run counts for nothing, since a fault did not bite or the machine was too busy.
+var errVoid = errors.New("the run is void")
+
 func main() {
 	root := &cobra.Command{Use: "asterlab", Short: "Stand-ins and measurements for asterwell, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(standins(), measures(), seeds(), replay(), shrink())
+	root.AddCommand(standins(), measures(), fieldCommand(), seeds(), replay(), shrink())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "asterlab:", err)
 		os.Exit(1)
--- a/internal/standin/counter/counter.go
+++ b/internal/standin/counter/counter.go
@@ -40,6 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return Serve(ln), nil
+}
+
+// Serve starts a counter behind a listener.
+func Serve(ln net.Listener) *Counter {
 	c := &Counter{Addr: ln.Addr().String(), ln: ln, sums: map[string]*sum{}, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
@@ -53,7 +58,7 @@
 			go c.serve(conn)
 		}
 	}()
-	return c, nil
+	return c
 }
 
 // Close ends the counter and its connections.
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -63,6 +63,19 @@
 	return l.version
 }
 
+// Entries are those that are not removed.
+func (l *List) Entries() (all []Entry) {
+	got, _ := l.since(0)
+	return got.Servers
+}
+
+// State is what the list says of a server; "": nothing.
+func (l *List) State(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.entries[id].State
+}
+
 // since is what has changed; from 0 on the whole list.
 func (l *List) since(from int64) (answer, <-chan struct{}) {
 	l.mu.Lock()
@@ -85,17 +98,23 @@
 	mu   sync.Mutex
 	told map[int64]time.Time // by version: when its answer was first written
 	dead bool
+
+	Tell func(entries []Entry, version int64) // before an answer is written; nil: nobody asks
 }
 
+// NewAgent returns an agent that answers where its Targets is called.
+func NewAgent(l *List) *Agent { return &Agent{list: l, told: map[int64]time.Time{}} }
+
 // Listen starts an agent.
 func Listen(addr string, l *List) (*Agent, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{Addr: ln.Addr().String(), list: l, told: map[int64]time.Time{}}
+	a := NewAgent(l)
+	a.Addr = ln.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /api/targets", a.targets)
+	mux.HandleFunc("GET /api/targets", a.Targets)
 	a.http = &http.Server{Handler: mux}
 	go a.http.Serve(ln)
 	return a, nil
@@ -111,7 +130,8 @@
 	a.dead = on
 }
 
-func (a *Agent) silent() bool {
+// Silent reports whether it does.
+func (a *Agent) Silent() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.dead
@@ -129,14 +149,15 @@
 	return at, ok
 }
 
-func (a *Agent) targets(w http.ResponseWriter, r *http.Request) {
+// Targets answers a call.
+func (a *Agent) Targets(w http.ResponseWriter, r *http.Request) {
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	end := time.NewTimer(time.Duration(min(max(hold, 0), 60000)) * time.Millisecond)
 	defer end.Stop()
 	for waiting := from > 0; ; {
 		got, news := a.list.since(from)
-		if (len(got.Servers) > 0 || !waiting) && !a.silent() {
+		if (len(got.Servers) > 0 || !waiting) && !a.Silent() {
 			text, err := json.Marshal(got)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -149,11 +170,14 @@
 				a.told[got.Version] = time.Now()
 			}
 			a.mu.Unlock()
+			if a.Tell != nil {
+				a.Tell(got.Servers, got.Version)
+			}
 			w.Write(text)
 			return
 		}
 		again := time.NewTimer(20 * time.Millisecond) // whether discovery is back
-		if !a.silent() {
+		if !a.Silent() {
 			again.Stop()
 		}
 		select {
