--- a/internal/field/faults.go
+++ b/internal/field/faults.go
@@ -323,8 +323,8 @@
 func (f *Field) onOne(fault *Fault) error {
 	switch fault.Kind {
 	case "list-at-once":
-		f.list.atOnce = true
-		f.then(fault, func() { f.list.atOnce = false })
+		f.list.atOnce.Store(true)
+		f.then(fault, func() { f.list.atOnce.Store(false) })
 	case "counter-silent":
 		f.counter.Silence(true)
 		f.then(fault, func() { f.counter.Silence(false) })
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -155,6 +155,13 @@
 			return nil, err
 		}
 	}
+	for i := range plan.Gateways {
+		if opt.Policy != "" {
+			f.gateways = append(f.gateways, f.policyGateway(i))
+		} else if err := f.addGateway(i); err != nil {
+			return nil, err
+		}
+	}
 	ln, err := f.net.Listen(farCounter)
 	if err != nil {
 		return nil, err
@@ -164,11 +171,11 @@
 		return nil, err
 	}
 	go (&http.Server{Handler: http.HandlerFunc(f.discover), ConnContext: withConn}).Serve(ln)
-	for i := range plan.Gateways {
-		if opt.Policy != "" {
-			f.gateways = append(f.gateways, f.policyGateway(i))
-		} else if err := f.addGateway(i); err != nil {
-			return nil, err
+	for _, g := range f.gateways {
+		if opt.Policy == "" {
+			if err := g.launch(); err != nil {
+				return nil, err
+			}
 		}
 	}
 	return f, f.ready()
@@ -196,7 +203,7 @@
 	}
 	g.Process = p
 	f.gateways = append(f.gateways, g)
-	return g.launch()
+	return nil
 }
 
 // entry is how this gateway's list names a server.
@@ -218,7 +225,7 @@
 	g.mu.Unlock()
 	config := map[string]any{"name": g.Name, "listen": net.JoinHostPort(address(g.index).String(), strconv.Itoa(gatewayPort)),
 		"discovery": g.f.net.At(g.index, farList), "counter": g.f.net.At(g.index, farCounter),
-		"seed":   strconv.FormatUint(plan.Seed<<20|uint64(g.index)<<6|uint64(g.Lives), 16),
+		"seed":   strconv.FormatUint(plan.Seed<<20|uint64(g.index)<<6|uint64(g.Lives()), 16),
 		"limits": map[string]any{"cores": 1, "memory_mb": plan.MemoryMB, "sockets": plan.Sockets},
 		"known":  map[string]any{"version": version, "full": true, "servers": had}, "settings": settings(plan, g.index)}
 	for name, v := range map[string]any{"config.json": config, "srv.json": map[string]any{"enabled": false}} {
@@ -244,14 +251,14 @@
 	}
 	g.f.tellAll(g)
 	g.down.Store(false)
-	go g.becomeReady(g.Lives)
+	go g.becomeReady(g.Lives())
 	return nil
 }
 
 // becomeReady asks until the gateway would take requests.
 func (g *gateway) becomeReady(life int) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for !g.f.stop.Load() && g.Lives == life {
+	for !g.f.stop.Load() && g.Lives() == life {
 		resp, err := client.Get("http://" + net.JoinHostPort(address(g.index).String(), strconv.Itoa(gatewayPort)) + "/-/ready")
 		if err == nil {
 			resp.Body.Close()
@@ -326,7 +333,7 @@
 
 // Run plays the load and the faults, and ends all processes.
 func (f *Field) Run() (*Report, error) {
-	f.late.start()
+	f.late.start(&f.stop)
 	began := f.net.Now()
 	f.load = newLoad(f)
 	f.schedule(began)
@@ -386,9 +393,11 @@
 		}
 	}
 	for _, s := range f.servers {
+		s.mu.Lock()
 		if s.ln != nil {
 			s.ln.Close()
 		}
+		s.mu.Unlock()
 	}
 	f.net.Close()
 	err := f.history.close()
@@ -481,9 +490,9 @@
 	most time.Duration
 }
 
-func (l *lateness) start() {
+func (l *lateness) start(stop *atomic.Bool) {
 	go func() {
-		for {
+		for !stop.Load() {
 			began := time.Now()
 			time.Sleep(5 * time.Millisecond)
 			late := time.Since(began) - 5*time.Millisecond
--- a/internal/field/list.go
+++ b/internal/field/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"asterwell/internal/standin/list"
@@ -11,7 +12,7 @@
 
 // listState is how news of servers spreads.
 type listState struct {
-	atOnce bool // it reaches all gateways within 10 ms
+	atOnce atomic.Bool // it reaches all gateways within 10 ms
 }
 
 const (
@@ -37,6 +38,9 @@
 
 // tells: an agent is about to write an answer.
 func (f *Field) tells(g *gateway, entries []list.Entry, version int64) {
+	for l := f.net.Link(g.index, farList); l.cut() && !f.stop.Load(); { // it is told once it can be written
+		time.Sleep(2 * time.Millisecond)
+	}
 	g.mu.Lock()
 	g.had, g.version = g.list.Entries(), version
 	g.mu.Unlock()
@@ -104,7 +108,7 @@
 	f.mark(s.ID + " " + state)
 	for _, g := range f.gateways {
 		spread := listSpread
-		if f.list.atOnce {
+		if f.list.atOnce.Load() {
 			spread = listAtOnce
 		}
 		f.mu.Lock()
--- a/internal/field/load.go
+++ b/internal/field/load.go
@@ -32,7 +32,8 @@
 	f         *Field
 	customers []customer
 	clients   []*fasthttp.HostClient
-	rng       *rand.Rand
+	rng       *rand.Rand // of the arrivals alone
+	more      *rand.Rand // of all else; mu guards it
 	hot       []bool
 	began     time.Duration
 
@@ -56,7 +57,7 @@
 const mostAgain = 2
 
 func newLoad(f *Field) *load {
-	l := &load{f: f, rng: rand.New(rand.NewPCG(f.plan.Seed, 0x10ad)), hot: make([]bool, f.plan.Gateways)}
+	l := &load{f: f, rng: rand.New(rand.NewPCG(f.plan.Seed, 0x10ad)), more: rand.New(rand.NewPCG(f.plan.Seed, 0xe15e)), hot: make([]bool, f.plan.Gateways)}
 	for i := range f.plan.Customers {
 		c := customer{key: fmt.Sprintf("%016x", i+1), pro: i%3 == 0, first: l.rng.IntN(f.plan.Gateways)}
 		c.width = 1 + l.rng.IntN(f.plan.Gateways)
@@ -91,7 +92,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range l.hot {
-		l.hot[i] = l.rng.Float64() < h.Share
+		l.hot[i] = l.more.Float64() < h.Share
 	}
 }
 
@@ -134,7 +135,7 @@
 		if at := g.termAt.Load(); at > 0 && now-time.Duration(at) > 300*time.Millisecond {
 			w = 1e-9
 		}
-		if e := l.rng.Float64(); best < 0 || e*w > most { // near enough a draw by weight
+		if e := l.more.Float64(); best < 0 || e*w > most { // near enough a draw by weight
 			best, most = n, e*w
 		}
 	}
@@ -160,7 +161,7 @@
 		after := l.send(c, id, &t)
 		l.mu.Lock()
 		l.tries = append(l.tries, t)
-		wait := after + time.Duration(100+l.rng.IntN(300))*time.Millisecond
+		wait := after + time.Duration(100+l.more.IntN(300))*time.Millisecond
 		l.mu.Unlock()
 		if (t.status == 429 || t.status == 503 || t.status != 200 && !submit) && again < mostAgain && !l.ended.Load() {
 			l.wg.Add(1)
@@ -207,11 +208,11 @@
 		t.took = f.net.Now() - t.at
 		return 0
 	}
-	sent, lives := f.net.Now(), g.Lives
+	sent, lives := f.net.Now(), g.Lives()
 	err := l.clients[t.gateway].DoTimeout(req, resp, timeout+2*time.Second)
 	now := f.net.Now()
 	t.took = now - t.at
-	excused := g.Lives != lives || g.down.Load() || time.Duration(g.downed.Load()) >= sent || l.hindered(t.gateway)
+	excused := g.Lives() != lives || g.down.Load() || time.Duration(g.downed.Load()) >= sent || l.hindered(t.gateway)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
--- a/internal/field/process.go
+++ b/internal/field/process.go
@@ -141,7 +141,7 @@
 	cmd   *exec.Cmd
 	ended chan struct{}
 	id    identity
-	Lives int
+	lives int
 	saved string // an older copy of the folder
 	fell  bool   // it ended, and nobody had asked for it
 	asked bool
@@ -172,7 +172,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("%s: %w", p.Name, err)
 	}
-	p.Lives++
+	p.lives++
 	p.cmd, p.ended, p.asked, p.fell = cmd, make(chan struct{}), false, false
 	p.id, _, _ = identify(cmd.Process.Pid)
 	ended := p.ended
@@ -186,6 +186,13 @@
 	return p.folder.note(cmd.Process.Pid)
 }
 
+// Lives is how often it was started.
+func (p *Process) Lives() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lives
+}
+
 // Signal sends one to a process that runs.
 func (p *Process) Signal(s syscall.Signal) error {
 	p.mu.Lock()
--- a/internal/field/schedule.go
+++ b/internal/field/schedule.go
@@ -307,14 +307,14 @@
 			s.Faults = append(s.Faults, f)
 		}
 	}
-	if err := s.check(); err != nil {
-		panic(err) // nothing that is drawn is bad
-	}
 	cores := 0
 	for i := range s.Servers {
-		cores += s.Cores * s.weight(i)
+		cores += 2 * s.weight(i)
 	}
 	s.Rate = float64(int(float64(cores) * (4 + 2*rng.Float64()))) // half of what the fleet can do
+	if err := s.check(); err != nil {
+		panic(err) // nothing that is drawn is bad
+	}
 	return s
 }
 
