Let servers take turns, and parts of the fleet go by weight: requests spread below chance

internal/turn: stride scheduling by weight. internal/aperture: parts by weight, with shares of the servers at both ends; each server is met once in 1.5 s rather than 3.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,39 +19,42 @@
 	"asterwell/internal/aperture"
 	"asterwell/internal/ceiling"
 	"asterwell/internal/health"
+	"asterwell/internal/limit"
+	"asterwell/internal/turn"
 )
 
 // Balancer decides for one gateway.
 type Balancer struct {
-	set           Settings
-	act           Actions
-	rng           *rand.Rand
-	classes       map[string]*class
-	plans         map[string]*Plan
-	reqs          map[uint32]*request
-	byID          map[uint32]*backend
-	fleet         []*backend // in order of id
-	ring          []*backend // in an order that all gateways have, zones taking turns
-	reach         int        // how many of them it uses
-	share, weight float64    // backends up, for this gateway; mean weight
-	customers     map[string]*customer
-	idlers        []*customer // in order of arrival
-	logged        map[string]bool
-
-	started, beat, slotPeriod, loadAt time.Duration // first request; housekeeping; longest attempt; of load
+	set       Settings
+	act       Actions
+	rng       *rand.Rand
+	classes   map[string]*class
+	plans     map[string]*Plan
+	reqs      map[uint32]*request
+	byID      map[uint32]*backend
+	fleet     []*backend // in order of id
+	ring      []*backend // in an order that all gateways have, zones taking turns
+	reach     int        // how many of them it uses
+	turns     turn.Clock // that they take
+	weight    float64    // mean
+	customers map[string]*customer
+	idlers    []*customer // in order of arrival
+	logged    map[string]bool
+
+	started, beat, slotPeriod time.Duration // first request; housekeeping; longest attempt
 
 	retries, spread float64            // retry budget; of the choice: wider the less is seen
 	looks           int                // probes for each request
 	beats           float64            // so far
 	sends, sent     float64            // attempts a second, had all found a server; since the beat
-	mass            float64            // size of all backends in use
+	mass, whole     float64            // size of what this gateway uses, and of all
 	quickest        map[string]float64 // probe of each zone, in seconds
 	usual           float64            // time of a probe past it
 	density         float64            // mean worth per second of work among requests seen
 	open, stuck     int                // attempts out; of these, where backends look dead
 	zones           map[string]*health.Zone
-	faults          float64 // share of faults among answers
-	load, limit     float64 // their mean; how many may be out before requests are shed
+	faults          float64     // share of faults among answers
+	limit           limit.Limit // on attempts out, before requests are shed
 
 	calls               map[string]func(now time.Duration, e Counted)
 	stake, floor        float64       // mean loss by a request beyond quota; that worth a call
@@ -108,7 +111,8 @@
 type backend struct {
 	Member
 	listed, probing bool
-	near            bool // among those that this gateway uses
+	part            float64 // of it that this gateway uses; 0: none
+	seat            turn.Seat
 	health.Server
 	outs            []*attempt
 	heard           time.Duration // last answer of any kind
@@ -154,15 +158,12 @@
 
 const (
 	namePeriod   = NameLife / 3
-	mostRetries  = 10              // in the budget, which a tenth of each request fills
-	lateShare    = 0.05            // of answers near or past their aim: what the limit steers for
-	quietCounter = 2 * time.Second // without an answer: it may have been emptied meanwhile
-	startOver    = 2               // where the limit starts, in its floor
-	mostOver     = 4               // where it ends
-	mostLooks    = 2               // probes for a request
-	leastReach   = 8               // backends used, where there are so many
-	meetWithin   = 3 * time.Second // each should be sent something so often
-	worthLooks   = 0.02            // share of a request's worth that they may cost
+	mostRetries  = 10                      // in the budget, which a tenth of each request fills
+	quietCounter = 2 * time.Second         // without an answer: it may have been emptied meanwhile
+	mostLooks    = 2                       // probes for a request
+	leastReach   = 8                       // backends used, where there are so many
+	meetWithin   = 1500 * time.Millisecond // each should be sent something so often
+	worthLooks   = 0.02                    // share of a request's worth that they may cost
 )
 
 // New returns a Balancer that acts through act. It reports settings that make no sense.
@@ -183,7 +184,7 @@
 		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
 	}
 	b.beat = max(b.beat/8, set.Tick)
-	b.limit, b.retries, b.beyond = math.Inf(1), mostRetries, 0.3
+	b.limit, b.retries, b.beyond = limit.New(b.beat), mostRetries, 0.3
 	b.spread = math.Sqrt(float64(set.Doors)) / 20
 	b.looks = int(min(worthLooks/max(set.ProbePrice, 1e-9), mostLooks))
 	for _, p := range set.Plans {
@@ -198,7 +199,7 @@
 
 // Books tells what it has counted, and what it goes by now.
 func (b *Balancer) Books() Books {
-	b.books.Out, b.books.Limit, b.books.Rate = b.load, b.limit, b.sends
+	b.books.Out, b.books.Limit, b.books.Rate = b.limit.Load, b.limit.Max, b.sends
 	return b.books
 }
 
@@ -253,15 +254,12 @@
 			b.weight += (be.Weight - b.weight) / n
 		}
 	}
-	b.share = n / float64(b.set.Doors)
+	b.limit.Share = n / float64(b.set.Doors)
 	b.ring = aperture.Ring(b.fleet, func(be *backend) aperture.Node {
 		return aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Member.Zone}
 	})
 	b.survey()
-	if math.IsInf(b.limit, 1) && n > 0 { // as with one out: no rush of first requests
-		b.limit = startOver * b.floorOut() * min(1, (1+b.share)/2)
-		b.load, b.loadAt = min(b.limit, 1), now
-	}
+	b.limit.Begin(now)
 }
 
 // survey marks the backends that this gateway uses: so few that it meets each often enough to know it, and to
@@ -271,16 +269,20 @@
 	if want > 1.25*now || want < 0.6*now {
 		b.reach = int(math.Ceil(want))
 	}
-	b.stuck, b.mass = 0, 0
-	used, at := 0, aperture.Start(b.set.Index, len(b.ring))
-	for i := range b.ring {
-		be := b.ring[(at+i)%len(b.ring)]
-		if be.near = used < b.reach; be.Out() {
+	weights := make([]float64, len(b.ring))
+	for i, be := range b.ring {
+		if be.listed {
+			weights[i] = b.size(be)
+		}
+	}
+	b.stuck, b.mass, b.whole = 0, 0, 0
+	part := aperture.Cover(b.set.Index, weights, func(i int) bool { return !b.ring[i].Out() }, float64(b.reach))
+	for i, be := range b.ring {
+		if be.part = part[i]; be.Out() {
 			b.stuck += len(be.outs)
-		} else if be.listed && be.near {
-			used++
-			b.mass += b.size(be)
 		}
+		b.mass += b.size(be) * be.part
+		b.whole += weights[i]
 	}
 }
 
@@ -327,8 +329,8 @@
 	for range b.looks {
 		b.scout(now)
 	}
-	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit) // the busier, the more it keeps out
-	loss := r.class.Value * p.ValueFactor * r.Units * max(share, 0.1)    // if beyond the quota
+	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit.Max) // the busier, the more it keeps out
+	loss := r.class.Value * p.ValueFactor * r.Units * max(share, 0.1)        // if beyond the quota
 	b.stake += (loss - b.stake) * 0.02
 	chance := min(1, loss/b.floor) // of a call
 	if b.fails > 0 {
@@ -363,7 +365,7 @@
 	var best *backend
 	least := math.MaxFloat64
 	for _, be := range b.fleet {
-		if be.near && be.listed && !be.probing && !be.Out() && !b.fresh(now, be) && b.coldRoom(now, be) {
+		if be.part > 0 && be.listed && !be.probing && !be.Out() && !b.fresh(now, be) && b.coldRoom(now, be) {
 			if e := b.rng.ExpFloat64() / b.size(be); e < least {
 				best, least = be, e
 			}
@@ -437,7 +439,7 @@
 	if !inside {
 		keen = min(keen, 0.5)
 	}
-	if b.busy(now) < b.limit*keen {
+	if b.busy(now) < b.limit.Max*keen {
 		return false
 	}
 	b.refuse(now, r, why, seconds(r.class.Aim.Seconds()*(0.25+b.rng.Float64()/2))) // not all together
@@ -715,12 +717,12 @@
 			continue
 		}
 		far := 0.0
-		if !be.near { // before those that look bad
+		if be.part == 0 { // before those that look bad
 			far = life / 2
 		}
 		e := b.expect(now, r.class, be)
 		if cold := b.warmth(now-b.set.FallAfter, be) < 1; !cold || e > r.class.Aim.Seconds()/3 {
-			e *= math.Pow(b.rng.ExpFloat64()/b.size(be), b.spread)
+			e *= math.Exp(4 * b.spread * b.turns.Ahead(&be.seat, b.size(be)*max(be.part, 0.05), b.rng.Float64()))
 		} else {
 			e *= b.rng.Float64() / 8 // its turn, which may be long in coming again
 		}
@@ -790,7 +792,11 @@
 	if warm >= 1 || b.set.FallMultiple <= 0 {
 		return true
 	}
-	rate := b.set.FallMultiple / 2 * b.sends * warm * b.size(be) / b.mass
+	even := be.part / b.mass // what is not this gateway's own is all gateways': they share it evenly
+	if be.part == 0 {
+		even = 1 / b.whole
+	}
+	rate := b.set.FallMultiple / 2 * b.sends * warm * b.size(be) * even
 	be.allowed = min(be.allowed+rate*(now-be.allowedAt).Seconds(), max(1, rate*window.Seconds()))
 	be.allowedAt = now
 	return be.allowed >= 1
@@ -819,6 +825,7 @@
 	be.outs = append(be.outs, a)
 	be.allowed--
 	be.looked = 0
+	b.turns.Took(&be.seat, b.size(be)*max(be.part, 0.05), b.mass)
 	b.sent++
 	r.out++
 	b.open++
@@ -898,13 +905,13 @@
 		be.heard = now
 		be.Took(took / cl.Mean)
 		b.faults -= b.faults * 0.02
-		cl.Took(took, b.pace()*3/8)
-		b.steer(now, now-a.sent > cl.Aim*5/6 && cl.Pressed())
+		cl.Took(took, b.limit.Pace()*3/8)
+		b.limit.Steer(now, b.active(), now-a.sent > cl.Aim*5/6 && cl.Pressed())
 	case Full, Error:
 		be.heard = now
 		be.Failed()
 		b.faults += (1 - b.faults) * 0.02
-		b.steer(now, o.Status == Full && b.faults > 0.1) // they look idle; a few may be draining
+		b.limit.Steer(now, b.active(), o.Status == Full && b.faults > 0.1) // they look idle; a few may be draining
 	case ConnectFailed, Reset:
 		b.eject(now, be)
 	case Timeout, Cancelled:
@@ -917,34 +924,9 @@
 	}
 }
 
-// busy is the mean of attempts out, over six aims where they are few: below one, the number of the moment
-// says nothing, and a mean over one aim still refused by chance. It may hurt when load doubles within those.
-func (b *Balancer) busy(now time.Duration) float64 {
-	rate := (1 + b.load*b.load) / float64(48*b.beat)
-	b.load += (max(0, float64(b.open-b.stuck)) - b.load) * (1 - math.Exp(-rate*float64(now-b.loadAt)))
-	b.loadAt = now
-	return b.load
-}
-
-// pace is the weight of one answer in what is learnt of load: the more, the fewer there are.
-func (b *Balancer) pace() float64 { return max(0.08, min(0.8/b.load, 0.3)) }
-
-// floorOut is the least that the limit may be: two attempts a backend.
-func (b *Balancer) floorOut() float64 { return 2 * b.share }
-
-// steer moves the limit on attempts out, so that few answers come late, be it of overload, a shrunken fleet
-// or slow backends. Its floor keeps answers to learn from. It may hurt where lateness does not come of load.
-// Backends that once hold too much stay jammed for long, so it starts low: gateways that see a sliver of the
-// traffic each cannot even it out, and at a start all their stores are full. That guards against any rush at
-// a start or a return, and costs some seconds of refusals where there was room.
-func (b *Balancer) steer(now time.Duration, late bool) {
-	load, step, least := b.busy(now), b.pace(), b.floorOut()
-	if b.limit = min(b.limit, mostOver*least); late {
-		b.limit = max(least, b.limit*(1-step))
-	} else if load > b.limit/2 {
-		b.limit = b.limit*(1+step*lateShare/(1-lateShare)) + min(1, b.share)*step/4
-	}
-}
+// active is the attempts out, those at backends that look dead left out. busy is their mean.
+func (b *Balancer) active() float64                { return float64(b.open - b.stuck) }
+func (b *Balancer) busy(now time.Duration) float64 { return b.limit.Busy(now, b.active()) }
 
 // eject takes a backend out of the choice for a time that doubles with each strike. It meets whatever makes a
 // backend useless from here: dead, silent, cut off, restarted. It may hurt when the link at fault is ours.
--- a/cmd/asterlab/field.go
+++ b/cmd/asterlab/field.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -17,23 +18,27 @@
 func fieldCommand() *cobra.Command {
 	c := &cobra.Command{Use: "field", Short: "Many processes of the gateway, with faults put between them by a schedule"}
 	var seed uint64
-	var logs, gateway string
+	var logs, gateway, policy string
 	run := &cobra.Command{Use: "run FILE", Short: "Run a schedule; the last line is the figures as JSON", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := field.ReadSchedule(args[0])
 			if err != nil {
 				return err
 			}
+			if policy != "" && !slices.Contains(field.Policies, field.Policy(policy)) {
+				return fmt.Errorf("--policy: unknown %q; there are %v", policy, field.Policies)
+			}
 			if cmd.Flags().Changed("seed") {
 				s.Seed = seed
 			}
-			r, err := play(s, field.Options{Binary: gateway, Logs: logs})
+			r, err := play(s, field.Options{Binary: gateway, Logs: logs, Policy: field.Policy(policy)})
 			if err != nil {
 				return err
 			}
 			return tellField(r)
 		}}
 	run.Flags().Uint64Var(&seed, "seed", 0, "in place of the schedule's own")
+	run.Flags().StringVar(&policy, "policy", "", "a policy in place of gateways")
 	run.Flags().StringVar(&logs, "logs", "", "folder for the processes' logs and the history")
 	run.Flags().StringVar(&gateway, "gateway", beside("asterwell"), "the gateway's binary")
 	draw := &cobra.Command{Use: "draw", Short: "Write the schedule that a seed means", Args: cobra.NoArgs,
--- a/internal/aperture/aperture.go
+++ b/internal/aperture/aperture.go
@@ -46,10 +46,45 @@
 	return order
 }
 
-// Start is where on a ring of n nodes a gateway's own part begins. Numbers that
+// Start is where on a ring of length 1 a gateway's own part begins. Numbers that
 // follow each other lie a golden section apart: any row of gateways, such as
 // those that one customer's requests come in through, covers the ring evenly.
-func Start(gateway, n int) int {
+func Start(gateway int) float64 {
 	_, part := math.Modf(float64(gateway) * math.Phi)
-	return int(part * float64(n))
+	return part
+}
+
+// Cover is a gateway's part of a ring: what share of each node is its own, from 0
+// to 1. Nodes take as much of the ring as they weigh; weight 0 is none. The part
+// begins at the gateway's place, within a node if need be, and holds want of
+// weight, of all that can be used. Parts that began and ended only between nodes
+// would meet some by a gateway more than others: with a dozen gateways for a node
+// that is a tenth of its load. What can't be used is made up for by the next.
+func Cover(gateway int, weights []float64, usable func(i int) bool, want float64) []float64 {
+	share, total := make([]float64, len(weights)), 0.0
+	for _, w := range weights {
+		total += w
+	}
+	if total <= 0 || want <= 0 {
+		return share
+	}
+	at, first := Start(gateway)*total, 0
+	for first < len(weights)-1 && at >= weights[first] {
+		at -= weights[first]
+		first++
+	}
+	skip := min(at, weights[first]) // what of the first node lies before the part
+	for n := range weights {
+		i := (first + n) % len(weights)
+		if w := weights[i]; w > 0 && usable(i) {
+			take := min(w-skip, want)
+			share[i] = take / w
+			want -= take
+		}
+		skip = 0
+	}
+	if i := first; want > 1e-9 && weights[i] > 0 && usable(i) { // all the way round
+		share[i] = min(1, share[i]+want/weights[i])
+	}
+	return share
 }
