--- a/cmd/asterlab/field.go
+++ b/cmd/asterlab/field.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"asterwell/internal/field"
+	"asterwell/internal/lab"
 )
 
 // fieldCommand runs many processes of the gateway, with faults between them.
@@ -129,3 +130,26 @@
 	}
 	return nil
 }
+
+// measureEven plays the same load and faults with the program and with what it is measured against.
+func measureEven(seed *uint64, gateway *string, print func(*lab.Report, error) error) *cobra.Command {
+	var o lab.EvenOptions
+	c := &cobra.Command{Use: "even", Short: "How evenly many gateways load servers, under faults, against chance and against one that sees all", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if o.Gateways < 1 || o.Servers < 5 || o.Seconds < 10 {
+				return fmt.Errorf("--gateways must be at least 1, --servers 5, --seconds 10; got %d, %d, %v", o.Gateways, o.Servers, o.Seconds)
+			}
+			o.Seed, o.Binary = *seed, *gateway
+			if terminal(os.Stderr) {
+				o.Progress = func(text string) { fmt.Fprintf(os.Stderr, "\r%-70s", text) }
+			}
+			return print(lab.MeasureEven(o))
+		}}
+	c.Flags().IntVar(&o.Gateways, "gateways", 300, "how many gateways")
+	c.Flags().IntVar(&o.Servers, "servers", 200, "how many servers")
+	c.Flags().Float64Var(&o.Seconds, "seconds", 40, "of load for each")
+	c.Flags().StringVar(&o.Before, "before", "", "the program as it was: a binary, a commit, or none (default: the commit at which this work began)")
+	c.Flags().StringVar(&o.Repo, "repo", ".", "the repository")
+	c.Flags().StringVar(&o.Charts, "charts", "", "folder for heat maps")
+	return c
+}
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -64,7 +64,8 @@
 	events  []Event
 	arrive  []Arrival
 	probes  int
-	mayRuns int
+
+	coldOver float64 // most work of a second at a cold server, over what it bears
 }
 
 // Broken is a rule that did not hold.
@@ -445,7 +446,7 @@
 	warmth, known := s.warmth(now), s.knownAt > 0 && now > s.knownAt+550*time.Millisecond
 	s.mu.Unlock()
 	if warmth < 1 && known {
-		f.judge.Cold(s.ID, work.Seconds(), float64(s.cores)*warmth, now)
+		f.coldOver = max(f.coldOver, f.judge.Cold(s.ID, work.Seconds(), float64(s.cores)*warmth, now))
 	}
 	f.arrive = append(f.arrive, Arrival{now, s.index, gateway, work})
 	f.history.add(Record{Kind: "attempt", Who: id, From: f.gateways[gateway].Name, To: s.ID, Begun: begun})
@@ -472,7 +473,6 @@
 func (f *Field) mayRun(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mayRuns++
 	f.judge.MayRun(id)
 }
 
--- a/internal/field/report.go
+++ b/internal/field/report.go
@@ -23,6 +23,9 @@
 	P50        time.Duration `json:"p50"`
 	P99        time.Duration `json:"p99"`
 	Even       Even          `json:"even"`
+	ColdOver   float64       `json:"cold_work_over_bound_max"` // work that a cold server got in a second over what it bears
+
+	weights []float64
 
 	arrivals []Arrival
 	events   []Event
@@ -66,10 +69,25 @@
 	for i, s := range f.servers {
 		weights[i] = s.Weight
 	}
+	r.weights, r.ColdOver = weights, f.coldOver
 	r.Even = Measure(r.arrivals, r.events, weights, r.from+2*time.Second, r.to)
 	return r
 }
 
+// Heat is the attempts by span of time and server, over the server's weight.
+func (r *Report) Heat(span time.Duration) [][]float64 {
+	cells := make([][]float64, max(1, int((r.to-r.from)/span)))
+	for i := range cells {
+		cells[i] = make([]float64, len(r.weights))
+	}
+	for _, a := range r.arrivals {
+		if i := int((a.At - r.from) / span); i >= 0 && i < len(cells) {
+			cells[i][a.Server] += 1 / r.weights[a.Server]
+		}
+	}
+	return cells
+}
+
 // Even tells how evenly attempts came to servers by their weight.
 type Even struct {
 	CV        float64 `json:"cv"`          // spread of attempts by server and weight in 1 s, over their mean
--- a/internal/field/schedule.go
+++ b/internal/field/schedule.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// Check fills in what is left out, and reports the first key that makes no sense.
+func (s *Schedule) Check() error { return s.check() }
+
 // check fills in what is left out, and reports the first key that makes no sense.
 func (s *Schedule) check() error {
 	orElse(&s.Zones, 3)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -139,8 +139,9 @@
 }
 
 // Cold: work, in seconds of a core, has come to a server that has just started
-// and that all gateways know of. capacity is what it can do now, in cores.
-func (j *Judge) Cold(server string, work, capacity float64, now time.Duration) {
+// and that all gateways know of. capacity is what it can do now, in cores. It
+// returns what came within the time that counts, over the most that the server bears.
+func (j *Judge) Cold(server string, work, capacity float64, now time.Duration) float64 {
 	window := append(j.cold[server], arrived{now, work})
 	for window[0].at <= now-j.terms.TipAfter {
 		window = window[1:]
@@ -151,9 +152,11 @@
 		sum += a.work
 	}
 	// A single request more than fits is no push: work comes in whole requests.
-	if most := j.terms.FallTimes * capacity * j.terms.TipAfter.Seconds(); sum-work > most {
+	most := j.terms.FallTimes * capacity * j.terms.TipAfter.Seconds()
+	if sum-work > most {
 		j.Breaks("cold", "%s got %.2f s of work within %v, and falls over at %.2f", server, sum, j.terms.TipAfter, most)
 	}
+	return (sum - work) / most
 }
 
 // Warm forgets what came to a server: it is warm, or a new process.
