--- a/internal/field/faults.go
+++ b/internal/field/faults.go
@@ -193,7 +193,10 @@
 	if fault.Back == "never" {
 		return nil
 	}
-	f.after(max(seconds(fault.ForS), time.Millisecond), func() {
+	// Machines don't start in one instant, and this one could not start hundreds of processes so.
+	pause := max(seconds(fault.ForS), time.Millisecond)
+	pause += pause * time.Duration(g.index*7%16) / 16
+	f.after(pause, func() {
 		var err error
 		switch fault.Back {
 		case "empty":
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -107,7 +107,7 @@
 	late    time.Duration // of its list
 	termAt  atomic.Int64
 	stopped atomic.Bool
-	had     []list.Entry // that its agent has told last, for its next start
+	had     map[string]list.Entry // that its agent has told last, for its next start
 	version int64
 	mu      sync.Mutex
 	chooser chooser
@@ -197,7 +197,10 @@
 	g.list.Set(entries...)
 	g.agent = list.NewAgent(g.list)
 	g.agent.Tell = func(told []list.Entry, version int64) { f.tells(g, told, version) }
-	g.had, g.version = entries, 2
+	g.had, g.version = map[string]list.Entry{}, 2
+	for _, e := range entries {
+		g.had[e.ID] = e
+	}
 	p, err := f.folder.newProcess("g-"+strconv.Itoa(i), f.opt.Binary, []string{"LB_CONFIG=config.json", "ASTERWELL_SRV=srv.json"})
 	if err != nil {
 		return err
@@ -222,7 +225,12 @@
 func (g *gateway) launch() error {
 	plan := g.f.plan
 	g.mu.Lock()
-	had, version := g.had, g.version
+	version, had := g.version, []list.Entry{}
+	for _, s := range g.f.servers {
+		if e, ok := g.had[s.ID]; ok {
+			had = append(had, e)
+		}
+	}
 	g.mu.Unlock()
 	config := map[string]any{"name": g.Name, "listen": net.JoinHostPort(address(g.index).String(), strconv.Itoa(gatewayPort)),
 		"discovery": g.f.net.At(g.index, farList), "counter": g.f.net.At(g.index, farCounter),
@@ -490,16 +498,19 @@
 	most time.Duration
 }
 
+func (l *lateness) add(late time.Duration) {
+	l.mu.Lock()
+	l.all = append(l.all, late)
+	l.most = max(l.most, late)
+	l.mu.Unlock()
+}
+
 func (l *lateness) start(stop *atomic.Bool) {
 	go func() {
 		for !stop.Load() {
 			began := time.Now()
 			time.Sleep(5 * time.Millisecond)
-			late := time.Since(began) - 5*time.Millisecond
-			l.mu.Lock()
-			l.all = append(l.all, late)
-			l.most = max(l.most, late)
-			l.mu.Unlock()
+			l.add(time.Since(began) - 5*time.Millisecond)
 		}
 	}()
 }
--- a/internal/field/list.go
+++ b/internal/field/list.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"path"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +44,12 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	g.mu.Lock()
-	g.had, g.version = g.list.Entries(), version
+	for _, e := range entries {
+		if g.had[e.ID] = e; e.State == "removed" {
+			delete(g.had, e.ID)
+		}
+	}
+	g.version = version
 	g.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -52,55 +59,54 @@
 		f.history.add(Record{Kind: "told", Who: g.Name, To: e.ID, What: e.State})
 		if key := e.ID + " " + e.State; !f.told[key] {
 			f.told[key] = true
-			f.happened(func(w *When) bool { return w.Told == e.ID && (w.State == "" || w.State == e.State) })
+			f.happened(func(w *When) bool {
+				ok, _ := path.Match(w.Told, e.ID)
+				return w.Told != "" && ok && (w.State == "" || w.State == e.State)
+			})
+		}
+		if e.StartedMs > 0 {
+			f.known(g, e)
 		}
 	}
-	f.known()
 }
 
 // tellAll notes what counts as told to a gateway that runs: all that its agent has,
 // whether it asks or not, unless nothing can come through.
 func (f *Field) tellAll(g *gateway) {
-	if g.stopped.Load() || f.net.Link(g.index, farList).cut() || g.agent.Silent() {
+	for _, s := range f.servers {
+		f.tell(g, s)
+	}
+}
+
+func (f *Field) tell(g *gateway, s *server) {
+	if g.stopped.Load() || f.net.Link(g.index, farList).cut() || g.agent.Silent() || g.list.Entry(s.ID).State == "up" {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, s := range f.servers {
-		if state := g.list.State(s.ID); state != "up" {
-			f.judge.Tells(g.index, s.ID, false, f.net.Now())
-		}
-	}
+	f.judge.Tells(g.index, s.ID, false, f.net.Now())
 }
 
-// known notes which starts all gateways that run have been told of. f.mu is held.
-func (f *Field) known() {
-	for _, s := range f.servers {
-		s.mu.Lock()
-		wanted := s.started > 0 && s.knownAt == 0
-		at := f.net.epoch.Add(s.started).UnixMilli()
-		s.mu.Unlock()
-		if !wanted {
-			continue
-		}
-		all := true
-		for _, g := range f.gateways {
-			g.mu.Lock()
-			has := g.down.Load()
-			for _, e := range g.had {
-				has = has || e.ID == s.ID && e.StartedMs == at
-			}
-			g.mu.Unlock()
-			if all = all && has; !all {
-				break
-			}
-		}
-		if all {
-			s.mu.Lock()
-			s.knownAt = f.net.Now()
-			s.mu.Unlock()
+// known: a gateway has been told of a server's start. Once all that run have, work
+// for it while it is cold is theirs to answer for. f.mu is held.
+func (f *Field) known(g *gateway, e list.Entry) {
+	var i int
+	if _, err := fmt.Sscanf(e.ID, "s-%d", &i); err != nil {
+		return
+	}
+	s := f.servers[i]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.started == 0 || s.knownAt > 0 || f.net.epoch.Add(s.started).UnixMilli() != e.StartedMs {
+		return
+	}
+	s.knownBy[g.index] = true
+	for _, g := range f.gateways {
+		if !s.knownBy[g.index] && !g.down.Load() {
+			return
 		}
 	}
+	s.knownAt = f.net.Now()
 }
 
 // announce spreads news of a server to all gateways' agents.
@@ -119,13 +125,11 @@
 			if f.stop.Load() {
 				return
 			}
-			for _, old := range g.list.Entries() { // no older word overtakes
-				if old.ID == e.ID && old.StartedMs > e.StartedMs {
-					return
-				}
+			if g.list.Entry(e.ID).StartedMs > e.StartedMs { // no older word overtakes
+				return
 			}
 			g.list.Set(e)
-			f.tellAll(g)
+			f.tell(g, s)
 		})
 	}
 }
--- a/internal/field/load.go
+++ b/internal/field/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -110,6 +111,7 @@
 				heated = time.Now()
 				l.heat()
 			}
+			l.f.late.add(max(0, time.Since(due))) // a field that sends late measures nothing
 			c, submit := &l.customers[l.rng.IntN(len(l.customers))], l.rng.IntN(2) == 0
 			l.begin(c, l.gateway(c), submit, 0, due.Sub(l.f.net.epoch))
 		}
@@ -122,7 +124,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.f.net.Now()
-	best, most := -1, 0.0
+	best, least := -1, math.Inf(1)
 	for i := range c.width {
 		n := (c.first + i) % len(l.hot)
 		g, w := l.f.gateways[n], 1.0
@@ -135,8 +137,8 @@
 		if at := g.termAt.Load(); at > 0 && now-time.Duration(at) > 300*time.Millisecond {
 			w = 1e-9
 		}
-		if e := l.more.Float64(); best < 0 || e*w > most { // near enough a draw by weight
-			best, most = n, e*w
+		if e := l.more.ExpFloat64() / w; e < least { // a draw by weight
+			best, least = n, e
 		}
 	}
 	return best
--- a/internal/field/policy.go
+++ b/internal/field/policy.go
@@ -142,7 +142,6 @@
 	for _, s := range f.servers {
 		g.list.Set(g.entry(s, "up"))
 	}
-	g.had = g.list.Entries()
 	g.agent = list.NewAgent(g.list)
 	g.Process = &Process{Name: fmt.Sprint("g-", i)}
 	g.ready.Store(true)
--- a/internal/field/server.go
+++ b/internal/field/server.go
@@ -27,6 +27,7 @@
 	up       bool
 	life     int
 	started  time.Duration // of this life, on the field's clock; 0: long before
+	knownBy  map[int]bool  // gateways that were told of this start
 	knownAt  time.Duration // all gateways that run have been told of it; 0: not yet
 	busy     int
 	line     []chan bool
@@ -64,6 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ln, s.up, s.busy, s.line, s.conns = ln, true, 0, nil, map[*Conn]bool{}
+	s.knownBy = map[int]bool{}
 	s.started, s.knownAt, s.drained, s.fails, s.mute = 0, 0, false, false, false
 	s.life++
 	if cold {
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -69,11 +69,11 @@
 	return got.Servers
 }
 
-// State is what the list says of a server; "": nothing.
-func (l *List) State(id string) string {
+// Entry is what the list says of a server; its zero: nothing.
+func (l *List) Entry(id string) Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.entries[id].State
+	return l.entries[id]
 }
 
 // since is what has changed; from 0 on the whole list.
