--- a/choice/choice.go
+++ b/choice/choice.go
@@ -276,7 +276,8 @@
 		}
 	}
 	b.stuck, b.mass, b.whole = 0, 0, 0
-	part := aperture.Cover(b.set.Index, weights, func(i int) bool { return !b.ring[i].Out() }, float64(b.reach))
+	lives := func(i int) bool { return !b.ring[i].Out() }
+	part := aperture.Cover(b.set.Index, weights, lives, float64(b.reach))
 	for i, be := range b.ring {
 		if be.part = part[i]; be.Out() {
 			b.stuck += len(be.outs)
@@ -329,7 +330,7 @@
 	for range b.looks {
 		b.scout(now)
 	}
-	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit.Max) // the busier, the more it keeps out
+	share := p.OverrunCost - p.ExcessWorth + min(1, b.busy(now)/b.limit.Max) // the busier, the dearer
 	loss := r.class.Value * p.ValueFactor * r.Units * max(share, 0.1)        // if beyond the quota
 	b.stake += (loss - b.stake) * 0.02
 	chance := min(1, loss/b.floor) // of a call
@@ -722,7 +723,8 @@
 		}
 		e := b.expect(now, r.class, be)
 		if cold := b.warmth(now-b.set.FallAfter, be) < 1; !cold || e > r.class.Aim.Seconds()/3 {
-			e *= math.Exp(4 * b.spread * b.turns.Ahead(&be.seat, b.size(be)*max(be.part, 0.05), b.rng.Float64()))
+			ahead := b.turns.Ahead(&be.seat, b.size(be)*max(be.part, 0.05), b.rng.Float64())
+			e *= math.Exp(4 * b.spread * ahead)
 		} else {
 			e *= b.rng.Float64() / 8 // its turn, which may be long in coming again
 		}
@@ -911,7 +913,7 @@
 		be.heard = now
 		be.Failed()
 		b.faults += (1 - b.faults) * 0.02
-		b.limit.Steer(now, b.active(), o.Status == Full && b.faults > 0.1) // they look idle; a few may be draining
+		b.limit.Steer(now, b.active(), o.Status == Full && b.faults > 0.1) // they look idle; few drain
 	case ConnectFailed, Reset:
 		b.eject(now, be)
 	case Timeout, Cancelled:
