Let a listener's test wait for the server to count its answers

Checked: with Idle of the first put off by 50 ms the old test fails the same way, each time; with the wait it passes. The listener is as it was.

--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -95,16 +95,36 @@
 		client5 expect "fine"`)
 }
 
+// settle waits until the listener has counted all answers as gone out.
+func settle(t *testing.T, l *Listener) {
+	t.Helper()
+	for end := time.Now().Add(scenario.Patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		all := true
+		for c := range l.open {
+			all = all && c.served && !c.serving
+		}
+		if l.mu.Unlock(); all {
+			return
+		}
+	}
+	t.Fatal("answers are still under way")
+}
+
 // Clients that ask once and stay leave room to others long before the cap.
 func TestClientsThatStay(t *testing.T) {
-	_, stage := serve(t, 4, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("fine") })
+	ln, stage := serve(t, 4, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("fine") })
+	stage.Close = map[string]func(){"answers": func() { settle(t, ln) }} // a client may read its answer before the server counts it
 	stage.Play(t, `
 		client1 send "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 		client1 expect "fine"
+		answers close
 		client2 send "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 		client2 expect "fine"
+		answers close
 		client3 send "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 		client3 expect "fine"
+		answers close
 		client4 send "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 		client4 expect "fine"
 		client1 expect closed
