--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -65,7 +65,8 @@
 	arrive  []Arrival
 	probes  int
 
-	coldOver float64 // most work of a second at a cold server, over what it bears
+	capacity []Capacity // sampled by Run alone
+	coldOver float64    // most work of a second at a cold server, over what it bears
 }
 
 // Broken is a rule that did not hold.
@@ -83,6 +84,12 @@
 	Work    time.Duration // on a warm core
 }
 
+// Capacity is what servers could do at a time, in warm cores; 0: nothing.
+type Capacity struct {
+	At time.Duration
+	Of []float64
+}
+
 // Event is something that many processes may react to at once.
 type Event struct {
 	At   time.Duration
@@ -349,6 +356,11 @@
 	f.load.start()
 	for end := began + seconds(f.plan.Seconds); f.net.Now() < end; time.Sleep(50 * time.Millisecond) {
 		f.say("%.0f of %.0f s, %d tries", (f.net.Now() - began).Seconds(), f.plan.Seconds, f.load.count())
+		c := Capacity{At: f.net.Now(), Of: make([]float64, len(f.servers))}
+		for i, s := range f.servers {
+			c.Of[i] = s.capacity()
+		}
+		f.capacity = append(f.capacity, c)
 	}
 	f.load.stop()
 	f.stop.Store(true)
--- a/internal/field/field_test.go
+++ b/internal/field/field_test.go
@@ -375,3 +375,37 @@
 		t.Errorf("%d idle servers, want the one that is left out", e.IdleMax)
 	}
 }
+
+// By capacity: three servers of which one is down for a second and one does half of the others' work. Load that
+// follows that is even by capacity, though not by weight.
+func TestMeasureByCapacity(t *testing.T) {
+	var all []Arrival
+	var samples []Capacity
+	for ms := range 4000 {
+		at := time.Duration(ms) * time.Millisecond
+		if ms%50 == 0 {
+			c := Capacity{At: at, Of: []float64{1, 0.5, 1}}
+			if ms >= 1500 && ms < 2500 {
+				c.Of[2] = 0
+			}
+			samples = append(samples, c)
+		}
+		all = append(all, Arrival{At: at, Server: []int{0, 1, 0}[ms%3]})
+		if ms < 1500 || ms >= 2500 {
+			all = append(all, Arrival{At: at, Server: []int{2, 0, 2}[ms%3]}, Arrival{At: at, Server: []int{0, 2, 1}[ms%3]})
+		}
+	}
+	e := Measure(all, nil, []float64{1, 1, 1}, 0, 4*time.Second)
+	e.byCapacity(all, []Event{{At: 500 * time.Millisecond}}, samples, 0, 4*time.Second)
+	if e.CVCapacity > 0.2 || e.CV < 0.3 || e.HerdCapacity > 1.3 {
+		t.Errorf("spread by capacity %.2f, by weight %.2f, herd by capacity %.2f", e.CVCapacity, e.CV, e.HerdCapacity)
+	}
+	for i := range all { // the same number, all of them at the slow one
+		all[i].Server = 1
+	}
+	e = Even{}
+	e.byCapacity(all, []Event{{At: 500 * time.Millisecond}}, samples, 0, 4*time.Second)
+	if e.CVCapacity < 1 || e.HerdCapacity < 4 {
+		t.Errorf("all at the slow one: spread by capacity %.2f, herd %.2f", e.CVCapacity, e.HerdCapacity)
+	}
+}
--- a/internal/field/report.go
+++ b/internal/field/report.go
@@ -71,9 +71,71 @@
 	}
 	r.weights, r.ColdOver = weights, f.coldOver
 	r.Even = Measure(r.arrivals, r.events, weights, r.from+2*time.Second, r.to)
+	r.Even.byCapacity(r.arrivals, r.events, f.capacity, r.from+2*time.Second, r.to)
 	return r
 }
 
+// byCapacity sums attempts up against samples of what servers could do. A server that could do nothing in a part
+// of a second is left out of that second: an attempt sent before anybody could know says nothing of the choice.
+func (e *Even) byCapacity(arrivals []Arrival, events []Event, samples []Capacity, from, to time.Duration) {
+	counts := func(at, span time.Duration) (got, part []float64) { // each server's attempts, and its even part
+		var could, least []float64
+		for _, c := range samples {
+			if c.At < at || c.At >= at+span {
+				continue
+			}
+			if could == nil {
+				could, least = make([]float64, len(c.Of)), slices.Clone(c.Of)
+			}
+			for i, x := range c.Of {
+				could[i] += x
+				least[i] = min(least[i], x)
+			}
+		}
+		n, all, total := make([]float64, len(could)), 0.0, 0.0
+		i, _ := slices.BinarySearchFunc(arrivals, at, func(a Arrival, t time.Duration) int { return int(a.At - t) })
+		for ; i < len(arrivals) && arrivals[i].At < at+span; i++ {
+			if s := arrivals[i].Server; len(could) > 0 && least[s] > 0 {
+				n[s]++
+				all++
+			}
+		}
+		for i, x := range could {
+			if least[i] > 0 {
+				total += x
+			}
+		}
+		for i, x := range could {
+			if least[i] > 0 && all > 0 {
+				got, part = append(got, n[i]), append(part, all*x/total)
+			}
+		}
+		return got, part
+	}
+	rounds := 0.0
+	for at := from; at+time.Second <= to; at += time.Second {
+		if got, part := counts(at, time.Second); len(got) > 0 {
+			dev := 0.0
+			for i, x := range got {
+				dev += (x/part[i] - 1) * (x/part[i] - 1)
+			}
+			e.CVCapacity += math.Sqrt(dev / float64(len(got)))
+			rounds++
+		}
+	}
+	if rounds > 0 {
+		e.CVCapacity /= rounds
+	}
+	for _, v := range events {
+		if v.At >= from && v.At+200*time.Millisecond <= to {
+			got, part := counts(v.At, 200*time.Millisecond)
+			for i, x := range got {
+				e.HerdCapacity = max(e.HerdCapacity, x/max(1, part[i]))
+			}
+		}
+	}
+}
+
 // Heat is the attempts by span of time and server, over the server's weight.
 func (r *Report) Heat(span time.Duration) [][]float64 {
 	cells := make([][]float64, max(1, int((r.to-r.from)/span)))
@@ -96,6 +158,11 @@
 	IdleMax   int     `json:"idle_max"`    // servers that got nothing in 10 s though their even part was 5 or more
 	PerSecond float64 `json:"per_second"`  // attempts
 	Gateways  float64 `json:"gateways_of"` // that used a server, on average
+
+	// The same by what servers can do at that time: warmth, slowness and death counted in. Even by weight and even
+	// by capacity can't both be had while servers differ in more than weight.
+	CVCapacity   float64 `json:"cv_capacity"`
+	HerdCapacity float64 `json:"herd_capacity"`
 }
 
 // Measure sums attempts up. Weights are the servers'.
--- a/internal/field/server.go
+++ b/internal/field/server.go
@@ -225,6 +225,16 @@
 	return float64(s.busy+len(s.line)+1) * s.slow / (float64(s.cores) * s.warmth(s.f.net.Now()))
 }
 
+// capacity is what it can do now, in warm cores.
+func (s *server) capacity() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up || s.drained || s.mute || s.fails {
+		return 0
+	}
+	return float64(s.cores) * s.warmth(s.f.net.Now()) / s.slow
+}
+
 // report is the load report as it was some time ago.
 func (s *server) report() []byte {
 	s.mu.Lock()
--- a/internal/lab/even.go
+++ b/internal/lab/even.go
@@ -72,7 +72,7 @@
 		players = append(players[:1], players[2:]...)
 	}
 	by := map[string]*field.Report{}
-	r.Row("policy", "spread 1 s", "peak 100 ms", "herd 200 ms", "idle", "cold over bound", "served", "p50 ms", "p99 ms", "connections", "lateness ms")
+	r.Row("policy", "spread 1 s", "by capacity", "peak 100 ms", "herd 200 ms", "by capacity", "idle", "cold over bound", "served", "p50 ms", "p99 ms", "connections", "lateness ms")
 	for _, p := range players {
 		p.opt.Progress = func(text string) {
 			if o.Progress != nil {
@@ -95,7 +95,7 @@
 		}
 		by[p.name] = p.report
 		e := p.report.Even
-		r.Row(p.name, e.CV, e.Peak100, e.HerdMax, e.IdleMax, p.report.ColdOver, float64(p.report.Served)/float64(p.report.Tries),
+		r.Row(p.name, e.CV, e.CVCapacity, e.Peak100, e.HerdMax, e.HerdCapacity, e.IdleMax, p.report.ColdOver, float64(p.report.Served)/float64(p.report.Tries),
 			p.report.P50.Milliseconds(), p.report.P99.Milliseconds(), p.report.Accepted, p.report.LateMost.Milliseconds())
 		if o.Charts != "" {
 			if err := heat(p.report, o, p.name); err != nil {
@@ -107,7 +107,8 @@
 		random, seeing := by[string(field.Random)], by[string(field.Seeing)]
 		return map[string]any{"rules_broken": len(p.Broken), "void": len(p.Void) > 0, "idle_servers_max": p.Even.IdleMax,
 			"cv_over_random": p.Even.CV / random.Even.CV, "peak_100ms_over_random": p.Even.Peak100 / random.Even.Peak100,
-			"herd_max": p.Even.HerdMax, "p99_over_limit": float64(p.P99) / float64(seeing.P99), "cold_work_over_bound_max": p.ColdOver,
+			"herd_max": p.Even.HerdMax, "cv_by_capacity_over_random": p.Even.CVCapacity / random.Even.CVCapacity,
+			"cv_by_capacity_over_limit": p.Even.CVCapacity / seeing.Even.CVCapacity, "herd_by_capacity_max": p.Even.HerdCapacity, "p99_over_limit": float64(p.P99) / float64(seeing.P99), "cold_work_over_bound_max": p.ColdOver,
 			"served_share": float64(p.Served) / float64(p.Tries), "connections": p.Accepted}
 	}
 	for k, v := range figures(by["program"]) {
