Let parts of the fleet grow by what cold servers lack

Cause: parts of the ring hold weight, cold servers counted in full, though they take only a share by least warmth. Where most of a stretch is cold its few warm servers carried the stretch (lines: weights in survey). Now a cold server weighs what it can surely do, so parts reach further until it is warm; shares of cold servers stay as they were.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -258,21 +258,21 @@
 	b.ring = aperture.Ring(b.fleet, func(be *backend) aperture.Node {
 		return aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Member.Zone}
 	})
-	b.survey()
+	b.survey(now)
 	b.limit.Begin(now)
 }
 
 // survey marks the backends that this gateway uses: so few that it meets each often enough to know it, and to
-// find its connection still open. What looks dead is made up for.
-func (b *Balancer) survey() {
-	want, now := max(leastReach, b.sends*meetWithin.Seconds()), float64(b.reach)
-	if want > 1.25*now || want < 0.6*now {
+// find its connection still open. What looks dead is made up for, and what is cold by what it lacks.
+func (b *Balancer) survey(now time.Duration) {
+	want, has := max(leastReach, b.sends*meetWithin.Seconds()), float64(b.reach)
+	if want > 1.25*has || want < 0.6*has {
 		b.reach = int(math.Ceil(want))
 	}
 	weights := make([]float64, len(b.ring))
 	for i, be := range b.ring {
 		if be.listed {
-			weights[i] = b.size(be)
+			weights[i] = b.size(be) * b.warmth(now, be)
 		}
 	}
 	b.stuck, b.mass, b.whole = 0, 0, 0
@@ -283,7 +283,9 @@
 			b.stuck += len(be.outs)
 		}
 		b.mass += b.size(be) * be.part
-		b.whole += weights[i]
+		if be.listed {
+			b.whole += b.size(be)
+		}
 	}
 }
 
@@ -936,7 +938,7 @@
 func (b *Balancer) eject(now time.Duration, be *backend) {
 	lost := be.Server.Zone.Silent(&be.Server, now)
 	be.Strike(now, 2*b.beat)
-	b.survey()
+	b.survey(now)
 	for _, x := range b.fleet {
 		if x == be || lost && x.Server.Zone == be.Server.Zone {
 			b.strand(now, x)
@@ -1026,7 +1028,7 @@
 	b.beats++
 	b.sends += (b.sent/b.beat.Seconds() - b.sends) * max(1/b.beats, b.beat.Seconds()/5)
 	b.sent = 0
-	b.survey()
+	b.survey(now)
 	b.idlers = slices.DeleteFunc(b.idlers, func(c *customer) bool {
 		b.sync(now, c, false) // what is owed: no request may come to carry it
 		idle := c.out == 0 && c.call == "" && !c.asking && now-c.seen > NameLife/3 && now > c.tat
