--- /dev/null
+++ b/choice/adopt.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"asterwell/internal/ceiling"
+	"asterwell/internal/health"
+	"asterwell/internal/policy"
+)
+
+// Adopt puts another policy in force: classes, plans and prices of set, which has
+// been validated. Version names it, the same at all gateways. Requests that are
+// open keep the class and the plan that they came under.
+//
+// How quotas go over is policy.Carry's rule. The units of the policy before stay on
+// its own names of the counter: under other rates the same units stand for another
+// time. What this gateway knows of them goes over with its customers' meters, as it
+// does at each new period of names; and as there, ceilings go by even shares until
+// the new counts are sound.
+func (b *Balancer) Adopt(now time.Duration, version int64, set Settings) {
+	for name, then := range b.calls { // what has not been answered is taken as landed, as with any that is late
+		delete(b.calls, name)
+		then(now, Counted{Name: name, Status: Timeout})
+	}
+	old := b.plans
+	b.plans, b.ended = map[string]*Plan{}, map[*Plan]bool{}
+	for _, p := range set.Plans {
+		b.plans[p.Name] = &p
+	}
+	b.names = ""
+	if version > 0 {
+		b.names = ".p" + strconv.FormatInt(version, 36)
+	}
+	for _, p := range old {
+		b.ended[p] = true
+	}
+	for _, c := range b.idlers {
+		b.ended[c.plan] = true // those of earlier policies too
+		if to := b.plans[c.plan.Name]; to != nil {
+			b.carry(now, c, to)
+		}
+	}
+	classes := b.classes
+	b.classes, b.beat, b.slotPeriod = map[string]*class{}, set.Classes[0].Aim, 0
+	for _, c := range set.Classes {
+		n := &class{Class: c, Latency: health.NewLatency(c.Aim)}
+		if was := classes[c.Name]; was != nil && was.Aim == c.Aim { // servers are as they were
+			n.Latency, n.span, n.votes = was.Latency, was.span, was.votes
+		}
+		b.classes[c.Name] = n
+		b.beat = min(b.beat, c.Aim)
+		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
+	}
+	b.beat = max(b.beat/8, b.set.Tick)
+	b.density = 0
+	b.set.Classes, b.set.Plans = set.Classes, set.Plans
+	b.set.CrossZone, b.set.CounterPrice, b.set.ProbePrice = set.CrossZone, set.CounterPrice, set.ProbePrice
+	b.set.WastePrice, b.set.LateFailPrice, b.set.MaxUnits = set.WastePrice, set.LateFailPrice, set.MaxUnits
+	b.doubtAt = now
+}
+
+// carry takes a customer's meter over to another plan.
+func (b *Balancer) carry(now time.Duration, c *customer, to *Plan) {
+	from := c.plan
+	room := math.Inf(1)
+	if from.Rate > 0 {
+		b.assume(now, c)
+		room = from.Burst - max(0, (c.tat-now).Seconds())*from.Rate
+	}
+	if c.tat = now; to.Rate > 0 {
+		room = policy.Carry(room, policy.Quota{Rate: to.Rate, Burst: to.Burst}, float64(c.width))
+		c.tat = now + to.span(to.Burst-room)
+	}
+	switch terms := (ceiling.Terms{Rate: from.CeilingRate, Burst: from.CeilingBurst, QuotaRate: from.Rate, QuotaBurst: from.Burst, Width: float64(c.width)}); {
+	case to.CeilingRate == 0:
+	case from.CeilingRate == 0: // nobody knows what has gone by
+		c.share = ceiling.New(now)
+	default: // filled by the old terms until now, and cut to what the new ones hold when it is next used
+		c.share.Has(now, terms, 0)
+	}
+	c.plan, c.unsent, c.fix, c.owes, c.readAt, c.assumeAt = to, 0, 0, false, 0, now
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,8 @@
 	customers map[string]*customer
 	idlers    []*customer // in order of arrival
 	logged    map[string]bool
+	ended     map[*Plan]bool // plans of policies before this one
+	names     string         // in the counter's names: empty until a policy has changed
 
 	started, beat, slotPeriod time.Duration // first request; housekeeping; longest attempt
 
@@ -564,6 +566,8 @@
 		}
 		b.customers[r.Customer] = c
 		b.idlers = append(b.idlers, c)
+	} else if b.ended[c.plan] {
+		b.carry(now, c, r.plan)
 	}
 	c.seen, c.width = now, r.Width
 	return c
@@ -614,7 +618,7 @@
 	for _, r := range c.queue {
 		reserved += r.Units
 	}
-	c.call = c.key + "." + strconv.FormatInt(c.period, 36)
+	c.call = c.key + b.names + "." + strconv.FormatInt(c.period, 36)
 	c.flying, c.unsent, c.owes = c.unsent+reserved, -reserved, false
 	b.calls[c.call] = func(now time.Duration, e Counted) { b.synced(now, c, e) }
 	b.act.Count(c.call, c.flying, NameLife)
--- a/cmd/asterwell/main.go
+++ b/cmd/asterwell/main.go
@@ -1,11 +1,18 @@
 // Command asterwell is a gateway that meters its customers' use of the servers
-// behind it. The environment variable LB_CONFIG names its configuration.
+// behind it. The environment variable LB_CONFIG names its configuration. With a
+// command it is an operator's tool for a cluster of gateways.
 package main
 
 import (
 	"os"
 
+	"asterwell/internal/operate"
 	"asterwell/internal/program"
 )
 
-func main() { os.Exit(program.Main()) }
+func main() {
+	if len(os.Args) > 1 {
+		os.Exit(operate.Run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(program.Main())
+}
--- /dev/null
+++ b/internal/cluster/client.go
@@ -0,0 +1,125 @@
+package cluster
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"asterwell/internal/seam"
+)
+
+// Client asks voters what operators want to know, and tells them what operators want
+// done.
+type Client struct {
+	World seam.Seam
+	Cfg   *Config
+	By    string
+}
+
+// ErrNobody is that no voter that leads was reached: none may, without a majority.
+var ErrNobody = errors.New("no leader was reached")
+
+// Ask puts a question to the leader: to one voter after the other, until one is it
+// or names it.
+func (c *Client) Ask(q Ask, limit time.Duration) (r Reply, err error) {
+	world := seam.Or(c.World)
+	end := world.Now().Add(limit)
+	peers := append([]Named(nil), c.Cfg.Voters...)
+	err = ErrNobody
+	for first := true; first || world.Now().Before(end); first = false {
+		for i := 0; i < len(peers) && i < 20; i++ {
+			got, e := c.one(c.Cfg.Reach(peers[i].Name, peers[i].Address), peers[i].Name, q, min(limit, 7*time.Second))
+			switch {
+			case e != nil:
+				err = fmt.Errorf("%w: %s: %w", ErrNobody, peers[i].Name, e)
+			case got.Error == ErrNotLeader.Error():
+				err = ErrNobody
+				if p := got.Leader; p != nil && i < 10 {
+					peers = append(peers[:i+1:i+1], append([]Named{{p.Name, p.Address}}, peers[i+1:]...)...)
+				}
+			case got.Error != "":
+				return got, errors.New(got.Error)
+			default:
+				return got, nil
+			}
+		}
+		peers = append([]Named(nil), c.Cfg.Voters...)
+		world.Sleep(50 * time.Millisecond)
+	}
+	return r, err
+}
+
+// Self asks the member of this file, which must run and have a folder, who it is.
+func (c *Client) Self(limit time.Duration) (Peer, error) {
+	r, err := c.one(c.Cfg.Address, c.Cfg.Name, Ask{Do: "identity"}, limit)
+	switch {
+	case err != nil:
+		return Peer{}, fmt.Errorf("this member does not answer: %w", err)
+	case r.Error != "":
+		return Peer{}, errors.New(r.Error)
+	case len(r.Voters) != 1:
+		return Peer{}, errors.New("this member has not said who it is")
+	}
+	return r.Voters[0], nil
+}
+
+func (c *Client) one(addr, name string, q Ask, limit time.Duration) (r Reply, err error) {
+	world := seam.Or(c.World)
+	conn, err := world.Dial(addr, min(limit, time.Second))
+	if err != nil {
+		return r, err
+	}
+	defer conn.Close()
+	body, err := json.Marshal(q)
+	if err != nil {
+		return r, err
+	}
+	number := clusterNumber(c.Cfg.Cluster)
+	conn.SetDeadline(world.Now().Add(limit))
+	me := world.Random() | 1
+	if _, err := conn.Write((&Frame{Kind: KindAsk, From: me, FromName: c.By, ToName: name, Body: body}).encode(number)); err != nil {
+		return r, err
+	}
+	in := bufio.NewReader(conn)
+	for {
+		f, err := readFrame(in, number)
+		if err != nil {
+			return r, err
+		}
+		if f.Kind == KindReply && f.To == me {
+			return r, json.Unmarshal(f.Body, &r)
+		}
+	}
+}
+
+// FormFolder gives an empty folder the first state of a cluster: this member's vote
+// among those of the file. It is done once for each of the first voters, all with the
+// same list.
+func FormFolder(c *Config) error {
+	if c.Folder == "" {
+		return errors.New("folder is missing: a voter needs one")
+	}
+	var voters []Peer
+	var self *Peer
+	for _, v := range c.Voters {
+		p := Peer{ID: firstID(c.Cluster, v.Name), Name: v.Name, Address: v.Address}
+		if voters = append(voters, p); v.Name == c.Name {
+			p.Zone = c.Zone
+			self = &p
+		}
+	}
+	if self == nil {
+		return fmt.Errorf("%s is not among the voters of the file", c.Name)
+	}
+	s, err := Open(c.Folder, c.Cluster, *self)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return s.Form(voters)
+}
+
+// firstID is a first voter's, known to all before any has started.
+func firstID(cluster, name string) uint64 { return clusterNumber(cluster+"\x00"+name) | 1 }
--- /dev/null
+++ b/internal/cluster/config.go
@@ -0,0 +1,159 @@
+package cluster
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"asterwell/internal/policy"
+	"asterwell/internal/settings"
+)
+
+// Config is the operator's file for a cluster of gateways that may talk to each
+// other. ASTERWELL_CLUSTER names it; without that it is deploy/cluster.json, if
+// there is one. Times are in milliseconds. deploy/cluster.schema.json is its
+// schema, docs/policy.md its page.
+type Config struct {
+	Enabled bool   `json:"enabled"`
+	Cluster string `json:"cluster"` // its name: members of another are strangers
+	Name    string `json:"name"`    // of this member; "": the gateway's
+	Zone    string `json:"zone"`
+	Listen  string `json:"listen"`  // the members' port
+	Address string `json:"address"` // where others reach it; "": listen
+	Folder  string `json:"folder"`  // of the log: only members that vote, or may come to, need one
+
+	Voters    []Named           `json:"voters"`    // to begin with; later ones are learnt
+	Addresses map[string]string `json:"addresses"` // where members are reached from here, if not where they say
+
+	LeaseMs       float64 `json:"lease_ms"`
+	DriftShare    float64 `json:"drift_share"`
+	RenewMs       float64 `json:"renew_ms"`
+	CheckWithinMs float64 `json:"check_within_ms"`
+	HoldWithinMs  float64 `json:"hold_within_ms"`
+	WaitMs        float64 `json:"wait_ms"` // that a request waits for a turn to be over
+
+	WithoutMajority string `json:"without_majority"`
+	Connections     int    `json:"connections"`
+}
+
+// Named is a voter in the file.
+type Named struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// What without_majority may say.
+const (
+	Refuse = "refuse" // a gateway without a lease refuses at once
+	Serve  = "serve"  // it goes on by the last version that it had
+)
+
+// ParseConfig reads the text of an operator's file. An error names the key, or the
+// line where the text is no JSON.
+func ParseConfig(text []byte) (*Config, error) {
+	d := policy.DefaultTerms
+	c := &Config{LeaseMs: ms(d.Lease), DriftShare: d.Drift, RenewMs: ms(d.Renew), CheckWithinMs: ms(d.CheckWithin),
+		HoldWithinMs: ms(d.HoldWithin), WaitMs: 100, WithoutMajority: Refuse, Connections: 2048}
+	in := json.NewDecoder(bytes.NewReader(text))
+	in.DisallowUnknownFields()
+	if err := in.Decode(c); err != nil {
+		return nil, settings.Lined(text, err)
+	}
+	if _, err := in.Token(); err != io.EOF {
+		return nil, errors.New("more behind the object")
+	}
+	if !c.Enabled { // what is off is not checked
+		return c, nil
+	}
+	return c, c.check()
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func span(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (c *Config) check() error {
+	if c.Cluster == "" {
+		return errors.New("cluster is missing")
+	}
+	for _, n := range []struct{ key, name string }{{"cluster", c.Cluster}, {"name", c.Name}} {
+		if len(n.name) > 100 {
+			return fmt.Errorf("%s is longer than 100 bytes", n.key)
+		}
+	}
+	if err := hostPort("listen", c.Listen); err != nil {
+		return err
+	}
+	if c.Address == "" {
+		c.Address = c.Listen
+	}
+	if err := hostPort("address", c.Address); err != nil {
+		return err
+	}
+	if len(c.Voters) == 0 {
+		return errors.New("voters is missing")
+	}
+	seen := map[string]bool{}
+	for i, v := range c.Voters {
+		if v.Name == "" || seen[v.Name] {
+			return fmt.Errorf("voters[%d].name is missing, or another's", i)
+		}
+		seen[v.Name] = true
+		if err := hostPort(fmt.Sprintf("voters[%d].address", i), v.Address); err != nil {
+			return err
+		}
+	}
+	for name, a := range c.Addresses {
+		if err := hostPort("addresses."+name, a); err != nil {
+			return err
+		}
+	}
+	for _, b := range []struct {
+		key               string
+		value, least, top float64
+	}{
+		{"lease_ms", c.LeaseMs, 300, 60e3}, {"drift_share", c.DriftShare, 0, 0.5}, {"renew_ms", c.RenewMs, 20, c.LeaseMs / 3},
+		{"check_within_ms", c.CheckWithinMs, 20, 60e3}, {"hold_within_ms", c.HoldWithinMs, 5, 10e3}, {"wait_ms", c.WaitMs, 0, 10e3},
+		{"connections", float64(c.Connections), 8, 1e5},
+	} {
+		if !(b.value >= b.least && b.value <= b.top) {
+			return fmt.Errorf("%s must be %v to %v, got %v", b.key, b.least, b.top, b.value)
+		}
+	}
+	if c.WithoutMajority != Refuse && c.WithoutMajority != Serve {
+		return fmt.Errorf("without_majority must be %s or %s, got %q", Refuse, Serve, c.WithoutMajority)
+	}
+	return nil
+}
+
+func hostPort(key, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s is missing", key)
+	}
+	_, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return fmt.Errorf("%s: not host:port: %q", key, value)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("%s: not a port: %q", key, port)
+	}
+	return nil
+}
+
+// Terms are the times that the cluster goes by. They must be the same at all members.
+func (c *Config) Terms() policy.Terms {
+	return policy.Terms{Lease: span(c.LeaseMs), Drift: c.DriftShare, Renew: span(c.RenewMs), CheckWithin: span(c.CheckWithinMs), HoldWithin: span(c.HoldWithinMs)}
+}
+
+// Reach is where a member is reached from here.
+func (c *Config) Reach(name, address string) string {
+	if a := c.Addresses[name]; a != "" {
+		return a
+	}
+	return address
+}
--- /dev/null
+++ b/internal/cluster/frame.go
@@ -0,0 +1,109 @@
+package cluster
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind of a frame.
+type Kind byte
+
+// The kinds. Members of an earlier version drop, and count, those that they don't
+// know.
+const (
+	KindRaft  Kind = 1 + iota // voter to voter: raftpb.Message
+	KindRenew                 // gateway to leader: policy.Renew as JSON
+	KindGrant                 // and back: Heard as JSON
+	KindAsk                   // an operator's question: Ask as JSON
+	KindReply                 // and back: Reply as JSON
+)
+
+// Frame is what members send each other. On the wire: the four bytes "AWCL", the
+// version, the kind, two bytes 0, the length of the rest, cluster, from and to, a
+// CRC-32C over all of that with a zero in its place, and then both names, each with
+// its length in a byte before it, and the body. Numbers are big-endian.
+type Frame struct {
+	Kind     Kind
+	From, To uint64 // incarnations: a voter's is its disk's, a gateway's its process's; To 0: whoever it is
+	FromName string
+	ToName   string
+	Body     []byte
+}
+
+const (
+	frameVersion = 1
+	headerSize   = 4 + 1 + 1 + 2 + 4 + 8 + 8 + 8 + 4
+	mostFrame    = 8 << 20
+)
+
+var (
+	errStrange = errors.New("not a frame of this cluster")
+	errSpoilt  = errors.New("a frame's checksum is wrong")
+)
+
+// clusterNumber stands for a cluster's name in frames.
+func clusterNumber(name string) uint64 { return xxhash.Sum64String(name) }
+
+// encode is the frame on the wire.
+func (f *Frame) encode(cluster uint64) []byte {
+	rest := 2 + len(f.FromName) + len(f.ToName) + len(f.Body)
+	b := make([]byte, 0, headerSize+rest)
+	b = append(b, "AWCL"...)
+	b = append(b, frameVersion, byte(f.Kind), 0, 0)
+	b = binary.BigEndian.AppendUint32(b, uint32(rest))
+	b = binary.BigEndian.AppendUint64(b, cluster)
+	b = binary.BigEndian.AppendUint64(b, f.From)
+	b = binary.BigEndian.AppendUint64(b, f.To)
+	b = append(b, 0, 0, 0, 0)
+	b = append(append(b, byte(len(f.FromName))), f.FromName...)
+	b = append(append(b, byte(len(f.ToName))), f.ToName...)
+	b = append(b, f.Body...)
+	binary.BigEndian.PutUint32(b[headerSize-4:], crc32.Checksum(b, castagnoli))
+	return b
+}
+
+// readFrame reads the next frame. After an error the connection can't be used any
+// more: where the next one begins is not known.
+func readFrame(in *bufio.Reader, cluster uint64) (*Frame, error) {
+	head := make([]byte, headerSize)
+	if _, err := io.ReadFull(in, head); err != nil {
+		return nil, err
+	}
+	rest := binary.BigEndian.Uint32(head[8:])
+	switch {
+	case string(head[:4]) != "AWCL" || binary.BigEndian.Uint64(head[12:]) != cluster:
+		return nil, errStrange
+	case head[4] > frameVersion:
+		return nil, fmt.Errorf("%w: version %d, this program knows %d", errStrange, head[4], frameVersion)
+	case rest < 2 || rest > mostFrame:
+		return nil, fmt.Errorf("%w: %d bytes", errSpoilt, rest)
+	}
+	body := make([]byte, rest)
+	if _, err := io.ReadFull(in, body); err != nil {
+		return nil, err
+	}
+	want := binary.BigEndian.Uint32(head[headerSize-4:])
+	clear(head[headerSize-4:])
+	if crc32.Update(crc32.Checksum(head, castagnoli), castagnoli, body) != want {
+		return nil, errSpoilt
+	}
+	f := &Frame{Kind: Kind(head[5]), From: binary.BigEndian.Uint64(head[20:]), To: binary.BigEndian.Uint64(head[28:])}
+	for _, to := range []*string{&f.FromName, &f.ToName} {
+		n := 0
+		if len(body) > 0 {
+			n = int(body[0])
+		}
+		if len(body) < 1+n {
+			return nil, errSpoilt
+		}
+		*to, body = string(body[1:1+n]), body[1+n:]
+	}
+	f.Body = body
+	return f, nil
+}
--- /dev/null
+++ b/internal/cluster/node.go
@@ -0,0 +1,499 @@
+package cluster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"asterwell/internal/actor"
+	"asterwell/internal/policy"
+	"asterwell/internal/seam"
+)
+
+// Gateway is what a member does with policies.
+type Gateway struct {
+	Check func(text []byte) error                // whether it could take this one over
+	Adopt func(version int64, text []byte) error // from now on this one is in force; no text: its own file
+	Lease func(l policy.Lease, holds bool)       // what may be decided by; holds: for a moment nothing, it will be over soon
+}
+
+// Node is a member: a gateway's side, and where it has a folder a voter's.
+type Node struct {
+	cfg     *Config
+	world   seam.Seam
+	now     func() time.Duration
+	log     *slog.Logger
+	gateway Gateway
+	id      uint64 // of this process
+	mesh    *mesh
+	holder  *policy.Holder
+	hbox    *actor.Box[any]
+	store   *Store
+	voter   *Voter
+	vbox    *actor.Box[any]
+	voterID uint64
+	bad     string // why there is no voter, though there is a folder
+
+	halt atomic.Bool
+
+	// The holder's own.
+	peers  []Peer // voters as last heard of
+	target string
+	turn   int
+	told   policy.Lease
+	holds  bool
+
+	// The voter's own.
+	members map[uint64]*pipe
+	met     map[uint64]*pipe // voters that have said something, by the way it came
+	waits   []*waiter
+	was     error
+}
+
+// Heard is what a voter says to a gateway.
+type Heard struct {
+	policy.Grant
+	Leader *Peer  `json:"leader,omitempty"` // call this one
+	Voters []Peer `json:"voters,omitempty"`
+}
+
+// New puts a member together. Name is the gateway's; digest stands for its own
+// file's policy.
+func New(world seam.Seam, cfg *Config, name, digest string, now func() time.Duration, log *slog.Logger, g Gateway) (*Node, error) {
+	world = seam.Or(world)
+	if cfg.Name == "" {
+		cfg.Name = name
+	}
+	n := &Node{cfg: cfg, world: world, now: now, log: log, gateway: g, id: world.Random() | 1, hbox: actor.NewBox[any](world),
+		vbox: actor.NewBox[any](world), members: map[uint64]*pipe{}, met: map[uint64]*pipe{}}
+	n.holder = policy.NewHolder(cfg.Terms(), cfg.Name, cfg.Zone, digest)
+	n.mesh = newMesh(world, cfg.Cluster, cfg.Connections, n.handle)
+	for _, v := range cfg.Voters {
+		n.peers = append(n.peers, Peer{Name: v.Name, Address: v.Address})
+	}
+	if cfg.Folder != "" {
+		if err := n.open(); err != nil {
+			// The gateway can go on by the others' word. Nothing is made of a folder that can't be trusted.
+			n.bad = err.Error()
+			log.Error("no vote", "folder", cfg.Folder, "error", err)
+		}
+	}
+	if err := n.mesh.listen(cfg.Listen); err != nil {
+		return nil, fmt.Errorf("cluster: listen: %w", err)
+	}
+	return n, nil
+}
+
+func (n *Node) open() (err error) {
+	self := Peer{ID: n.world.Random() | 1, Name: n.cfg.Name, Address: n.cfg.Address, Zone: n.cfg.Zone}
+	if n.store, err = Open(n.cfg.Folder, n.cfg.Cluster, self); err != nil {
+		return err
+	}
+	if n.voter, err = NewVoter(n.store, n.cfg.Terms(), n.world.Random, n.now()); err != nil {
+		n.store.Close()
+		n.voter = nil
+		return err
+	}
+	n.voterID = n.voter.Self.ID
+	return nil
+}
+
+// Run is the gateway's side, until Stop.
+func (n *Node) Run() {
+	if n.voter != nil {
+		n.world.Go(n.vote)
+	}
+	for !n.halt.Load() {
+		now := n.now()
+		for _, m := range n.hbox.Take(max(time.Millisecond, min(n.holder.Wait(now), 100*time.Millisecond))) {
+			if h, ok := m.(*Heard); ok {
+				n.heard(h)
+			}
+		}
+		n.publish()
+		n.call()
+	}
+}
+
+// Stop ends it.
+func (n *Node) Stop() {
+	n.halt.Store(true)
+	n.mesh.close()
+	n.hbox.Put(nil)
+	n.vbox.Put(nil)
+}
+
+// handle takes a frame, on its connection's goroutine.
+func (n *Node) handle(p *pipe, f *Frame) {
+	if f.To != 0 && f.To != n.id && f.To != n.voterID {
+		n.mesh.Counts.Old.Add(1)
+		return
+	}
+	switch f.Kind {
+	case KindRaft, KindRenew, KindAsk:
+		if n.voter != nil {
+			n.vbox.Put(arrived{p, f})
+		} else if f.Kind == KindAsk {
+			n.reply(p, f, Reply{Error: "this member has no vote" + map[bool]string{true: ": " + n.bad}[n.bad != ""]})
+		}
+	case KindGrant:
+		var h Heard
+		if err := json.Unmarshal(f.Body, &h); err != nil {
+			n.mesh.Counts.Spoilt.Add(1)
+			return
+		}
+		n.hbox.Put(&h)
+	}
+}
+
+type arrived struct {
+	p *pipe // nil: this process's own gateway
+	f *Frame
+}
+
+// The gateway's side.
+
+func (n *Node) heard(h *Heard) {
+	if len(h.Voters) > 0 {
+		n.peers = h.Voters
+	}
+	if h.Leader != nil {
+		was := n.target
+		n.target = h.Leader.Name
+		if h.Term == 0 { // no grant: only where to call
+			if n.target != was {
+				n.holder.Again()
+			}
+			return
+		}
+	}
+	w := n.holder.Grant(n.now(), h.Grant)
+	if w.Adopt {
+		if err := n.gateway.Adopt(w.Grant.Version, w.Grant.Text); err != nil {
+			n.log.Error("policy can't be taken over", "version", w.Grant.Version, "error", err)
+			n.holder.Unable()
+		} else {
+			n.log.Info("policy", "version", w.Grant.Version)
+		}
+	}
+	if w.Check {
+		refusal := ""
+		if err := n.gateway.Check(w.Grant.Next); err != nil {
+			refusal = err.Error()
+		}
+		n.holder.Checked(w.Grant.Change, refusal)
+	}
+}
+
+// publish tells the core what it may decide by.
+func (n *Node) publish() {
+	l, holds := n.holder.Lease()
+	if l != n.told || holds != n.holds {
+		n.told, n.holds = l, holds
+		n.gateway.Lease(l, holds)
+	}
+}
+
+// call sends what the gateway has to say, to the leader as it knows it, or from one
+// voter to the next.
+func (n *Node) call() {
+	r := n.holder.Tick(n.now())
+	if r == nil || len(n.peers) == 0 {
+		return
+	}
+	if n.holder.Missed() > 1 || n.target == "" {
+		n.turn++
+		if n.turn == 1 { // not all at the same one
+			n.turn += int(n.world.Random() % uint64(len(n.peers)))
+		}
+		n.target = n.peers[n.turn%len(n.peers)].Name
+	}
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	f := &Frame{Kind: KindRenew, From: n.id, FromName: n.cfg.Name, ToName: n.target, Body: body}
+	if n.target == n.cfg.Name {
+		if n.voter != nil {
+			n.vbox.Put(arrived{nil, f})
+		}
+		return
+	}
+	i := slices.IndexFunc(n.peers, func(p Peer) bool { return p.Name == n.target })
+	if i < 0 {
+		n.target = ""
+		return
+	}
+	n.mesh.to(n.cfg.Reach(n.target, n.peers[i].Address)).send(f)
+}
+
+// The voter's side.
+
+// Ask is an operator's question.
+type Ask struct {
+	Do      string          `json:"do"` // propose, withdraw, status, history, show, replace, fate
+	ID      uint64          `json:"id,omitempty"`
+	Base    int64           `json:"base"`
+	Version int64           `json:"version,omitempty"`
+	Text    json.RawMessage `json:"text,omitempty"`
+	By      string          `json:"by,omitempty"`
+	AtMs    int64           `json:"at_ms,omitempty"`
+	Old     string          `json:"old,omitempty"`
+	New     Peer            `json:"new,omitzero"`
+}
+
+// Reply answers it.
+type Reply struct {
+	Error   string           `json:"error,omitempty"`
+	Leader  *Peer            `json:"leader,omitempty"` // ask this one
+	Version int64            `json:"version"`
+	Change  *policy.Change   `json:"change,omitempty"`
+	Changes []policy.Change  `json:"changes,omitempty"`
+	Stage   string           `json:"stage,omitempty"`
+	Members []policy.Seen    `json:"members,omitempty"`
+	Voters  []Peer           `json:"voters,omitempty"`
+	Votes   []string         `json:"votes,omitempty"`
+	Term    uint64           `json:"term,omitempty"`
+	Counts  map[string]int64 `json:"counts,omitempty"`
+}
+
+// waiter is a proposal whose entry is not yet applied.
+type waiter struct {
+	p     *pipe
+	f     *Frame
+	id    uint64
+	until time.Duration
+}
+
+func (n *Node) reply(p *pipe, f *Frame, r Reply) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	p.send(&Frame{Kind: KindReply, From: n.voterID, To: f.From, FromName: n.cfg.Name, ToName: f.FromName, Body: body})
+}
+
+func (n *Node) vote() {
+	for !n.halt.Load() {
+		got := n.vbox.Take(max(time.Millisecond, n.voter.Wait(n.now())))
+		for _, m := range got {
+			if a, ok := m.(arrived); ok {
+				n.take(a)
+			}
+		}
+		n.voter.Tick(n.now())
+		n.say()
+	}
+	n.store.Close()
+}
+
+func (n *Node) take(a arrived) {
+	now := n.now()
+	switch f := a.f; f.Kind {
+	case KindRaft:
+		m := &raftpb.Message{}
+		if err := proto.Unmarshal(f.Body, m); err != nil || m.GetFrom() != f.From {
+			n.mesh.Counts.Spoilt.Add(1)
+			return
+		}
+		n.met[f.From] = a.p
+		n.voter.Step(now, m)
+	case KindRenew:
+		var r policy.Renew
+		if err := json.Unmarshal(f.Body, &r); err != nil {
+			n.mesh.Counts.Spoilt.Add(1)
+			return
+		}
+		n.members[f.From] = a.p
+		if !n.voter.Renew(now, f.From, r) {
+			h := Heard{Voters: n.voter.Peers()}
+			if p, ok := n.voter.Leader(); ok {
+				h.Leader = &p
+				n.tell(f.From, a.p, &h)
+			}
+		}
+	case KindAsk:
+		var q Ask
+		if err := json.Unmarshal(f.Body, &q); err != nil {
+			n.reply(a.p, f, Reply{Error: "question: " + err.Error()})
+			return
+		}
+		n.answer(now, a, q)
+	}
+}
+
+func (n *Node) answer(now time.Duration, a arrived, q Ask) {
+	v := n.voter
+	r := Reply{Version: v.Register().Version, Term: v.Term()}
+	if p, ok := v.Leader(); ok && !v.Leads() {
+		r.Leader = &p
+	}
+	if err := v.Err(); err != nil {
+		r.Error = "this member has stepped back: " + err.Error()
+		n.reply(a.p, a.f, r)
+		return
+	}
+	if q.Do == "identity" {
+		r.Voters = []Peer{v.Self}
+		n.reply(a.p, a.f, r)
+		return
+	}
+	if !v.Leads() {
+		r.Error = ErrNotLeader.Error()
+		n.reply(a.p, a.f, r)
+		return
+	}
+	switch q.Do {
+	case "propose", "withdraw":
+		c := policy.Command{Kind: policy.Propose, ID: q.ID, Base: q.Base, Text: q.Text, By: q.By, AtMs: q.AtMs}
+		if q.Base < 0 {
+			c.Base = v.Register().Version
+		}
+		if q.Do == "withdraw" {
+			p := v.Register().Pending()
+			if p == nil {
+				r.Error = "no change is under way"
+				n.reply(a.p, a.f, r)
+				return
+			}
+			c = policy.Command{Kind: policy.Withdraw, ID: p.ID, By: q.By, Why: "withdrawn by " + q.By}
+		}
+		if err := v.Propose(now, c); err != nil {
+			r.Error = err.Error()
+			n.reply(a.p, a.f, r)
+			return
+		}
+		n.waits = append(n.waits, &waiter{a.p, a.f, c.ID, now + 5*time.Second})
+		n.settle(now)
+		return
+	case "fate":
+		if r.Change = v.Register().Find(q.ID); r.Change == nil {
+			r.Error = "unknown change"
+		}
+	case "show":
+		text, ok := v.Register().Text(q.Version)
+		if !ok || q.Version > v.Register().Version {
+			r.Error = fmt.Sprintf("version %d is not kept, or never was", q.Version)
+		}
+		r.Change = &policy.Change{Version: q.Version, Text: text}
+	case "history":
+		for _, c := range v.Register().Changes {
+			c.Text = nil
+			r.Changes = append(r.Changes, c)
+		}
+	case "status":
+		var stage policy.Stage
+		stage, r.Members = v.Conduct().Status(now)
+		r.Stage = stage.String()
+		if p := v.Register().Pending(); p != nil {
+			c := *p
+			c.Text = nil
+			r.Change = &c
+		}
+		r.Voters = v.Peers()
+		for _, p := range r.Voters {
+			if v.Votes(p.ID) {
+				r.Votes = append(r.Votes, p.Name)
+			}
+		}
+		r.Leader = &v.Self
+		r.Counts = n.mesh.Counts.all()
+	case "replace":
+		old := uint64(0)
+		for _, p := range v.Peers() {
+			if p.Name == q.Old && p.ID != q.New.ID && v.Votes(p.ID) {
+				old = p.ID
+			}
+		}
+		if err := v.Replace(now, old, q.New); err != nil {
+			r.Error = err.Error()
+		}
+	default:
+		r.Error = fmt.Sprintf("unknown question %q", q.Do)
+	}
+	n.reply(a.p, a.f, r)
+}
+
+func (c *Counts) all() map[string]int64 {
+	return map[string]int64{"sent": c.Sent.Load(), "got": c.Got.Load(), "bytes_out": c.BytesOut.Load(), "bytes_in": c.BytesIn.Load(),
+		"dropped": c.Dropped.Load(), "strange": c.Strange.Load(), "spoilt": c.Spoilt.Load(), "old": c.Old.Load()}
+}
+
+// settle answers proposals whose entry has come to hold, or may never.
+func (n *Node) settle(now time.Duration) {
+	n.waits = slices.DeleteFunc(n.waits, func(w *waiter) bool {
+		r := Reply{Version: n.voter.Register().Version, Term: n.voter.Term(), Change: n.voter.Register().Find(w.id)}
+		switch {
+		case r.Change != nil && n.voter.Err() == nil:
+			c := *r.Change
+			c.Text, r.Change = nil, &c
+		case now > w.until || !n.voter.Leads():
+			r.Error = "the leader has changed, or lost its majority: what has become of it is not known here"
+		default:
+			return false
+		}
+		n.reply(w.p, w.f, r)
+		return true
+	})
+}
+
+// say sends what the voter has to say.
+func (n *Node) say() {
+	if err := n.voter.Err(); err != nil && n.was == nil {
+		n.was = err
+		n.log.Error("stepped back", "error", err, "damaged", errors.Is(err, ErrDamaged))
+	}
+	messages, grants := n.voter.Out()
+	peers := n.voter.Peers()
+	for _, m := range messages {
+		body, err := proto.Marshal(m)
+		if err != nil {
+			n.log.Error("message", "error", err)
+			continue
+		}
+		f := &Frame{Kind: KindRaft, From: n.voterID, To: m.GetTo(), FromName: n.cfg.Name, Body: body}
+		if i := slices.IndexFunc(peers, func(p Peer) bool { return p.ID == m.GetTo() }); i >= 0 {
+			f.ToName = peers[i].Name
+			n.mesh.to(n.cfg.Reach(peers[i].Name, peers[i].Address)).send(f)
+		} else if p := n.met[m.GetTo()]; p != nil { // one that is made a voter has no list of them yet
+			p.send(f)
+		}
+	}
+	for _, g := range grants {
+		p, ok := n.members[g.To]
+		if !ok {
+			continue
+		}
+		h := &Heard{Grant: g.Grant}
+		if g.Seq%32 == 1 {
+			h.Voters = peers
+		}
+		n.tell(g.To, p, h)
+	}
+	if len(n.waits) > 0 {
+		n.settle(n.now())
+	}
+	if len(n.members) > 4*n.cfg.Connections { // those that are long gone
+		clear(n.members)
+	}
+}
+
+// tell says something to a gateway; its own is in this process.
+func (n *Node) tell(member uint64, p *pipe, h *Heard) {
+	if p == nil {
+		n.hbox.Put(h)
+		return
+	}
+	body, err := json.Marshal(h)
+	if err != nil {
+		panic(err)
+	}
+	p.send(&Frame{Kind: KindGrant, From: n.voterID, To: member, FromName: n.cfg.Name, Body: body})
+}
--- /dev/null
+++ b/internal/cluster/store.go
@@ -0,0 +1,278 @@
+package cluster
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+func unmarshal(data []byte, m proto.Message) error { return proto.Unmarshal(data, m) }
+
+// Store is the Disk of a folder: one file of bbolt, which syncs it before a Save
+// returns. Each record has a checksum over its key and value, since bbolt has none
+// over its pages.
+type Store struct{ db *bbolt.DB }
+
+const (
+	storeFile   = "log.db"
+	storeFormat = 1
+)
+
+var (
+	logBucket  = []byte("log")
+	metaBucket = []byte("meta")
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// identity is made with the folder.
+type identity struct {
+	Format  int    `json:"format"`
+	Cluster string `json:"cluster"`
+	Self    Peer   `json:"self"`
+}
+
+// ErrDamaged is that a folder can't be trusted any more. Its voter steps back:
+// give it an empty folder and make it a voter anew.
+var ErrDamaged = errors.New("damaged")
+
+// Open opens a folder, and makes it if it is empty; self and cluster are for that
+// case. The folder remembers who it is.
+func Open(folder, cluster string, self Peer) (s *Store, err error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	defer caught(&err)
+	db, err := bbolt.Open(filepath.Join(folder, storeFile), 0o600, &bbolt.Options{Timeout: 2 * time.Second, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", folder, err)
+	}
+	s = &Store{db}
+	var was *identity
+	err = db.Update(func(tx *bbolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err == nil {
+			_, err = tx.CreateBucketIfNotExists(logBucket)
+		}
+		if err != nil {
+			return err
+		}
+		data, err := get(meta, "identity")
+		if err != nil {
+			return err
+		}
+		if data == nil {
+			text, err := json.Marshal(identity{storeFormat, cluster, self})
+			if err != nil {
+				return err
+			}
+			return put(meta, []byte("identity"), text)
+		}
+		was = &identity{}
+		return json.Unmarshal(data, was)
+	})
+	switch {
+	case err != nil:
+	case was == nil:
+	case was.Format > storeFormat:
+		err = fmt.Errorf("format %d, this program knows %d", was.Format, storeFormat)
+	case was.Cluster != cluster:
+		err = fmt.Errorf("belongs to cluster %q, not %q", was.Cluster, cluster)
+	case was.Self.Name != self.Name:
+		err = fmt.Errorf("belongs to %s, not %s", was.Self.Name, self.Name)
+	}
+	if err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", folder, err)
+	}
+	return s, nil
+}
+
+// caught makes an error of a panic: bbolt panics on pages that make no sense.
+func caught(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("%w: %v", ErrDamaged, p)
+	}
+}
+
+// Close lets go of the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+func sum(key, value []byte) uint32 {
+	return crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, value)
+}
+
+func put(b *bbolt.Bucket, key, value []byte) error {
+	return b.Put(key, binary.BigEndian.AppendUint32(append([]byte(nil), value...), sum(key, value)))
+}
+
+func get(b *bbolt.Bucket, key string) ([]byte, error) {
+	return checked([]byte(key), b.Get([]byte(key)))
+}
+
+// checked is a record's value; nil: there is none.
+func checked(key, record []byte) ([]byte, error) {
+	if record == nil {
+		return nil, nil
+	}
+	n := len(record) - 4
+	if n < 0 || sum(key, record[:n]) != binary.BigEndian.Uint32(record[n:]) {
+		return nil, fmt.Errorf("%w: record %q", ErrDamaged, key)
+	}
+	return append([]byte(nil), record[:n]...), nil
+}
+
+// Load reads all that is kept.
+func (s *Store) Load() (saved *Saved, err error) {
+	defer caught(&err)
+	saved = &Saved{}
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		who, err := get(meta, "identity")
+		if err != nil {
+			return err
+		}
+		var id identity
+		if err := json.Unmarshal(who, &id); err != nil {
+			return fmt.Errorf("identity: %w", err)
+		}
+		saved.Self, saved.Cluster = id.Self, id.Cluster
+		for key, to := range map[string]proto.Message{"hard": &raftpb.HardState{}, "snapshot": &raftpb.Snapshot{}} {
+			data, err := get(meta, key)
+			if err != nil {
+				return err
+			}
+			if data == nil {
+				continue
+			}
+			if err := proto.Unmarshal(data, to); err != nil {
+				return fmt.Errorf("%w: %s: %v", ErrDamaged, key, err)
+			}
+			switch to := to.(type) {
+			case *raftpb.HardState:
+				saved.Hard = to
+			case *raftpb.Snapshot:
+				saved.Snapshot = to
+			}
+		}
+		next := uint64(1)
+		if saved.Snapshot != nil {
+			next = saved.Snapshot.GetMetadata().GetIndex() + 1
+		}
+		return tx.Bucket(logBucket).ForEach(func(k, v []byte) error {
+			data, err := checked(k, v)
+			if err != nil {
+				return err
+			}
+			e := &raftpb.Entry{}
+			if err := proto.Unmarshal(data, e); err != nil {
+				return fmt.Errorf("%w: entry: %v", ErrDamaged, err)
+			}
+			if e.GetIndex() < next && len(saved.Entries) == 0 { // a snapshot stands for it
+				return nil
+			}
+			if e.GetIndex() != next {
+				return fmt.Errorf("%w: entry %d is missing", ErrDamaged, next)
+			}
+			next++
+			saved.Entries = append(saved.Entries, e)
+			return nil
+		})
+	})
+	if err != nil {
+		return nil, err
+	}
+	if saved.Hard != nil && saved.Snapshot != nil {
+		if last := saved.Snapshot.GetMetadata().GetIndex() + uint64(len(saved.Entries)); saved.Hard.GetCommit() > last {
+			return nil, fmt.Errorf("%w: entries up to %d were committed, the log ends at %d", ErrDamaged, saved.Hard.GetCommit(), last)
+		}
+	}
+	return saved, nil
+}
+
+func number(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+
+// Save keeps all of it, or fails.
+func (s *Store) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) (err error) {
+	defer caught(&err)
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+		if snapshot != nil {
+			if err := compact(tx, snapshot, math.MaxUint64); err != nil {
+				return err
+			}
+		}
+		if len(entries) > 0 { // what follows the first of them is void
+			c := log.Cursor()
+			last := entries[len(entries)-1].GetIndex()
+			for k, _ := c.Last(); k != nil && binary.BigEndian.Uint64(k) > last; k, _ = c.Last() {
+				if err := log.Delete(k); err != nil {
+					return err
+				}
+			}
+		}
+		for _, e := range entries {
+			data, err := proto.Marshal(e)
+			if err == nil {
+				err = put(log, number(e.GetIndex()), data)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if hard != nil {
+			data, err := proto.Marshal(hard)
+			if err != nil {
+				return err
+			}
+			return put(meta, []byte("hard"), data)
+		}
+		return nil
+	})
+}
+
+// Compact keeps a snapshot in the place of entries.
+func (s *Store) Compact(snapshot *raftpb.Snapshot) (err error) {
+	defer caught(&err)
+	return s.db.Update(func(tx *bbolt.Tx) error { return compact(tx, snapshot, snapshot.GetMetadata().GetIndex()) })
+}
+
+// compact keeps a snapshot, and lets go of the entries up to an index.
+func compact(tx *bbolt.Tx, snapshot *raftpb.Snapshot, upTo uint64) error {
+	data, err := proto.Marshal(snapshot)
+	if err == nil {
+		err = put(tx.Bucket(metaBucket), []byte("snapshot"), data)
+	}
+	if err != nil {
+		return err
+	}
+	log := tx.Bucket(logBucket)
+	c := log.Cursor()
+	for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= upTo; k, _ = c.First() {
+		if err := log.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Form gives an empty folder the first state of a cluster.
+func (s *Store) Form(voters []Peer) error {
+	saved, err := s.Load()
+	if err != nil {
+		return err
+	}
+	if saved.Snapshot != nil || saved.Hard != nil {
+		return errors.New("the folder holds a cluster's state already")
+	}
+	return s.Save(&raftpb.HardState{Term: new(uint64(1)), Vote: new(uint64(0)), Commit: new(uint64(1))}, nil, Bootstrap(voters))
+}
--- /dev/null
+++ b/internal/cluster/world/world.go
@@ -0,0 +1,797 @@
+// Package world plays voters and gateways of a cluster in a virtual world: a seed
+// draws what goes wrong, and the same seed plays the same again. The voters, their
+// log and the conduct of a change are the program's own code; links, disks, clocks
+// and processes are this package's.
+package world
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"asterwell/internal/cluster"
+	"asterwell/internal/policy"
+)
+
+// Options of a play.
+type Options struct {
+	Seed    uint64
+	Voters  int           // 5
+	Others  int           // gateways that don't vote: 4
+	Lasts   time.Duration // with faults: 12 s
+	Trace   func(at time.Duration, text string)
+	NoFault bool
+}
+
+// Result is what a play showed.
+type Result struct {
+	Broken                                   []string
+	Changes, Committed, Withdrawn, Refused   int
+	Decided, Turned                          int
+	Kills, Stops, Cuts, Disks, Lost, Elected int
+	Hash                                     uint64 // of all that happened, in order
+	HeldMost                                 time.Duration
+}
+
+// World is one play.
+type World struct {
+	opt    Options
+	rng    *rand.Rand
+	now    time.Duration
+	events events
+	seq    uint64
+	nodes  []*node
+	links  map[[2]int]*link
+	res    Result
+
+	newest   int64 // version decided by so far
+	fates    map[uint64]policy.Change
+	texts    map[int64]string
+	calm     bool
+	proposed int
+	leaders  map[uint64]int // by term
+}
+
+// node is a process, and what of it is left when it is gone.
+type node struct {
+	index   int
+	name    string
+	votes   bool // has a disk
+	disk    *disk
+	peer    cluster.Peer
+	voter   *cluster.Voter
+	holder  *policy.Holder
+	id      uint64 // of this life
+	up      bool
+	stopped bool
+	life    int
+	rate    float64 // of its clock
+	base    time.Duration
+	began   time.Duration
+	lease   policy.Lease
+	target  int
+	inbox   []func() // came while it stood still
+	refuses bool
+	text    string
+	held    time.Duration
+}
+
+type link struct {
+	cut   bool
+	delay time.Duration
+	loss  float64
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+// disk keeps what was synced. What was being written at a crash may be there, or
+// not; a batch is whole or gone, as with bbolt.
+type disk struct {
+	w       *World
+	self    cluster.Peer
+	hard    *raftpb.HardState
+	snap    *raftpb.Snapshot
+	entries []*raftpb.Entry
+	fails   bool
+	damaged bool
+	crash   *node // at the next save
+}
+
+func (d *disk) Load() (*cluster.Saved, error) {
+	if d.damaged {
+		return nil, cluster.ErrDamaged
+	}
+	return &cluster.Saved{Self: d.self, Cluster: "w", Hard: clone(d.hard), Snapshot: clone(d.snap), Entries: cloned(d.entries)}, nil
+}
+
+func clone[T proto.Message](m T) T {
+	if any(m) == any(*new(T)) {
+		return m
+	}
+	return proto.Clone(m).(T)
+}
+
+func cloned(all []*raftpb.Entry) (c []*raftpb.Entry) {
+	for _, e := range all {
+		c = append(c, proto.Clone(e).(*raftpb.Entry))
+	}
+	return c
+}
+
+var errDisk = errors.New("the write failed")
+
+func (d *disk) Save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+	return d.save(func() { d.write(hard, entries, snap) })
+}
+
+func (d *disk) Compact(snap *raftpb.Snapshot) error {
+	return d.save(func() {
+		d.snap = clone(snap)
+		at := snap.GetMetadata().GetIndex()
+		d.entries = slices.DeleteFunc(d.entries, func(e *raftpb.Entry) bool { return e.GetIndex() <= at })
+	})
+}
+
+func (d *disk) save(write func()) error {
+	if d.fails {
+		return errDisk
+	}
+	if d.crash != nil {
+		n := d.crash
+		d.crash = nil
+		if d.w.rng.IntN(2) == 0 {
+			write()
+		}
+		d.w.kill(n)
+		return errDisk // the process is gone; what it would say now is not heard
+	}
+	write()
+	return nil
+}
+
+func (d *disk) write(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) {
+	if snap != nil {
+		d.snap, d.entries = clone(snap), nil
+	}
+	if len(entries) > 0 {
+		first := entries[0].GetIndex()
+		d.entries = slices.DeleteFunc(d.entries, func(e *raftpb.Entry) bool { return e.GetIndex() >= first })
+		d.entries = append(d.entries, cloned(entries)...)
+	}
+	if hard != nil {
+		d.hard = clone(hard)
+	}
+}
+
+// Terms of the plays.
+var Terms = policy.DefaultTerms
+
+// Play plays a seed.
+func Play(o Options) Result {
+	if o.Voters == 0 {
+		o.Voters, o.Others = 5, 4
+	}
+	if o.Lasts == 0 {
+		o.Lasts = 12 * time.Second
+	}
+	w := &World{opt: o, rng: rand.New(rand.NewPCG(o.Seed, 0xc1)), links: map[[2]int]*link{}, fates: map[uint64]policy.Change{},
+		texts: map[int64]string{}, leaders: map[uint64]int{}}
+	var peers []cluster.Peer
+	for i := range o.Voters + o.Others {
+		n := &node{index: i, name: fmt.Sprint("g-", i), votes: i < o.Voters, target: w.rng.IntN(o.Voters)}
+		if n.votes {
+			n.peer = cluster.Peer{ID: w.rng.Uint64() | 1, Name: n.name, Address: n.name}
+			peers = append(peers, n.peer)
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	first := cluster.Bootstrap(peers)
+	for _, n := range w.nodes {
+		if n.votes {
+			n.disk = &disk{w: w, self: n.peer}
+			n.disk.write(&raftpb.HardState{Term: new(uint64(1)), Vote: new(uint64(0)), Commit: new(uint64(1))}, nil, first)
+		}
+		w.start(n)
+	}
+	w.load()
+	if !o.NoFault {
+		for at := 800 * time.Millisecond; at < o.Lasts; at += time.Duration(w.rng.ExpFloat64() * float64(500*time.Millisecond)) {
+			w.at(at, w.fault)
+		}
+	}
+	w.at(o.Lasts, w.heal)
+	end := o.Lasts + 12*time.Second
+	for len(w.events) > 0 && w.events[0].at <= end && len(w.res.Broken) == 0 {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.finish()
+	return w.res
+}
+
+func (w *World) at(when time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.events, event{max(when, w.now), w.seq, do})
+}
+
+func (w *World) note(format string, args ...any) {
+	if w.opt.Trace != nil {
+		w.opt.Trace(w.now, fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *World) mix(x uint64) { w.res.Hash = (w.res.Hash ^ x) * 0x100000001b3 }
+
+func (w *World) breaks(format string, args ...any) {
+	w.res.Broken = append(w.res.Broken, fmt.Sprintf("after %v: ", w.now)+fmt.Sprintf(format, args...))
+}
+
+// clock is a node's own, which drifts.
+func (w *World) clock(n *node) time.Duration {
+	return n.base + time.Duration(float64(w.now-n.began)*n.rate)
+}
+
+func (w *World) start(n *node) {
+	n.life++
+	n.up, n.stopped, n.inbox, n.lease, n.text = true, false, nil, policy.Lease{}, ""
+	n.id = w.rng.Uint64() | 1
+	n.began, n.base = w.now, time.Duration(w.rng.Int64N(int64(time.Hour)))
+	n.rate = 1 + (w.rng.Float64()-0.5)*Terms.Drift*0.95
+	now := w.clock(n)
+	n.holder = policy.NewHolder(Terms, n.name, "", "")
+	n.voter = nil
+	if n.disk != nil {
+		n.disk.fails, n.disk.crash = false, nil
+		v, err := cluster.NewVoter(n.disk, Terms, w.rng.Uint64, now)
+		switch {
+		case err != nil && !n.disk.damaged:
+			w.breaks("%s does not start: %v", n.name, err)
+		case err == nil:
+			n.voter = v
+		}
+	}
+	w.note("%s starts, %x", n.name, n.id)
+	w.tick(n, n.life)
+}
+
+func (w *World) kill(n *node) {
+	if n.up {
+		w.note("%s is killed", n.name)
+		w.res.Kills++
+		n.up = false
+		n.life++
+	}
+}
+
+// alive runs what a node does, now or once it goes on.
+func (w *World) alive(n *node, life int, do func()) {
+	switch {
+	case !n.up || n.life != life:
+	case n.stopped:
+		n.inbox = append(n.inbox, func() { w.alive(n, life, do) })
+	default:
+		do()
+		w.flush(n)
+	}
+}
+
+func (w *World) tick(n *node, life int) {
+	w.alive(n, life, func() {
+		now := w.clock(n)
+		if n.voter != nil {
+			n.voter.Tick(now)
+		}
+		if n.up {
+			w.follow(n)
+		}
+		w.at(w.now+10*time.Millisecond+time.Duration(w.rng.Int64N(int64(time.Millisecond))), func() { w.tick(n, life) })
+	})
+}
+
+// follow sends a gateway's call, to another voter if the one it knows says nothing.
+func (w *World) follow(n *node) {
+	now := w.clock(n)
+	r := n.holder.Tick(now)
+	if r == nil {
+		return
+	}
+	if n.holder.Missed() > 1 {
+		n.target = w.rng.IntN(w.opt.Voters)
+	}
+	to, id := w.nodes[n.target], n.id
+	w.send(n, to, func() {
+		if to.voter == nil {
+			return
+		}
+		if !to.voter.Renew(w.clock(to), id, *r) {
+			if p, ok := to.voter.Leader(); ok {
+				w.send(to, n, func() {
+					for i, x := range w.nodes {
+						if x.peer.ID == p.ID && x.peer.ID != 0 && n.id == id && n.target != i {
+							n.target = i
+						}
+					}
+				})
+			}
+		}
+	})
+}
+
+// flush sends what a node's voter wants said, and checks what it knows.
+func (w *World) flush(n *node) {
+	v := n.voter
+	if v == nil || !n.up {
+		return
+	}
+	if err := v.Err(); err != nil {
+		if !errors.Is(err, errDisk) {
+			w.breaks("%s: %v", n.name, err)
+		}
+		n.voter = nil // it steps back; the gateway goes on
+		w.note("%s steps back: %v", n.name, err)
+		return
+	}
+	messages, grants := v.Out()
+	for _, m := range messages {
+		i := slices.IndexFunc(w.nodes, func(x *node) bool { return x.peer.ID == m.GetTo() })
+		if i < 0 {
+			continue
+		}
+		c := proto.Clone(m).(*raftpb.Message)
+		to := w.nodes[i]
+		w.send(n, to, func() {
+			if to.voter != nil {
+				to.voter.Step(w.clock(to), c)
+			}
+		})
+	}
+	for _, g := range grants {
+		i := slices.IndexFunc(w.nodes, func(x *node) bool { return x.id == g.To })
+		if i < 0 {
+			continue
+		}
+		to := w.nodes[i]
+		w.send(n, to, func() {
+			if to.id == g.To {
+				w.granted(to, g.Grant)
+			}
+		})
+	}
+	if v.Leads() {
+		if was, ok := w.leaders[v.Term()]; !ok {
+			w.leaders[v.Term()] = n.index
+			w.res.Elected++
+			w.note("%s leads in term %d", n.name, v.Term())
+		} else if was != n.index {
+			w.breaks("%s and %s lead in term %d", n.name, w.nodes[was].name, v.Term())
+		}
+		if c := v.Conduct(); c.Held > 0 {
+			w.res.HeldMost, c.Held = max(w.res.HeldMost, c.Held), 0
+		}
+	}
+	w.look(v.Register(), n)
+}
+
+// look holds what a replica knows against what others did: one outcome a change,
+// one text a version.
+func (w *World) look(r *policy.Register, n *node) {
+	for _, c := range r.Changes {
+		if c.Fate == policy.UnderWay {
+			continue
+		}
+		was, ok := w.fates[c.ID]
+		if !ok {
+			w.fates[c.ID] = c
+			w.note("change %x: %s %d %s", c.ID, c.Fate, c.Version, c.Why)
+			w.mix(c.ID ^ uint64(w.now))
+		} else if was.Fate != c.Fate || was.Version != c.Version {
+			w.breaks("change %x is %s as version %d, and at %s %s as %d", c.ID, was.Fate, was.Version, n.name, c.Fate, c.Version)
+		}
+		if c.Fate == policy.Committed && c.Text != nil {
+			if text, ok := w.texts[c.Version]; ok && text != string(c.Text) {
+				w.breaks("version %d has two texts", c.Version)
+			}
+			w.texts[c.Version] = string(c.Text)
+		}
+	}
+}
+
+// granted is a gateway's hearing of the leader.
+func (w *World) granted(n *node, g policy.Grant) {
+	now := w.clock(n)
+	what := n.holder.Grant(now, g)
+	if what.Adopt {
+		n.text = string(g.Text)
+	}
+	n.lease = what.Leased
+	if what.Check {
+		life := n.life
+		w.at(w.now+time.Duration(w.rng.Int64N(int64(5*time.Millisecond))), func() {
+			w.alive(n, life, func() {
+				refusal := ""
+				if n.refuses || string(g.Next) == "bad" {
+					refusal = "can't"
+				}
+				n.holder.Checked(g.Change, refusal)
+				w.follow(n)
+			})
+		})
+		return
+	}
+	w.follow(n)
+}
+
+// send takes a message over a link, which may lose, delay or double it.
+func (w *World) send(from, to *node, do func()) {
+	life := to.life
+	if from == to {
+		w.at(w.now+time.Microsecond, func() { w.alive(to, life, do) })
+		return
+	}
+	l := w.links[[2]int{from.index, to.index}]
+	wait := 200*time.Microsecond + time.Duration(w.rng.ExpFloat64()*float64(300*time.Microsecond))
+	copies := 1
+	if l != nil {
+		if l.cut || w.rng.Float64() < l.loss {
+			return
+		}
+		if l.delay > 0 {
+			wait += time.Duration(w.rng.Int64N(int64(l.delay)))
+		}
+		if l.loss > 0 && w.rng.Float64() < 0.2 {
+			copies = 2
+		}
+	}
+	for range copies {
+		w.at(w.now+wait, func() {
+			if to.life != life { // a connection does not outlive a process
+				return
+			}
+			w.alive(to, life, do)
+		})
+		wait += time.Duration(w.rng.Int64N(int64(20 * time.Millisecond)))
+	}
+}
+
+// load is the requests that come to all gateways, and the operators' proposals.
+func (w *World) load() {
+	for _, n := range w.nodes {
+		var next func()
+		next = func() {
+			if n.up && !n.stopped {
+				w.decide(n)
+			}
+			w.at(w.now+time.Duration(w.rng.ExpFloat64()*float64(8*time.Millisecond)), next)
+		}
+		w.at(0, next)
+	}
+	var propose func()
+	propose = func() {
+		w.propose()
+		if w.now < w.opt.Lasts {
+			w.at(w.now+time.Duration(w.rng.ExpFloat64()*float64(900*time.Millisecond)), propose)
+		}
+	}
+	w.at(600*time.Millisecond, propose)
+}
+
+// decide takes a request at a gateway: by the lease it has, if its own clock says
+// that it still runs.
+func (w *World) decide(n *node) {
+	if n.lease.Until <= w.clock(n) {
+		return
+	}
+	w.res.Decided++
+	v := n.lease.Version
+	w.mix(uint64(v)<<32 ^ uint64(n.index) ^ uint64(w.now))
+	if v < w.newest {
+		w.breaks("%s decides by version %d, %d has been decided by", n.name, v, w.newest)
+	}
+	w.newest = max(w.newest, v)
+	if v > 0 && n.text != w.texts[v] {
+		w.breaks("%s decides by %q in version %d", n.name, n.text, v)
+	}
+	if n.text == "bad" {
+		w.breaks("%s decides by a policy that gateways refused", n.name)
+	}
+}
+
+func (w *World) propose() {
+	for _, n := range w.nodes {
+		if n.up && !n.stopped && n.voter != nil && n.voter.Leads() {
+			w.proposed++
+			text := fmt.Sprint("policy ", w.proposed)
+			if w.rng.IntN(8) == 0 {
+				text = "bad"
+			}
+			c := policy.Command{Kind: policy.Propose, ID: w.rng.Uint64() | 1, Base: n.voter.Register().Version, Text: []byte(text), By: n.name}
+			if w.rng.IntN(10) == 0 && c.Base > 0 {
+				c.Base--
+			}
+			w.res.Changes++
+			life := n.life
+			w.alive(n, life, func() { n.voter.Propose(w.clock(n), c) })
+			if w.rng.IntN(10) == 0 {
+				w.at(w.now+time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() {
+					w.alive(n, life, func() {
+						if n.voter != nil {
+							n.voter.Propose(w.clock(n), policy.Command{Kind: policy.Withdraw, ID: c.ID, Why: "operator"})
+						}
+					})
+				})
+			}
+			return
+		}
+	}
+}
+
+func (w *World) pick(ok func(n *node) bool) *node {
+	var all []*node
+	for _, n := range w.nodes {
+		if ok(n) {
+			all = append(all, n)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all[w.rng.IntN(len(all))]
+}
+
+// leader is the one that leads in the highest term, if the draw wants it; else any.
+func (w *World) victim() *node {
+	if w.rng.IntN(2) == 0 {
+		if n := w.pick(func(n *node) bool { return n.up && n.voter != nil && n.voter.Leads() }); n != nil {
+			return n
+		}
+	}
+	return w.pick(func(n *node) bool { return n.up })
+}
+
+// fault draws one.
+func (w *World) fault() {
+	if w.calm {
+		return
+	}
+	n := w.victim()
+	if n == nil {
+		return
+	}
+	long := time.Duration(w.rng.ExpFloat64() * float64(1200*time.Millisecond))
+	switch w.rng.IntN(10) {
+	case 0, 1:
+		w.kill(n)
+		w.at(w.now+long, func() { w.back(n) })
+	case 2, 3:
+		w.note("%s stands still for %v", n.name, long)
+		w.res.Stops++
+		n.stopped = true
+		life := n.life
+		w.at(w.now+long, func() { w.goOn(n, life) })
+	case 4: // one way, from or to all others
+		w.res.Cuts++
+		w.note("%s is cut off one way", n.name)
+		out := w.rng.IntN(2) == 0
+		for _, x := range w.nodes {
+			if x != n && w.rng.IntN(5) > 0 {
+				w.cut(n, x, out, long)
+			}
+		}
+	case 5: // a split
+		w.res.Cuts++
+		side := w.rng.Uint64()
+		w.note("a split for %v: %b", long, side&0x1ff)
+		for _, x := range w.nodes {
+			for _, y := range w.nodes {
+				if side>>x.index&1 != side>>y.index&1 {
+					w.cut(x, y, true, long)
+				}
+			}
+		}
+	case 6:
+		for _, x := range w.nodes {
+			if x != n {
+				l := w.link(n, x)
+				l.delay, l.loss = time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), w.rng.Float64()/2
+				w.at(w.now+long, func() { l.delay, l.loss = 0, 0 })
+			}
+		}
+	case 7: // at its next write, which may be there or not
+		if n.disk != nil && n.voter != nil {
+			w.res.Disks++
+			n.disk.crash = n
+			w.at(w.now+long+100*time.Millisecond, func() { w.back(n) })
+		}
+	case 8:
+		if n.disk != nil && n.voter != nil {
+			w.res.Disks++
+			w.note("writes of %s fail", n.name)
+			n.disk.fails = true
+			w.at(w.now+long+100*time.Millisecond, func() { w.kill(n); w.back(n) })
+		}
+	case 9:
+		n.refuses = true
+		w.at(w.now+long, func() { n.refuses = false })
+	}
+}
+
+func (w *World) link(a, b *node) *link {
+	k := [2]int{a.index, b.index}
+	if w.links[k] == nil {
+		w.links[k] = &link{}
+	}
+	return w.links[k]
+}
+
+func (w *World) cut(a, b *node, out bool, long time.Duration) {
+	if !out {
+		a, b = b, a
+	}
+	l := w.link(a, b)
+	l.cut = true
+	w.at(w.now+long, func() { l.cut = false })
+}
+
+func (w *World) goOn(n *node, life int) {
+	if n.up && n.life == life && n.stopped {
+		w.note("%s goes on", n.name)
+		n.stopped = false
+		w.decide(n) // before anything else
+		inbox := n.inbox
+		n.inbox = nil
+		for _, do := range inbox {
+			do()
+		}
+	}
+}
+
+// back starts a process again: with its disk, or once in a while on a new one, as
+// a new peer that has no vote. A majority keeps its disks.
+func (w *World) back(n *node) {
+	if n.up {
+		return
+	}
+	if n.disk != nil && w.rng.IntN(6) == 0 && w.lost() < (w.opt.Voters-1)/2 {
+		w.note("%s has lost its disk", n.name)
+		w.res.Lost++
+		n.peer = cluster.Peer{ID: w.rng.Uint64() | 1, Name: n.name, Address: n.name}
+		n.disk = &disk{w: w, self: n.peer}
+		w.join(n, n.peer.ID)
+	}
+	w.start(n)
+}
+
+// lost counts the voters' names whose present disk has no vote.
+func (w *World) lost() (n int) {
+	for _, x := range w.nodes {
+		if x.disk == nil {
+			continue
+		}
+		votes := false
+		for _, y := range w.nodes {
+			votes = votes || y.up && y.voter != nil && y.voter.Leads() && y.voter.Votes(x.peer.ID)
+		}
+		if !votes {
+			n++
+		}
+	}
+	return n
+}
+
+// join is the operators' replacing of the vote that was lost with a disk.
+func (w *World) join(n *node, id uint64) {
+	w.at(w.now+300*time.Millisecond, func() {
+		if n.peer.ID != id {
+			return
+		}
+		for _, x := range w.nodes {
+			if x.up && !x.stopped && x.voter != nil && x.voter.Leads() {
+				if x.voter.Votes(id) {
+					return
+				}
+				for _, p := range x.voter.Peers() {
+					if p.Name == n.name && p.ID != id && x.voter.Votes(p.ID) {
+						w.alive(x, x.life, func() { x.voter.Replace(w.clock(x), p.ID, n.peer) })
+						break
+					}
+				}
+			}
+		}
+		w.join(n, id)
+	})
+}
+
+// heal ends all faults.
+func (w *World) heal() {
+	w.calm = true
+	w.note("all is well again")
+	for _, l := range w.links {
+		*l = link{}
+	}
+	for _, n := range w.nodes {
+		if n.refuses = false; n.disk != nil {
+			n.disk.crash = nil
+		}
+		if n.stopped {
+			w.goOn(n, n.life)
+		}
+		if n.disk != nil && n.disk.fails || n.up && n.disk != nil && n.voter == nil {
+			w.kill(n)
+		}
+		w.back(n)
+	}
+}
+
+// finish checks that all has come to its end: no change under way, every gateway
+// serves by the newest version.
+func (w *World) finish() {
+	for _, id := range slices.Sorted(maps.Keys(w.fates)) {
+		switch w.fates[id].Fate {
+		case policy.Committed:
+			w.res.Committed++
+		case policy.Withdrawn:
+			w.res.Withdrawn++
+		case policy.Refused:
+			w.res.Refused++
+		}
+	}
+	if len(w.res.Broken) > 0 {
+		return
+	}
+	w.res.Turned = w.res.Committed
+	var newest int64
+	for _, n := range w.nodes {
+		if n.voter != nil {
+			newest = max(newest, n.voter.Register().Version)
+		}
+	}
+	for _, n := range w.nodes {
+		if n.voter != nil && n.voter.Leads() {
+			stage, seen := n.voter.Conduct().Status(w.clock(n))
+			w.note("%s leads, %v, %+v", n.name, stage, seen)
+		}
+		w.note("%s calls g-%d, %d missed", n.name, n.target, n.holder.Missed())
+		if n.voter != nil {
+			w.note("%s: %s", n.name, n.voter.Describe())
+		}
+	}
+	for _, n := range w.nodes {
+		if n.lease.Until <= w.clock(n) || n.lease.Version != newest {
+			v, state := n.holder.State(w.clock(n))
+			w.breaks("%s does not serve by version %d in the end: version %d, %s", n.name, newest, v, state)
+		}
+		if n.voter != nil && n.voter.Register().Pending() != nil {
+			w.breaks("%s: a change is under way for good", n.name)
+		}
+	}
+	w.mix(math.Float64bits(float64(w.res.Decided)))
+}
--- /dev/null
+++ b/internal/policy/conduct.go
@@ -0,0 +1,368 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Terms are the times that all members go by.
+type Terms struct {
+	Lease       time.Duration // for which a gateway may decide by a version, from when it asked
+	Drift       float64       // most that one clock runs faster than another, as a share
+	Renew       time.Duration // between a gateway's calls
+	CheckWithin time.Duration // for a gateway's word on a change; then it is fenced
+	HoldWithin  time.Duration // for all to say that they hold; then serving goes on, and it is tried again
+}
+
+// DefaultTerms are those where the operator's file names none.
+var DefaultTerms = Terms{Lease: 1500 * time.Millisecond, Drift: 0.05, Renew: 400 * time.Millisecond,
+	CheckWithin: 500 * time.Millisecond, HoldWithin: 40 * time.Millisecond}
+
+// past is the leader's time after which a lease granted now has run out at any
+// gateway.
+func (t Terms) past(now time.Duration) time.Duration {
+	return now + time.Duration(float64(t.Lease)*(1+t.Drift)) + time.Millisecond
+}
+
+// Renew is what a gateway says to the leader: it asks for a lease from the moment
+// in which it sends this.
+type Renew struct {
+	Seq     uint64 `json:"seq"`
+	Name    string `json:"name"`
+	Zone    string `json:"zone,omitempty"`
+	Version int64  `json:"version"`           // that it has; -1: none
+	Checked uint64 `json:"checked,omitempty"` // the change that it has checked
+	Refusal string `json:"refusal,omitempty"` // why it can't take that one
+	Held    uint64 `json:"held,omitempty"`    // the round in which it decides nothing
+	Digest  string `json:"digest,omitempty"`  // of its own file, which is version 0
+	Format  int    `json:"format"`            // that this member knows
+}
+
+// Grant is the answer, and with Seq 0 a call to renew at once.
+type Grant struct {
+	Seq     uint64        `json:"seq,omitempty"`
+	Term    uint64        `json:"term"`
+	Version int64         `json:"version"`
+	Lease   time.Duration `json:"lease,omitempty"` // from when the gateway asked; 0: none
+	Text    []byte        `json:"text,omitempty"`  // of the version, if the gateway has another
+	Change  uint64        `json:"change,omitempty"`
+	Next    []byte        `json:"next,omitempty"` // the change to check
+	Hold    uint64        `json:"hold,omitempty"` // decide nothing, and say so with this round
+	Fenced  string        `json:"fenced,omitempty"`
+}
+
+// Out is what the leader wants done.
+type Out struct {
+	Grants  []Directed
+	Propose []Command
+	Read    bool // confirm that this is still the leader, then call Confirmed
+}
+
+// Directed is a grant and the member it is for.
+type Directed struct {
+	To uint64
+	Grant
+}
+
+// Stage of a change.
+type Stage int
+
+// The stages.
+const (
+	Idle     Stage = iota
+	Checking       // by all that hold leases; those that say nothing are fenced
+	Holding        // all have been told to decide nothing
+	Turning        // the turn is proposed: until it is applied there are no leases
+)
+
+func (s Stage) String() string { return [...]string{"idle", "checking", "holding", "turning"}[s] }
+
+// Conduct is the leader's part. Members are named by the incarnation of their
+// process: one that starts anew is another member.
+type Conduct struct {
+	terms   Terms
+	reg     *Register
+	term    uint64
+	since   time.Duration // leads since
+	stage   Stage
+	change  uint64
+	at      time.Duration // of the stage
+	round   uint64
+	tried   int
+	after   time.Duration // no new round before
+	members map[uint64]*member
+	reading []uint64 // whose calls the read under way confirms
+	waiting []uint64 // those that came since
+	out     Out
+
+	// What the last turn took, for those that measure.
+	Held time.Duration
+}
+
+type member struct {
+	Renew
+	seen, until time.Duration // last call; end of its lease, by this clock
+	asks        bool          // its last call has no answer yet
+	asked       time.Duration // told of the change, for the first time
+	fenced      bool          // gets no lease before it has checked the change
+	told        uint64        // round of the hold it has been told of
+}
+
+// Lead begins a leader's part. Leases that a leader before it has granted may
+// still run.
+func Lead(terms Terms, reg *Register, term uint64, now time.Duration) *Conduct {
+	c := &Conduct{terms: terms, reg: reg, term: term, since: now, members: map[uint64]*member{}, round: term << 24}
+	c.Applied(now)
+	return c
+}
+
+// Out takes what is to be done.
+func (c *Conduct) Out() Out {
+	o := c.out
+	c.out = Out{}
+	return o
+}
+
+// Renew takes a gateway's call.
+func (c *Conduct) Renew(now time.Duration, id uint64, r Renew) {
+	m := c.members[id]
+	if m == nil {
+		m = &member{}
+		c.members[id] = m
+	}
+	if r.Seq <= m.Seq { // late, or twice
+		return
+	}
+	if m.Renew, m.seen, m.asks = r, now, true; !slices.Contains(c.waiting, id) {
+		c.waiting = append(c.waiting, id)
+	}
+	c.step(now)
+}
+
+// Confirmed tells that after the last Out with Read the voters still took this
+// one for the leader, and that all of the log until then is applied.
+func (c *Conduct) Confirmed(now time.Duration) {
+	ready := c.reading
+	c.reading = nil
+	for _, id := range ready {
+		if m := c.members[id]; m != nil && m.asks {
+			c.answer(now, id, m)
+		}
+	}
+	c.step(now)
+}
+
+// Unconfirmed gives a read up: those that wait are asked for with the next.
+func (c *Conduct) Unconfirmed() {
+	c.waiting = append(c.waiting, c.reading...)
+	c.reading = nil
+}
+
+// answer gives a member what it may have now. Its call has been confirmed.
+func (c *Conduct) answer(now time.Duration, id uint64, m *member) {
+	g := Grant{Seq: m.Seq, Term: c.term, Version: c.reg.Version}
+	if p := c.reg.Pending(); p != nil && m.Checked != p.ID {
+		g.Change, g.Next = p.ID, p.Text
+	}
+	if m.Version != g.Version {
+		g.Text, _ = c.reg.Text(g.Version)
+	}
+	switch {
+	case c.stage == Holding || c.stage == Turning:
+		if m.Held == c.round {
+			if !slices.Contains(c.waiting, id) {
+				c.waiting = append(c.waiting, id) // it has its answer once the hold is over
+			}
+			return
+		}
+		g.Hold, m.told = c.round, c.round
+	case m.fenced && m.Checked != c.change:
+		g.Fenced = fmt.Sprintf("said nothing on change %x for %v", c.change, c.terms.CheckWithin)
+	default:
+		m.fenced = false
+		g.Lease, m.until = c.terms.Lease, c.terms.past(now)
+	}
+	m.asks = false
+	c.out.Grants = append(c.out.Grants, Directed{id, g})
+}
+
+// Tick lets time pass.
+func (c *Conduct) Tick(now time.Duration) {
+	for id, m := range c.members {
+		if m.until < now && now-m.seen > 20*c.terms.Lease {
+			delete(c.members, id)
+		}
+	}
+	c.step(now)
+}
+
+// Applied tells that the register has changed.
+func (c *Conduct) Applied(now time.Duration) {
+	p := c.reg.Pending()
+	switch {
+	case p == nil && c.stage != Idle:
+		if c.stage == Turning {
+			c.Held = now - c.at
+		}
+		c.enter(Idle, now)
+		c.change = 0
+		for _, m := range c.members {
+			m.fenced = false
+		}
+		c.call()
+	case p != nil && (c.stage == Idle || c.change != p.ID):
+		c.enter(Checking, now)
+		c.change, c.tried, c.after = p.ID, 0, 0
+		for _, m := range c.members {
+			m.asked, m.fenced = 0, false
+		}
+		c.call()
+	}
+	c.step(now)
+}
+
+func (c *Conduct) enter(s Stage, now time.Duration) { c.stage, c.at = s, now }
+
+// each calls do for the members in order of their ids, so that a replay is the same.
+func (c *Conduct) each(do func(id uint64, m *member)) {
+	ids := make([]uint64, 0, len(c.members))
+	for id := range c.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		do(id, c.members[id])
+	}
+}
+
+// call asks all members to renew at once.
+func (c *Conduct) call() {
+	c.each(func(id uint64, m *member) {
+		g := Grant{Term: c.term, Version: c.reg.Version}
+		if p := c.reg.Pending(); p != nil && m.Checked != p.ID {
+			g.Change, g.Next = p.ID, p.Text
+		}
+		c.out.Grants = append(c.out.Grants, Directed{id, g})
+	})
+}
+
+// step goes on as far as it can.
+func (c *Conduct) step(now time.Duration) {
+	switch c.stage {
+	case Checking:
+		c.check(now)
+	case Holding:
+		c.hold(now)
+	}
+	if len(c.reading) == 0 && !c.out.Read && slices.ContainsFunc(c.waiting, c.due) {
+		c.reading, c.waiting = c.waiting, nil
+		c.out.Read = true
+	}
+}
+
+// due reports whether a call that waits can be answered now.
+func (c *Conduct) due(id uint64) bool {
+	m := c.members[id]
+	return m != nil && m.asks && (c.stage != Holding && c.stage != Turning || m.Held != c.round)
+}
+
+// check waits until all that hold a lease have checked the change. Those that say
+// nothing get no more leases; the rest goes on meanwhile.
+func (c *Conduct) check(now time.Duration) {
+	done := now >= c.terms.past(c.since) // what a leader before this one has granted has run out
+	c.each(func(id uint64, m *member) {
+		switch {
+		case m.Checked == c.change && m.Refusal != "":
+			if done = false; now >= c.after {
+				c.after = now + c.terms.CheckWithin // until it is applied; or again
+				c.out.Propose = append(c.out.Propose, Command{Kind: Withdraw, ID: c.change, By: m.Name,
+					Why: m.Name + " can't take it: " + m.Refusal})
+			}
+		case m.Checked == c.change:
+		case m.until <= now && m.fenced:
+		case m.until <= now && m.asked == 0 && now-m.seen > c.terms.Lease: // gone long ago
+		default:
+			done = false
+			if m.asked == 0 {
+				m.asked = now
+			}
+			m.fenced = m.fenced || now-m.asked > c.terms.CheckWithin
+		}
+	})
+	if done && now >= c.after {
+		c.round++
+		c.tried++
+		c.enter(Holding, now)
+		c.each(func(id uint64, m *member) {
+			if m.until > now {
+				m.told = c.round
+				c.out.Grants = append(c.out.Grants, Directed{id, Grant{Term: c.term, Version: c.reg.Version, Hold: c.round}})
+			}
+		})
+		c.hold(now)
+	}
+}
+
+// Dropped tells that what Out proposed has not come into the log, and never will.
+func (c *Conduct) Dropped(now time.Duration) {
+	if c.stage == Turning {
+		c.enter(Checking, now)
+		c.after = now + c.terms.HoldWithin
+		c.call()
+	}
+}
+
+// hold waits for all that hold a lease to say that they decide nothing.
+func (c *Conduct) hold(now time.Duration) {
+	missing := false
+	c.each(func(id uint64, m *member) {
+		missing = missing || m.until > now && m.Held != c.round
+	})
+	switch {
+	case !missing:
+		c.stage = Turning // at stays: all of it is held
+		c.out.Propose = append(c.out.Propose, Command{Kind: Turn, ID: c.change})
+	case now-c.at > c.terms.HoldWithin:
+		// Serving goes on by the old version. Who said nothing has to say anew that it is there.
+		c.each(func(id uint64, m *member) {
+			if m.until > now && m.Held != c.round {
+				m.Checked, m.asked = 0, now-c.terms.CheckWithin/2
+			}
+		})
+		c.enter(Checking, now)
+		c.after = now + min(100*time.Millisecond<<min(c.tried, 5), c.terms.Lease)
+		c.call()
+	}
+}
+
+// Seen is a member as operators see it.
+type Seen struct {
+	Name    string        `json:"name"`
+	Zone    string        `json:"zone,omitempty"`
+	ID      uint64        `json:"incarnation"`
+	Version int64         `json:"version"`
+	Ago     time.Duration `json:"heard_ago"`
+	Leased  bool          `json:"leased"`
+	Fenced  string        `json:"fenced,omitempty"`
+	Digest  string        `json:"digest,omitempty"`
+}
+
+// Status tells who has what.
+func (c *Conduct) Status(now time.Duration) (stage Stage, all []Seen) {
+	c.each(func(id uint64, m *member) {
+		s := Seen{Name: m.Name, Zone: m.Zone, ID: id, Version: m.Version, Ago: now - m.seen, Leased: m.until > now, Digest: m.Digest}
+		switch {
+		case m.Refusal != "" && m.Checked == c.change:
+			s.Fenced = m.Refusal
+		case m.fenced:
+			s.Fenced = fmt.Sprintf("said nothing on change %x", c.change)
+		case !s.Leased && s.Ago > c.terms.Lease:
+			s.Fenced = "not heard of"
+		}
+		all = append(all, s)
+	})
+	slices.SortFunc(all, func(x, y Seen) int { return cmp.Or(cmp.Compare(x.Name, y.Name), cmp.Compare(x.ID, y.ID)) })
+	return c.stage, all
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log"
 	"net"
@@ -11,6 +12,7 @@
 	"reflect"
 	"strconv"
 
+	"asterwell/internal/cluster"
 	"asterwell/internal/protocol"
 	"asterwell/internal/settings"
 )
@@ -65,6 +67,7 @@
 	Config   *Config
 	Operator *Operator
 	SRV      *SRV
+	Cluster  *cluster.Config // not looked at again while the gateway runs
 }
 
 // rest reads the operator's files, which go by the configuration.
@@ -74,7 +77,14 @@
 		return nil, err
 	}
 	srv, err := ReadSRV(env)
-	return &Files{c, op, srv}, err
+	if err != nil {
+		return nil, err
+	}
+	cl, err := ReadCluster(env)
+	if err == nil && cl.Enabled && op.Enabled {
+		err = errors.New("cluster and openapi are both enabled: the OpenAPI front does not follow policies yet")
+	}
+	return &Files{c, op, srv, cl}, err
 }
 
 // Reread reads all files for a gateway that runs: there the file's discovery
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -19,6 +19,7 @@
 	"asterwell/choice"
 	"asterwell/internal/actor"
 	"asterwell/internal/backoff"
+	"asterwell/internal/cluster"
 	"asterwell/internal/protocol"
 	"asterwell/internal/protocol/openapi"
 	"asterwell/internal/routing"
@@ -104,6 +105,7 @@
 	counter   *protocol.Counter
 	list      *protocol.Discovery
 	srv       *members
+	gate      *gate // nil: in no cluster
 	sockets   *transport.Sockets
 	parts     []part
 	listeners []*transport.Listener
@@ -157,11 +159,25 @@
 	if g.srv = newMembers(world, files.SRV, cfg.Seed, now); g.srv != nil {
 		hands.Health = g.srv
 	}
+	var node *cluster.Node
+	var front *protocol.Front
+	if files.Cluster != nil && files.Cluster.Enabled {
+		var err error
+		if node, g.gate, err = g.join(files.Cluster, now); err != nil {
+			return nil, err
+		}
+		hands.Gate, hands.Wait = g.gate, time.Duration(files.Cluster.WaitMs*float64(time.Millisecond))
+		hands.Adopted = func(set choice.Settings) { front.Adopt(set) }
+	}
 	var err error
 	if g.core, err = routing.New(set.Settings, cfg.Seed, now, hands); err != nil {
 		return nil, err
 	}
 	fleet.Ends = g.core
+	if g.gate != nil {
+		g.gate.core = g.core
+		g.parts = append(g.parts, node)
+	}
 	list := protocol.DiscoveryOptions{World: world, Addr: cfg.Discovery, Hold: 2 * time.Second, Grace: 500 * time.Millisecond,
 		Connect: 250 * time.Millisecond, Pace: backoff.Terms{Shared: set.Subscribe, Within: set.AskWithin, Gateways: set.Doors}}
 	news := g.core.News
@@ -184,9 +200,12 @@
 		g.parts = append(g.parts, g.list)
 	}
 
-	front := protocol.NewFront(set.Settings)
+	front = protocol.NewFront(set.Settings)
+	front.Late = g.gate != nil
 	front.Core, front.Now, front.Leaving = g.core, now, g.leaving.Load
-	front.Ready = func() bool { return !g.leaving.Load() && g.core.Stats().Ready > 0 && g.srv.trusted() }
+	front.Ready = func() bool {
+		return !g.leaving.Load() && g.core.Stats().Ready > 0 && g.srv.trusted() && g.gate.open(now)
+	}
 	if err := g.serve(cfg.Listen, clients, transport.NewServer(front.Handle, maxBody)); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -318,6 +337,9 @@
 		"outcomes=%v open=%d clients=%d out=%d under=%d servers=%d why=%v limit=%.2f load=%.2f rate=%.2f", b.Requests, b.Served, b.Refused, b.Failed, b.Gone, b.Attempts,
 		b.Probes, b.Counts, b.Outcomes, b.Open, b.Clients, b.Out, b.Under, b.Servers,
 		b.Module.Refused, b.Module.Limit, b.Module.Out, b.Module.Rate)
+	if g.gate != nil {
+		log.Printf("event=policy version=%d waited=%d unleased=%d", b.Version, b.Waited, b.Unleased)
+	}
 	g.srv.report()
 }
 
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -59,18 +59,28 @@
 	classes map[string]choice.Class
 	plans   map[string]float64 // the most units that a request can have
 	doors   int
+
+	// Late makes the core fit requests to the policy, once it knows by which it decides.
+	Late bool
 }
 
 // NewFront returns a front for the classes and plans of the settings.
 func NewFront(set choice.Settings) *Front {
-	f := &Front{IDs: NewIDs(), classes: map[string]choice.Class{}, plans: map[string]float64{}, doors: set.Doors}
+	f := &Front{IDs: NewIDs(), doors: set.Doors}
+	f.Adopt(set)
+	return f
+}
+
+// Adopt puts another policy's classes and plans in force. Where the front is Late
+// the core's goroutine calls it; else nobody may while it serves.
+func (f *Front) Adopt(set choice.Settings) {
+	f.classes, f.plans = map[string]choice.Class{}, map[string]float64{}
 	for _, c := range set.Classes {
 		f.classes[c.Name] = c
 	}
 	for _, p := range set.Plans {
 		f.plans[p.Name] = MostUnits(&set, &p)
 	}
-	return f
 }
 
 // MostUnits is what a request can take from a plan at all.
@@ -105,11 +115,7 @@
 	}
 	r, id, err := f.request(ctx)
 	if err != nil {
-		ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
-		if allow, ok := err.(wrongMethod); ok {
-			ctx.Response.Header.Set("Allow", string(allow))
-			ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
-		}
+		bad(ctx, err)
 		return
 	}
 	switch a := Await(ctx, f.Core, f.IDs, id, r); a.Kind {
@@ -127,6 +133,17 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 	case Twice:
 		ctx.Error(headerID+": "+SameID+"\n", fasthttp.StatusConflict)
+	case Unfit:
+		bad(ctx, a.Err)
+	}
+}
+
+// bad answers a request whose terms are wrong.
+func bad(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
+	if allow, ok := err.(wrongMethod); ok {
+		ctx.Response.Header.Set("Allow", string(allow))
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
 }
 
@@ -164,26 +181,18 @@
 	if err != nil {
 		return nil, "", err
 	}
-	id, r.Class, r.Plan = got[0], got[1], got[2]
-	class, known := f.classes[r.Class]
-	most, sold := f.plans[r.Plan]
-	method := "POST"
-	if class.Effect == choice.Retryable {
-		method = "GET"
-	}
+	id, r.Class, r.Plan, r.Again = got[0], got[1], got[2], got[6] == "1"
 	switch {
 	case id == "":
 		return nil, "", fmt.Errorf("%s is missing", headerID)
 	case len(id) > MaxID:
 		return nil, "", fmt.Errorf("%s: longer than %d bytes", headerID, MaxID)
-	case !known:
-		return nil, "", fmt.Errorf("%s: unknown class %q", headerClass, r.Class)
-	case !sold:
-		return nil, "", fmt.Errorf("%s: unknown plan %q", headerPlan, r.Plan)
-	case string(ctx.Method()) != method:
-		return nil, "", wrongMethod(method)
-	case method == "GET" && len(ctx.Request.Body()) > 0:
-		return nil, "", errors.New("a GET has no body here")
+	}
+	said := said{method: string(ctx.Method()), body: len(ctx.Request.Body()) > 0, timeout: got[3], terms: got[4], at: f.Now()}
+	if !f.Late {
+		if err := f.allows(r, said); err != nil {
+			return nil, "", err
+		}
 	}
 	var number uint64
 	if r.Customer = Cookie(got[5], "client"); len(r.Customer) != 16 {
@@ -191,13 +200,57 @@
 	} else if number, err = strconv.ParseUint(r.Customer, 16, 64); err != nil || number >= customers {
 		return nil, "", fmt.Errorf("Cookie: client must be 16 hex digits for a number under 2^33, got %q", r.Customer)
 	}
-	limit, err := Timeout(got[3], class.Deadline)
+	if f.Late {
+		r.Deadline = said.at + time.Hour // until the policy says
+		r.Fit = func() error {
+			if err := f.allows(r, said); err != nil {
+				return err
+			}
+			return f.limits(r, said)
+		}
+		return r, id, nil
+	}
+	return r, id, f.limits(r, said)
+}
+
+// said is what a request says and the policy must allow.
+type said struct {
+	method         string
+	body           bool
+	timeout, terms string
+	at             time.Duration
+}
+
+// allows holds a request against the policy's classes and plans.
+func (f *Front) allows(r *routing.Request, s said) error {
+	class, known := f.classes[r.Class]
+	_, sold := f.plans[r.Plan]
+	method := "POST"
+	if class.Effect == choice.Retryable {
+		method = "GET"
+	}
+	switch {
+	case !known:
+		return fmt.Errorf("%s: unknown class %q", headerClass, r.Class)
+	case !sold:
+		return fmt.Errorf("%s: unknown plan %q", headerPlan, r.Plan)
+	case s.method != method:
+		return wrongMethod(method)
+	case method == "GET" && s.body:
+		return errors.New("a GET has no body here")
+	}
+	return nil
+}
+
+// limits gives it its terms by them.
+func (f *Front) limits(r *routing.Request, s said) error {
+	limit, err := Timeout(s.timeout, f.classes[r.Class].Deadline)
 	if err != nil {
-		return nil, "", fmt.Errorf("%s: %w", headerTimeout, err)
+		return fmt.Errorf("%s: %w", headerTimeout, err)
 	}
-	r.Deadline, r.Again = f.Now()+limit, got[6] == "1"
-	r.Units, r.Width, r.First, err = f.terms(got[4], most)
-	return r, id, err
+	r.Deadline = s.at + limit
+	r.Units, r.Width, r.First, err = f.terms(s.terms, f.plans[r.Plan])
+	return err
 }
 
 // Timeout reads a client's time in seconds. No client waits longer than its
@@ -267,6 +320,7 @@
 	TimedOut
 	Left  // the client went away: nobody is answered
 	Twice // a request with that id is open: this one was not submitted
+	Unfit // the policy in force does not allow what it says
 )
 
 // SameID is what a client hears then.
@@ -277,7 +331,8 @@
 	Kind       Kind
 	Answer     *fasthttp.Response
 	RetryAfter time.Duration
-	Status     int // of a refusal: 429, or 503 where the servers are at fault
+	Status     int   // of a refusal: 429, or 503 where the servers are at fault
+	Err        error // of one that is Unfit
 }
 
 // Answers hands a request's one answer from the core to the client's handler.
@@ -315,6 +370,9 @@
 	a.end(f)
 }
 
+// Unfit is told by the core.
+func (a *Answers) Unfit(err error) { a.end(Final{Kind: Unfit, Err: err}) }
+
 // Failed is told by the core.
 func (a *Answers) Failed(timedOut bool) {
 	if timedOut {
--- a/internal/routing/layer_test.go
+++ b/internal/routing/layer_test.go
@@ -37,12 +37,15 @@
 func TestLayers(t *testing.T) {
 	for dir, bad := range map[string][]string{
 		"../routing":    {"net*", "encoding/*", "github.com/*", "own", "!asterwell/internal/actor", "!asterwell/internal/seam", "!asterwell/choice"},
-		"../../choice":  {"net*", "os*", "log*", "encoding/*", "github.com/*", "own", "!asterwell/internal/aperture", "!asterwell/internal/ceiling", "!asterwell/internal/health", "!asterwell/internal/limit", "!asterwell/internal/turn"},
+		"../../choice":  {"net*", "os*", "log*", "encoding/*", "github.com/*", "own", "!asterwell/internal/aperture", "!asterwell/internal/ceiling", "!asterwell/internal/health", "!asterwell/internal/limit", "!asterwell/internal/turn", "!asterwell/internal/policy"},
 		"../aperture":   {"net*", "os*", "log*", "io*", "time", "encoding/*", "github.com/*", "own"},
 		"../backoff":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../judge":      {"net*", "os*", "log*", "io*", "encoding/*", "own"},
 		"../ceiling":    {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../limit":      {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
+		"../policy":     {"net*", "os*", "log*", "io*", "github.com/*", "go.etcd.io/*", "own"},
+		"../cluster":    {"net/http", "github.com/valyala/*", "own", "!asterwell/internal/actor", "!asterwell/internal/seam", "!asterwell/internal/policy", "!asterwell/internal/settings"},
+		"../operate":    {"net*", "github.com/valyala/*", "asterwell/internal/standin*", "asterwell/internal/lab", "testing"},
 		"../turn":       {"net*", "os*", "log*", "io*", "time", "encoding/*", "github.com/*", "own"},
 		"../health":     {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
 		"../membership": {"net*", "os*", "log*", "io*", "encoding/*", "own", "!asterwell/choice"},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"log"
+	"slices"
 	"time"
 
 	"asterwell/choice"
@@ -24,6 +25,10 @@
 	Call                  any // what the fleet passes on; the core does not look at it
 	Reply                 Reply
 
+	// Fit gives the request its terms by the policy in force, or an error if that does
+	// not allow it. Nil: it has them.
+	Fit func() error
+
 	id uint32
 }
 
@@ -34,6 +39,7 @@
 	// the servers; one that was not is beyond its quota, or there is no room.
 	Refused(retryAfter time.Duration, tried bool)
 	Failed(timedOut bool) // no promise
+	Unfit(err error)      // the policy in force does not allow what it says; it was not tried
 }
 
 // Member is a server of the list and where it listens.
@@ -80,13 +86,24 @@
 	Heard(server uint32, status choice.Status)
 }
 
+// Gate tells by which version of the policy the core may decide, if any. It is asked
+// with the time after a request has come, and looks at the lease before it compares.
+type Gate interface {
+	// May returns the version; with ok false none, and soon tells that it will be
+	// over in a moment.
+	May(now func() time.Duration) (version int64, ok, soon bool)
+}
+
 // Hands are what the core acts through.
 type Hands struct {
 	World   seam.Seam // nil: the real one
 	Fleet   Fleet
 	Counter Counter
 	Watcher Watcher
-	Health  Health // nil: nobody wants to hear
+	Health  Health                    // nil: nobody wants to hear
+	Gate    Gate                      // nil: the settings of the start are in force for good
+	Wait    time.Duration             // most that a request waits at the gate
+	Adopted func(set choice.Settings) // hears of a policy that comes into force, before any request is decided by it
 }
 
 // Stats are totals since the start.
@@ -96,6 +113,8 @@
 	Outcomes                                [choice.Moot + 1]int
 	Open, Ready                             int
 	Out                                     int // attempts and probes under way
+	Waited, Unleased                        int // at the gate; refused there
+	Version                                 int64
 	Module                                  choice.Books
 }
 
@@ -119,10 +138,13 @@
 	halted     bool
 	told       bool          // the list came from discovery, not from the saved copy
 	trust      time.Duration // from then on the saved copy has to do
+	version    int64         // of the policy in the module
+	waiting    []uint32      // requests at the gate, in order
 }
 
 type open struct {
 	req      *Request
+	came     time.Duration
 	attempts []attempt
 	out      int
 	answered bool
@@ -244,8 +266,24 @@
 	for c.lastID++; c.lastID == 0 || c.open[c.lastID] != nil; c.lastID++ { // 0 is for probes
 	}
 	r.id = c.lastID
-	c.open[r.id] = &open{req: r}
+	c.open[r.id] = &open{req: r, came: now}
 	c.stats.Requests++
+	if c.hands.Gate != nil && !c.pass(now, r) {
+		return
+	}
+	c.decide(now, r)
+}
+
+func (c *Core) decide(now time.Duration, r *Request) {
+	if r.Fit != nil {
+		if err := r.Fit(); err != nil {
+			if reply := c.final(r.id); reply != nil {
+				c.stats.Refused++
+				reply.Unfit(err)
+			}
+			return
+		}
+	}
 	c.bal.Request(now, choice.Request{ID: r.id, Class: r.Class, Plan: r.Plan, Customer: r.Customer,
 		NotAfter: r.Deadline, Units: r.Units, Width: r.Width, First: r.First, Again: r.Again})
 }
@@ -259,6 +297,7 @@
 	}
 	o.answered = true // nobody is left to answer
 	c.stats.Gone++
+	c.waiting = slices.DeleteFunc(c.waiting, func(id uint32) bool { return id == m.r.id })
 	c.bal.Gone(now, m.r.id)
 	c.forget(m.r.id, o)
 }
@@ -348,7 +387,7 @@
 	if s.Open = len(c.open); c.told || now >= c.trust {
 		s.Ready = len(c.up)
 	}
-	s.Out, s.Module = len(c.probes), c.bal.Books()
+	s.Out, s.Module, s.Version = len(c.probes), c.bal.Books(), c.version
 	for _, o := range c.open {
 		s.Out += o.out
 	}
@@ -476,6 +515,7 @@
 	moduleTimer timerKind = iota
 	attemptTimer
 	probeTimer
+	gateTimer
 )
 
 type timer struct {
@@ -501,6 +541,8 @@
 		if o := c.open[t.id]; o != nil && t.try < len(o.attempts) && o.attempts[t.try].out {
 			c.stop(t.id, o, t.try, choice.Timeout)
 		}
+	case gateTimer:
+		c.look(now)
 	case probeTimer:
 		if p, ok := c.probes[t.id]; ok && p.try == t.try {
 			c.hands.Fleet.Cancel(t.id, Attempt{0, t.try})
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -37,6 +37,7 @@
 	r.w.note("refused, after %v, tried %v", after, tried)
 }
 func (r reply) Failed(timedOut bool) { r.w.note("failed, timed out %v", timedOut) }
+func (r reply) Unfit(err error)      { r.w.note("unfit: %v", err) }
 
 var testSet = choice.Settings{Doors: 1, MaxTries: 5, Cancels: true, RetryAfter: true, Tick: time.Millisecond,
 	Classes: []choice.Class{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 
 // wire is the settings object as it is written. Keys not named here are ignored.
 type wire struct {
+	rules
 	Balancers int `json:"balancers"`
 	SelfIndex int `json:"selfIndex"`
 	Caps      struct {
@@ -34,17 +35,6 @@
 		RetryAfter       bool    `json:"retryAfter"`
 		SecondCopies     bool    `json:"secondCopies"`
 	} `json:"caps"`
-	Services []struct {
-		AimMs      float64 `json:"aimMs"`
-		DeadlineMs float64 `json:"deadlineMs"`
-		Effect     string  `json:"effect"`
-		Group      string  `json:"group"`
-		LateWorth  float64 `json:"lateWorth"`
-		Name       string  `json:"name"`
-		Stream     bool    `json:"stream"`
-		KeyTTLMs   float64 `json:"keyTtlMs"`
-		Value      float64 `json:"value"`
-	} `json:"services"`
 	Discovery  string `json:"discovery"`
 	FamilyInfo struct {
 		SharedCounter    bool    `json:"sharedCounter"`
@@ -56,12 +46,6 @@
 	LoadInfo struct {
 		Source string `json:"source"`
 	} `json:"loadInfo"`
-	Prices struct {
-		CrossZone float64 `json:"crossZone"`
-		Probe     float64 `json:"probe"`
-		Waste     float64 `json:"waste"`
-		LateFail  float64 `json:"lateFail"`
-	} `json:"prices"`
 	Safety struct {
 		AnswerSlackMs float64 `json:"answerSlackMs"`
 		AskWithinMs   float64 `json:"askWithinMs"`
@@ -71,6 +55,24 @@
 		FallMultiple  float64 `json:"fallMultiple"`
 		TipAfterMs    float64 `json:"tipAfterMs"`
 	} `json:"safety"`
+	TickMs       float64 `json:"tickMs"`
+	WeightSource string  `json:"weightSource"`
+	Locality     string  `json:"locality"`
+}
+
+// rules are what a policy holds: classes, plans and prices.
+type rules struct {
+	Services []struct {
+		AimMs      float64 `json:"aimMs"`
+		DeadlineMs float64 `json:"deadlineMs"`
+		Effect     string  `json:"effect"`
+		Group      string  `json:"group"`
+		LateWorth  float64 `json:"lateWorth"`
+		Name       string  `json:"name"`
+		Stream     bool    `json:"stream"`
+		KeyTTLMs   float64 `json:"keyTtlMs"`
+		Value      float64 `json:"value"`
+	} `json:"services"`
 	Contracts []struct {
 		PeakUnits     float64 `json:"peakUnits"`
 		CeilingBurst  float64 `json:"ceilingBurst"`
@@ -83,9 +85,12 @@
 		ValueFactor   float64 `json:"valueFactor"`
 		QuotaRate     float64 `json:"quotaRate"`
 	} `json:"contracts"`
-	TickMs       float64 `json:"tickMs"`
-	WeightSource string  `json:"weightSource"`
-	Locality     string  `json:"locality"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+		Probe     float64 `json:"probe"`
+		Waste     float64 `json:"waste"`
+		LateFail  float64 `json:"lateFail"`
+	} `json:"prices"`
 }
 
 // Decode reads the settings object.
@@ -107,30 +112,36 @@
 		AnswerSlack: Span(e.Safety.AnswerSlackMs), DrainGrace: Span(e.Safety.DrainGraceMs),
 		ColdFrom: e.Safety.ColdFrom, ColdFor: Span(e.Safety.ColdMs),
 		FallMultiple: e.Safety.FallMultiple, FallAfter: Span(e.Safety.TipAfterMs),
-		CrossZone: e.Prices.CrossZone, CounterPrice: e.FamilyInfo.CountFee,
-		ProbePrice: e.Prices.Probe, WastePrice: e.Prices.Waste, LateFailPrice: e.Prices.LateFail,
+		CounterPrice: e.FamilyInfo.CountFee,
 	}
-	for _, c := range e.Services {
+	return s, e.into(&s)
+}
+
+// into puts the rules into settings, in the place of any there.
+func (r *rules) into(s *Settings) error {
+	s.Classes, s.Plans = nil, nil
+	s.CrossZone, s.ProbePrice, s.WastePrice, s.LateFailPrice = r.Prices.CrossZone, r.Prices.Probe, r.Prices.Waste, r.Prices.LateFail
+	for _, c := range r.Services {
 		effect, ok := map[string]choice.Effect{
 			"retryable": choice.Retryable, "dedup": choice.Keyed, "fragile": choice.Fragile}[c.Effect]
 		if !ok {
-			return s, fmt.Errorf("services: %s: unknown effect %q", c.Name, c.Effect)
+			return fmt.Errorf("services: %s: unknown effect %q", c.Name, c.Effect)
 		}
 		group, ok := map[string]choice.Group{
 			"": choice.All, "all": choice.All, "zone": choice.SameZone, "cell": choice.SameCell}[c.Group]
 		if !ok {
-			return s, fmt.Errorf("services: %s: unknown group %q", c.Name, c.Group)
+			return fmt.Errorf("services: %s: unknown group %q", c.Name, c.Group)
 		}
 		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Aim: Span(c.AimMs), Deadline: Span(c.DeadlineMs),
 			LateWorth: c.LateWorth, Value: c.Value, Effect: effect, Group: group, KeyTTL: Span(c.KeyTTLMs),
 			Stream: c.Stream})
 	}
-	for _, p := range e.Contracts {
+	for _, p := range r.Contracts {
 		s.Plans = append(s.Plans, choice.Plan{Name: p.Name, Rate: p.QuotaRate, Burst: p.PeakUnits, MaxOut: p.MaxOut,
 			CeilingRate: p.NeverOverRate, CeilingBurst: p.CeilingBurst, CeilingSlack: p.HardSlack,
 			ValueFactor: p.ValueFactor, ExcessWorth: p.ExcessWorth, OverrunCost: p.OverrunCost})
 	}
-	return s, nil
+	return nil
 }
 
 // Load picks the module's figures out of a load report. One that has none of
