Put clusters into the field: changes, marks of the policy in force, faults between members

Need: a change of policy is to be shown by real processes. The field passes members' connections over links of its own, forms voters' folders, proposes changes (good ones, ones that gateways refuse, ones whose proposer is killed), resolves 'leader' when a fault begins, replaces voters, fills a voter's disk. Each policy has a class that no other has: requests for it show which policy decided; the history goes through porcupine. Folders that were copied do not vote.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -49,6 +49,7 @@
 	turn   int
 	told   policy.Lease
 	holds  bool
+	heldAt time.Duration
 
 	// The voter's own.
 	members map[uint64]*pipe
@@ -196,6 +197,11 @@
 func (n *Node) publish() {
 	l, holds := n.holder.Lease()
 	if l != n.told || holds != n.holds {
+		if now := n.now(); holds && !n.holds {
+			n.heldAt = now
+		} else if !holds && n.holds && l.Until > now {
+			n.log.Info("held", "ms", float64(now-n.heldAt)/1e6, "version", l.Version)
+		}
 		n.told, n.holds = l, holds
 		n.gateway.Lease(l, holds)
 	}
--- a/internal/cluster/store.go
+++ b/internal/cluster/store.go
@@ -13,6 +13,7 @@
 
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -39,6 +40,26 @@
 	Format  int    `json:"format"`
 	Cluster string `json:"cluster"`
 	Self    Peer   `json:"self"`
+
+	// Of the file when it was made. A copy of it, which may be older than what this
+	// voter has sworn to since, has others.
+	Inode uint64 `json:"inode"`
+	Born  int64  `json:"born"` // ns of Unix time; 0: the file system does not tell
+}
+
+// ErrCopy is that a folder was copied, or put back from a copy.
+var ErrCopy = errors.New("it is a copy: what its voter has said since is not in it")
+
+// birth is what tells a file from a copy of it.
+func birth(file string) (inode uint64, born int64, err error) {
+	var s unix.Statx_t
+	if err := unix.Statx(unix.AT_FDCWD, file, 0, unix.STATX_INO|unix.STATX_BTIME, &s); err != nil {
+		return 0, 0, err
+	}
+	if s.Mask&unix.STATX_BTIME != 0 {
+		born = s.Btime.Sec*1e9 + int64(s.Btime.Nsec)
+	}
+	return s.Ino, born, nil
 }
 
 // ErrDamaged is that a folder can't be trusted any more. Its voter steps back:
@@ -57,6 +78,11 @@
 		return nil, fmt.Errorf("%s: %w", folder, err)
 	}
 	s = &Store{db}
+	inode, born, err := birth(filepath.Join(folder, storeFile))
+	if err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", folder, err)
+	}
 	var was *identity
 	err = db.Update(func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(metaBucket)
@@ -71,7 +97,7 @@
 			return err
 		}
 		if data == nil {
-			text, err := json.Marshal(identity{storeFormat, cluster, self})
+			text, err := json.Marshal(identity{storeFormat, cluster, self, inode, born})
 			if err != nil {
 				return err
 			}
@@ -87,6 +113,8 @@
 		err = fmt.Errorf("format %d, this program knows %d", was.Format, storeFormat)
 	case was.Cluster != cluster:
 		err = fmt.Errorf("belongs to cluster %q, not %q", was.Cluster, cluster)
+	case was.Inode != inode || was.Born != born:
+		err = ErrCopy
 	case was.Self.Name != self.Name:
 		err = fmt.Errorf("belongs to %s, not %s", was.Self.Name, self.Name)
 	}
--- a/internal/field/faults.go
+++ b/internal/field/faults.go
@@ -69,8 +69,15 @@
 		}
 	}
 	switch kinds[fault.Kind] {
+	case "cluster":
+		failed(f.onCluster(fault))
 	case "gateways":
-		all, err := f.plan.all(rng, "gateways", fault.Who, "who")
+		who, err := f.leads(fault.Who)
+		failed(err)
+		if err != nil {
+			return
+		}
+		all, err := f.plan.all(rng, "gateways", who, "who")
 		failed(err)
 		f.each(fault, len(all), func(i int) { failed(f.onGateway(fault, f.gateways[all[i]])) })
 	case "servers":
@@ -78,9 +85,16 @@
 		failed(err)
 		f.each(fault, len(all), func(i int) { failed(f.onServer(fault, f.servers[all[i]])) })
 	case "links":
-		near, err := f.plan.all(rng, "gateways", fault.From, "from")
+		words, err := f.leads(fault.From)
+		failed(err)
+		to, e := f.leads(fault.To)
+		failed(e)
+		if err != nil || e != nil {
+			return
+		}
+		near, err := f.plan.all(rng, "gateways", words, "from")
 		failed(err)
-		far, err := f.plan.far(rng, fault.To, "to")
+		far, err := f.plan.far(rng, to, "to")
 		failed(err)
 		f.onLinks(fault, near, far, failed)
 	default:
@@ -155,6 +169,8 @@
 			g.late = 0
 			f.mu.Unlock()
 		})
+	case "disk-full":
+		return g.diskFull(fault)
 	case "starve": // descriptors and memory at their limits
 		return g.starve(fault)
 	}
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -5,6 +5,7 @@
 package field
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -50,6 +51,7 @@
 	list     listState
 	late     lateness
 	history  *history
+	marking  *marking // nil: no cluster
 
 	mu      sync.Mutex
 	judge   *judge.Judge
@@ -140,7 +142,7 @@
 		f.broken = append(f.broken, Broken{rule, detail, f.net.Now()})
 		f.history.add(Record{Kind: "broken", Who: rule, Detail: detail})
 	})
-	if f.net, err = NewNet(plan.Servers); err != nil {
+	if f.net, err = NewNet(plan.Servers + plan.folders()); err != nil {
 		return nil, err
 	}
 	if f.folder, err = newFolder(opt.Temp); err != nil {
@@ -179,6 +181,11 @@
 		return nil, err
 	}
 	go (&http.Server{Handler: http.HandlerFunc(f.discover), ConnContext: withConn}).Serve(ln)
+	if plan.Cluster != nil && opt.Policy == "" {
+		if err := cmp.Or(f.form(), f.peers()); err != nil {
+			return nil, err
+		}
+	}
 	for _, g := range f.gateways {
 		if opt.Policy == "" {
 			if err := g.launch(); err != nil {
@@ -208,7 +215,7 @@
 	for _, e := range entries {
 		g.had[e.ID] = e
 	}
-	p, err := f.folder.newProcess("g-"+strconv.Itoa(i), f.opt.Binary, []string{"LB_CONFIG=config.json", "ASTERWELL_SRV=srv.json"})
+	p, err := f.folder.newProcess("g-"+strconv.Itoa(i), f.opt.Binary, []string{"LB_CONFIG=config.json", "ASTERWELL_SRV=srv.json", "ASTERWELL_CLUSTER=cluster.json"})
 	if err != nil {
 		return err
 	}
@@ -244,7 +251,7 @@
 		"seed":   strconv.FormatUint(plan.Seed<<20|uint64(g.index)<<6|uint64(g.Lives()), 16),
 		"limits": map[string]any{"cores": 1, "memory_mb": plan.MemoryMB, "sockets": plan.Sockets},
 		"known":  map[string]any{"version": version, "full": true, "servers": had}, "settings": settings(plan, g.index)}
-	for name, v := range map[string]any{"config.json": config, "srv.json": map[string]any{"enabled": false}} {
+	for name, v := range map[string]any{"config.json": config, "srv.json": map[string]any{"enabled": false}, "cluster.json": map[string]any{"enabled": false}} {
 		text, err := json.Marshal(v)
 		if err != nil {
 			return err
@@ -253,6 +260,11 @@
 			return err
 		}
 	}
+	if g.f.marking != nil {
+		if err := g.f.writeCluster(g); err != nil {
+			return err
+		}
+	}
 	g.ready.Store(false)
 	g.termAt.Store(0)
 	// A new life has all of its time, from now on.
@@ -354,6 +366,9 @@
 	f.load = newLoad(f)
 	f.schedule(began)
 	f.load.start()
+	if f.marking != nil {
+		f.marking.start()
+	}
 	for end := began + seconds(f.plan.Seconds); f.net.Now() < end; time.Sleep(50 * time.Millisecond) {
 		f.say("%.0f of %.0f s, %d tries", (f.net.Now() - began).Seconds(), f.plan.Seconds, f.load.count())
 		c := Capacity{At: f.net.Now(), Of: make([]float64, len(f.servers))}
@@ -368,8 +383,14 @@
 	if !f.load.wait(afterLoad + 40*time.Duration(f.plan.WorkMs)*time.Millisecond) {
 		f.breaks("lost", "clients still wait %v after the load's end", afterLoad)
 	}
+	var c *Cluster
+	if f.marking != nil {
+		c = f.marking.finish()
+	}
 	f.checkProcesses()
-	return f.report(began), nil
+	r := f.report(began)
+	r.Cluster = c
+	return r, nil
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/field/report.go
+++ b/internal/field/report.go
@@ -25,6 +25,8 @@
 	Even       Even          `json:"even"`
 	ColdOver   float64       `json:"cold_work_over_bound_max"` // work that a cold server got in a second over what it bears
 
+	Cluster *Cluster `json:"cluster,omitempty"`
+
 	weights []float64
 
 	arrivals []Arrival
--- a/internal/field/schedule.go
+++ b/internal/field/schedule.go
@@ -18,22 +18,23 @@
 // Schedule is all that a run is to be: what there is, the load, and the faults.
 // It can be replayed; what real processes and the kernel make of it can't.
 type Schedule struct {
-	Seed      uint64  `json:"seed"`
-	Gateways  int     `json:"gateways"`
-	Servers   int     `json:"servers"`
-	Zones     int     `json:"zones,omitempty"`     // default 3
-	Weights   int     `json:"weights,omitempty"`   // servers weigh 1 to this, and have as many cores for it; default 1
-	Customers int     `json:"customers,omitempty"` // default 4 for each gateway
-	Rate      float64 `json:"rate"`                // tries a second in all, repeats of clients left out
-	Seconds   float64 `json:"seconds"`             // of load
-	WorkMs    float64 `json:"work_ms,omitempty"`   // mean of a read on a warm core; default 100
-	Cores     int     `json:"cores,omitempty"`     // of a server of weight 1; default 2
-	Hot       *Hot    `json:"hot,omitempty"`
-	Quota     float64 `json:"quota,omitempty"`     // units a second of each customer; default: far above all load
-	Ceiling   float64 `json:"ceiling,omitempty"`   // of plan pro, in times its quota; default 2
-	MemoryMB  int     `json:"memory_mb,omitempty"` // that gateways are told; default 64
-	Sockets   int     `json:"sockets,omitempty"`   // default 512
-	Faults    []Fault `json:"faults,omitempty"`
+	Seed      uint64       `json:"seed"`
+	Gateways  int          `json:"gateways"`
+	Servers   int          `json:"servers"`
+	Zones     int          `json:"zones,omitempty"`     // default 3
+	Weights   int          `json:"weights,omitempty"`   // servers weigh 1 to this, and have as many cores for it; default 1
+	Customers int          `json:"customers,omitempty"` // default 4 for each gateway
+	Rate      float64      `json:"rate"`                // tries a second in all, repeats of clients left out
+	Seconds   float64      `json:"seconds"`             // of load
+	WorkMs    float64      `json:"work_ms,omitempty"`   // mean of a read on a warm core; default 100
+	Cores     int          `json:"cores,omitempty"`     // of a server of weight 1; default 2
+	Hot       *Hot         `json:"hot,omitempty"`
+	Quota     float64      `json:"quota,omitempty"`     // units a second of each customer; default: far above all load
+	Ceiling   float64      `json:"ceiling,omitempty"`   // of plan pro, in times its quota; default 2
+	MemoryMB  int          `json:"memory_mb,omitempty"` // that gateways are told; default 64
+	Sockets   int          `json:"sockets,omitempty"`   // default 512
+	Cluster   *ClusterPlan `json:"cluster,omitempty"`
+	Faults    []Fault      `json:"faults,omitempty"`
 }
 
 // Hot are gateways that get more than their part of the load.
@@ -79,6 +80,7 @@
 	"cut": "links", "reset": "links", "delay": "links", "stall": "links",
 	"list-silent": "gateways", "list-late": "gateways", "list-at-once": "",
 	"counter-silent": "", "counter-empty": "", "counter-gone": "",
+	"disk-full": "gateways", "propose": "cluster", "propose-killed": "cluster", "replace-voter": "cluster",
 }
 
 // ReadSchedule reads and checks one. An error names the file, and line or key.
@@ -156,6 +158,9 @@
 	case !(s.Seconds > 0):
 		return fmt.Errorf("seconds: must be above 0, got %v", s.Seconds)
 	}
+	if err := s.checkCluster(); err != nil {
+		return err
+	}
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("faults[%d]", i)
 		of, ok := kinds[f.Kind]
@@ -181,6 +186,14 @@
 		}
 		var err error
 		switch of {
+		case "cluster":
+			if s.Cluster == nil {
+				err = fmt.Errorf("%s.kind: %s needs a cluster", at, f.Kind)
+			} else if f.Kind == "replace-voter" {
+				if _, err = s.all(nil, "gateways", f.Who, at+".who"); err == nil {
+					_, err = s.all(nil, "gateways", f.To, at+".to")
+				}
+			}
 		case "gateways", "servers":
 			_, err = s.all(nil, of, f.Who, at+".who")
 		case "links":
@@ -206,6 +219,19 @@
 	}
 	var all []int
 	rest, group := strings.CutPrefix(word, of)
+	if of == "gateways" && s.Cluster != nil {
+		if word == "leader" { // whoever it is then
+			return []int{0}, nil
+		}
+		for name, some := range map[string][2]int{"voters": {0, s.Cluster.Voters}, "followers": {s.Cluster.Voters, count}} {
+			if after, ok := strings.CutPrefix(word, name); ok {
+				all, rest, group = all[:0], after, true
+				for i := some[0]; i < some[1]; i++ {
+					all = append(all, i)
+				}
+			}
+		}
+	}
 	if !group {
 		if _, err := path.Match(word, ""); err != nil {
 			return nil, fmt.Errorf("%q is no name: %w", word, err)
@@ -220,8 +246,10 @@
 		}
 		return all, nil
 	}
-	for i := range count {
-		all = append(all, i)
+	if of == "servers" || strings.HasPrefix(word, of) {
+		for i := range count {
+			all = append(all, i)
+		}
 	}
 	parts := strings.Split(strings.TrimPrefix(rest, ":"), ":")
 	for i := 0; i < len(parts); i++ {
@@ -267,7 +295,13 @@
 	var far []int
 	var servers []string
 	for _, w := range words {
-		if n, ok := map[string]int{"list": farList, "counter": farCounter, "clients": farClients}[w]; ok {
+		if members, err := s.pick(rng, "gateways", w); s.Cluster != nil && err == nil {
+			for _, m := range members {
+				if m < s.folders() {
+					far = append(far, s.Servers+m)
+				}
+			}
+		} else if n, ok := map[string]int{"list": farList, "counter": farCounter, "clients": farClients}[w]; ok {
 			far = append(far, n)
 		} else {
 			servers = append(servers, w)
--- /dev/null
+++ b/internal/policy/explore.go
@@ -0,0 +1,322 @@
+package policy
+
+import (
+	"fmt"
+	"hash/maphash"
+	"slices"
+	"time"
+)
+
+// Bounds of an exploration: what may go wrong, and how long it goes on.
+type Bounds struct {
+	Members int // gateways
+	Changes int // proposed one after the other
+	States  int // give up after so many; 0: never
+	Lost    int // messages, in all
+	Doubled int
+	Deaths  int // of gateways, each at most once; and of the leader as many
+	Most    int // messages under way; beyond that the oldest has to come or get lost
+}
+
+// Small are bounds for three members, two changes, and each process dying once.
+var Small = Bounds{Members: 3, Changes: 2, Lost: 1, Doubled: 1, Deaths: 1, Most: 4}
+
+const step = 10 * time.Millisecond
+
+var smallTerms = Terms{Lease: 3 * step, Renew: step, CheckWithin: step, HoldWithin: step}
+
+// Explore visits every state that the leader's conduct and the gateways' holders can
+// come to within bounds, with messages that come in any order, late, twice or never,
+// time that passes whenever it likes, and the log's entries that commit late or go
+// with their leader. It returns their number, whether those are all, and the first in
+// which a gateway may decide by a version that is not in force, "" if there is none.
+func Explore(b Bounds) (states int, all bool, broken string) {
+	e := &explorer{b: b, seen: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
+	s := &small{reg: NewRegister(), b: b}
+	s.c = Lead(smallTerms, s.reg, 1, 0)
+	s.now = smallTerms.past(0) // no leader before this one
+	for i := range b.Members {
+		s.join(i)
+	}
+	s.settle()
+	e.meet(s)
+	for len(e.todo) > 0 && e.broken == "" && (b.States == 0 || len(e.seen) < b.States) {
+		n := len(e.todo) - 1
+		next := e.todo[n]
+		e.todo[n] = nil
+		e.todo = e.todo[:n]
+		e.visit(next)
+	}
+	return len(e.seen), len(e.todo) == 0, e.broken
+}
+
+type explorer struct {
+	b      Bounds
+	seen   map[uint64]struct{}
+	seed   maphash.Seed
+	broken string
+	todo   []*small
+
+	text    []byte // of the last hash, to be used again
+	letters [][8]int64
+}
+
+// small is a state.
+type small struct {
+	b       Bounds
+	now     time.Duration
+	steps   int
+	reg     *Register
+	c       *Conduct
+	holders []*Holder
+	ids     []uint64
+	lives   uint64
+	under   []letter
+	entries []Command // proposed, not yet committed
+}
+
+// letter is a message under way.
+type letter struct {
+	member int
+	id     uint64
+	renew  *Renew // to the leader
+	grant  *Grant // from it
+}
+
+func (s *small) join(i int) {
+	s.lives++
+	h := NewHolder(smallTerms, string(rune('a'+i)), "", "")
+	if i == len(s.holders) {
+		s.holders, s.ids = append(s.holders, h), append(s.ids, s.lives)
+	} else {
+		s.holders[i], s.ids[i] = h, s.lives
+	}
+}
+
+func (s *small) clone() *small {
+	n := *s
+	reg := *s.reg
+	reg.Changes = slices.Clone(s.reg.Changes)
+	n.reg = &reg
+	c := *s.c
+	c.reg, c.members, c.reading, c.waiting = n.reg, map[uint64]*member{}, slices.Clone(s.c.reading), slices.Clone(s.c.waiting)
+	for id, m := range s.c.members {
+		x := *m
+		c.members[id] = &x
+	}
+	n.c = &c
+	n.holders = nil
+	for _, h := range s.holders {
+		x := *h
+		n.holders = append(n.holders, &x)
+	}
+	n.ids, n.under, n.entries = slices.Clone(s.ids), slices.Clone(s.under), slices.Clone(s.entries)
+	return &n
+}
+
+// settle carries out what the leader wants, and proposes the next change.
+func (s *small) settle() {
+	for again := true; again; {
+		if s.steps > 0 && s.reg.Pending() == nil && len(s.reg.Changes) < s.b.Changes && len(s.entries) == 0 {
+			s.reg.Apply(Command{Kind: Propose, ID: uint64(len(s.reg.Changes) + 1), Base: s.reg.Version, Text: []byte("{}")})
+			s.c.Applied(s.now)
+		}
+		o := s.c.Out()
+		s.entries = append(s.entries, o.Propose...)
+		if again = o.Read; o.Read {
+			s.c.Confirmed(s.now)
+		}
+		for _, g := range o.Grants {
+			if i := slices.Index(s.ids, g.To); i >= 0 {
+				s.under = append(s.under, letter{member: i, id: g.To, grant: &g.Grant})
+			}
+		}
+	}
+}
+
+// call lets a gateway say what it has to say.
+func (s *small) call(i int) {
+	if r := s.holders[i].Tick(s.now); r != nil {
+		s.under = append(s.under, letter{member: i, id: s.ids[i], renew: r})
+	}
+}
+
+func (s *small) deliver(l letter) {
+	if l.id != s.ids[l.member] && l.renew == nil {
+		return // to a process that is gone
+	}
+	if l.renew != nil {
+		s.c.Renew(s.now, l.id, *l.renew)
+		return
+	}
+	h := s.holders[l.member]
+	if w := h.Grant(s.now, *l.grant); w.Check {
+		h.Checked(l.grant.Change, "")
+	}
+	s.call(l.member)
+}
+
+// hash tells states apart by what can matter to what follows: times as they lie from
+// now, calls and rounds as they lie from the last, so that the same situation later
+// is the same state.
+func (e *explorer) hash(s *small) uint64 {
+	h := e.text[:0]
+	num := func(all ...int64) {
+		for _, x := range all {
+			h = append(h, byte(x), byte(x>>8))
+		}
+	}
+	flag := func(x bool) int64 {
+		if x {
+			return 1
+		}
+		return 0
+	}
+	since := func(t time.Duration, most int64) int64 { return min(int64((s.now-t)/step), most) } // no later than that does it matter
+	left := func(t time.Duration) int64 { return max(int64((t-s.now+step-1)/step), 0) }
+	who := func(id uint64) int64 { // gateways by their place, and those that are gone after them
+		if i := slices.Index(s.ids, id); i >= 0 {
+			return int64(i)
+		}
+		return 100 + int64(id)
+	}
+	c := s.c
+	round := func(r uint64) int64 {
+		if r == 0 || r > c.round || c.round-r > 3 {
+			return 9
+		}
+		return int64(c.round - r)
+	}
+	// Of a gateway's calls only those matter that something is still known of, and their order.
+	ranks := make([][]uint64, len(s.holders))
+	for i, x := range s.holders {
+		ranks[i] = append(ranks[i], x.seq, x.least)
+		if m := c.members[s.ids[i]]; m != nil {
+			ranks[i] = append(ranks[i], m.Seq)
+		}
+	}
+	for _, l := range s.under {
+		if i := slices.Index(s.ids, l.id); i >= 0 && l.renew != nil {
+			ranks[i] = append(ranks[i], l.renew.Seq)
+		} else if i >= 0 {
+			ranks[i] = append(ranks[i], l.grant.Seq)
+		}
+	}
+	for i := range ranks {
+		slices.Sort(ranks[i])
+		ranks[i] = slices.Compact(ranks[i])
+	}
+	rank := func(i int, seq uint64) int64 { return int64(slices.Index(ranks[i], seq)) }
+	num(int64(s.b.Lost), int64(s.b.Doubled), int64(s.b.Deaths), s.reg.Version, int64(s.reg.Under), int64(len(s.reg.Changes)), int64(len(s.entries)), flag(s.steps > 0))
+	num(int64(c.term), left(c.terms.past(c.since)), int64(c.stage), int64(c.change), since(c.at, 2)*flag(c.stage == Holding), left(c.after), int64(min(c.tried, 1)))
+	c.each(func(id uint64, m *member) {
+		i := slices.Index(s.ids, id)
+		if i < 0 && m.until <= s.now {
+			return // gone, and nothing hangs on it
+		}
+		seq, sent := int64(0), int64(0)
+		if i >= 0 {
+			seq, sent = rank(i, m.Seq), since(s.holders[i].sent[m.Seq%16], 3)*flag(m.asks)
+		}
+		num(who(id), seq, sent, m.Version, int64(m.Checked), round(m.Held), left(m.until), flag(m.asks), flag(m.asked == 0), since(m.asked, 2)*flag(m.Checked != c.change), flag(m.fenced), flag(slices.Contains(c.waiting, id)))
+	})
+	for i, x := range s.holders {
+		num(x.version, since(x.asked, 1), rank(i, x.seq), rank(i, x.least), flag(x.open), flag(x.urgent), int64(x.checked), round(x.held), x.lease.Version*flag(x.lease.Until > s.now), left(x.lease.Until))
+	}
+	letters := e.letters[:0]
+	for _, l := range s.under {
+		var t [8]int64
+		i := slices.Index(s.ids, l.id)
+		t[0] = who(l.id)
+		rel := func(seq uint64) int64 {
+			if seq == 0 || i < 0 {
+				return -9
+			}
+			return rank(i, seq)
+		}
+		if r := l.renew; r != nil {
+			t[1], t[2], t[3], t[4] = rel(r.Seq), int64(r.Checked), round(r.Held), r.Version
+			if i >= 0 {
+				t[5] = since(s.holders[i].sent[r.Seq%16], 3)
+			}
+		} else if g := l.grant; g != nil {
+			t[7] = 1
+			t[1], t[2], t[3], t[4], t[5] = rel(g.Seq), int64(g.Change), round(g.Hold), g.Version, flag(g.Text != nil)
+			if t[6] = -9; g.Lease > 0 && i >= 0 {
+				t[6] = left(s.holders[i].sent[g.Seq%16] + g.Lease)
+			}
+		}
+		letters = append(letters, t)
+	}
+	slices.SortFunc(letters, func(x, y [8]int64) int { return slices.Compare(x[:], y[:]) })
+	for _, l := range letters {
+		num(l[:]...)
+	}
+	e.text, e.letters = h, letters
+	return maphash.Bytes(e.seed, h)
+}
+
+// meet keeps a state that is new.
+func (e *explorer) meet(s *small) {
+	key := e.hash(s)
+	if _, ok := e.seen[key]; ok {
+		return
+	}
+	e.seen[key] = struct{}{}
+	for i, h := range s.holders {
+		if h.lease.Until > s.now && h.lease.Version != s.reg.Version {
+			e.broken = fmt.Sprintf("after %v %c may decide by version %d, %d is in force", s.now, 'a'+i, h.lease.Version, s.reg.Version)
+			return
+		}
+	}
+	e.todo = append(e.todo, s)
+}
+
+// visit goes all ways on from a state.
+func (e *explorer) visit(s *small) {
+	then := func(do func(n *small)) {
+		n := s.clone()
+		do(n)
+		n.settle()
+		e.meet(n)
+	}
+	for i, l := range s.under {
+		if slices.IndexFunc(s.under, func(x letter) bool { return x == l }) < i {
+			continue
+		}
+		then(func(n *small) { n.under = slices.Delete(n.under, i, i+1); n.deliver(l) })
+		if s.b.Lost > 0 {
+			then(func(n *small) { n.b.Lost--; n.under = slices.Delete(n.under, i, i+1) })
+		}
+		if s.b.Doubled > 0 {
+			then(func(n *small) { n.b.Doubled--; n.deliver(l) })
+		}
+	}
+	if len(s.entries) > 0 {
+		then(func(n *small) {
+			n.reg.Apply(n.entries[0])
+			n.entries = n.entries[1:]
+			n.c.Applied(n.now)
+		})
+	}
+	if len(s.under) <= e.b.Most {
+		then(func(n *small) {
+			n.now += step
+			n.steps++
+			for i := range n.holders {
+				n.call(i)
+			}
+			n.c.Tick(n.now)
+		})
+	}
+	if s.b.Deaths > 0 {
+		for i := range s.holders {
+			then(func(n *small) { n.b.Deaths--; n.join(i); n.call(i) })
+		}
+		then(func(n *small) {
+			n.b.Deaths--
+			n.entries = nil // not in the log of the next one
+			n.c = Lead(smallTerms, n.reg, n.c.term+1, n.now)
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,221 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// What a change comes to, by the commands of the log alone.
+func TestRegister(t *testing.T) {
+	for name, c := range map[string]struct {
+		log  []Command
+		want []Fate
+		at   int64
+	}{
+		"turned":               {[]Command{{Kind: Propose, ID: 1}, {Kind: Turn, ID: 1}}, []Fate{Committed}, 1},
+		"withdrawn":            {[]Command{{Kind: Propose, ID: 1}, {Kind: Withdraw, ID: 1}, {Kind: Turn, ID: 1}}, []Fate{Withdrawn}, 0},
+		"too late to withdraw": {[]Command{{Kind: Propose, ID: 1}, {Kind: Turn, ID: 1}, {Kind: Withdraw, ID: 1}}, []Fate{Committed}, 1},
+		"two at once":          {[]Command{{Kind: Propose, ID: 1}, {Kind: Propose, ID: 2}, {Kind: Turn, ID: 2}, {Kind: Turn, ID: 1}}, []Fate{Committed, Refused}, 1},
+		"an old base":          {[]Command{{Kind: Propose, ID: 1}, {Kind: Turn, ID: 1}, {Kind: Propose, ID: 2}}, []Fate{Committed, Refused}, 1},
+		"a repeat":             {[]Command{{Kind: Propose, ID: 1}, {Kind: Turn, ID: 1}, {Kind: Propose, ID: 1}, {Kind: Turn, ID: 1}}, []Fate{Committed}, 1},
+		"another's turn":       {[]Command{{Kind: Propose, ID: 1}, {Kind: Turn, ID: 9}}, []Fate{UnderWay}, 0},
+	} {
+		r := NewRegister()
+		for _, x := range c.log {
+			x.Text = []byte("{}")
+			r.Apply(x)
+		}
+		var got []Fate
+		for _, x := range r.Changes {
+			got = append(got, x.Fate)
+		}
+		if d := cmp.Diff(c.want, got); d != "" || r.Version != c.at {
+			t.Errorf("%s: version %d, want %d; %s", name, r.Version, c.at, d)
+		}
+		back, err := Restore(r.Snapshot())
+		if err != nil || cmp.Diff(r, back) != "" {
+			t.Errorf("%s: restored: %v %s", name, err, cmp.Diff(r, back))
+		}
+	}
+}
+
+// What a later program writes is an error, and changes nothing.
+func TestLaterFormat(t *testing.T) {
+	if _, err := Decode([]byte(`{"format":99,"kind":"propose","id":1}`)); err == nil {
+		t.Error("a command of a later format is taken")
+	}
+	if _, err := Restore([]byte(`{"format":99}`)); err == nil {
+		t.Error("a snapshot of a later format is taken")
+	}
+}
+
+// None gains by a change of quotas, however often it changes.
+func TestCarry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.Float64Range(-50, 100).Draw(t, "room")
+		had := room
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			to := Quota{Rate: rapid.Float64Range(0.1, 100).Draw(t, "rate"), Burst: rapid.Float64Range(1, 200).Draw(t, "burst")}
+			room = Carry(room, to, 5)
+			if room > had || room > to.Burst {
+				t.Fatalf("%v units are free after a change, %v were, the burst is %v", room, had, to.Burst)
+			}
+		}
+		if had < 0 && room != had {
+			t.Fatalf("%v units were owed, %v are", had, room)
+		}
+	})
+	if got := Carry(math.Inf(1), Quota{1, 100}, 5); got != 20 {
+		t.Errorf("without a quota before: %v at each of 5 gateways, want an even part of 100", got)
+	}
+}
+
+// fleet is a leader and gateways with perfect links, on one clock.
+type fleet struct {
+	t       *testing.T
+	now     time.Duration
+	reg     *Register
+	c       *Conduct
+	holders map[uint64]*Holder
+	silent  map[uint64]bool
+	checks  map[uint64]string // refusals
+	leases  map[uint64]Lease
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, reg: NewRegister(), holders: map[uint64]*Holder{}, silent: map[uint64]bool{}, checks: map[uint64]string{}, leases: map[uint64]Lease{}}
+	f.c = Lead(DefaultTerms, f.reg, 2, 0)
+	for i := range n {
+		f.holders[uint64(i+1)] = NewHolder(DefaultTerms, string(rune('a'+i)), "", "")
+	}
+	f.run(2 * time.Second)
+	return f
+}
+
+// run lets time pass in steps of 5 ms.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 5 * time.Millisecond {
+		for id := uint64(1); id <= uint64(len(f.holders)); id++ {
+			if r := f.holders[id].Tick(f.now); r != nil && !f.silent[id] {
+				f.c.Renew(f.now, id, *r)
+			}
+		}
+		f.c.Tick(f.now)
+		for again := true; again; {
+			o := f.c.Out()
+			again = o.Read || len(o.Propose) > 0
+			for _, x := range o.Propose {
+				f.reg.Apply(x)
+				f.c.Applied(f.now)
+			}
+			if o.Read {
+				f.c.Confirmed(f.now)
+			}
+			for _, g := range o.Grants {
+				if f.silent[g.To] {
+					continue
+				}
+				w := f.holders[g.To].Grant(f.now, g.Grant)
+				if w.Check {
+					f.holders[g.To].Checked(g.Change, f.checks[g.To])
+				}
+			}
+		}
+		for id, h := range f.holders {
+			f.leases[id], _ = h.Lease()
+			if l := f.leases[id]; l.Until > f.now && l.Version != f.reg.Version && f.c.stage != Holding {
+				f.t.Fatalf("at %v %d has a lease for version %d, %d is in force", f.now, id, l.Version, f.reg.Version)
+			}
+		}
+	}
+}
+
+func (f *fleet) propose(id uint64) {
+	f.reg.Apply(Command{Kind: Propose, ID: id, Base: f.reg.Version, Text: []byte("{}")})
+	f.c.Applied(f.now)
+}
+
+func (f *fleet) served() (n int) {
+	for _, l := range f.leases {
+		if l.Until > f.now && l.Version == f.reg.Version {
+			n++
+		}
+	}
+	return n
+}
+
+// All there: the change is through in a moment, and all serve by it.
+func TestTurn(t *testing.T) {
+	f := newFleet(t, 5)
+	f.propose(7)
+	f.run(100 * time.Millisecond)
+	if f.reg.Version != 1 || f.served() != 5 {
+		t.Errorf("version %d, %d serve by it", f.reg.Version, f.served())
+	}
+}
+
+// One says nothing: the others wait for its lease to run out, and not longer; it
+// decides nothing by the old version then.
+func TestFence(t *testing.T) {
+	f := newFleet(t, 5)
+	f.silent[3] = true
+	f.propose(7)
+	f.run(400 * time.Millisecond)
+	if f.reg.Version != 0 || f.served() != 5 {
+		t.Errorf("while one is silent: version %d, %d serve", f.reg.Version, f.served())
+	}
+	f.run(2 * time.Second)
+	if f.reg.Version != 1 || f.served() != 4 {
+		t.Errorf("once its lease is out: version %d, %d serve by it", f.reg.Version, f.served())
+	}
+	f.silent[3] = false
+	f.run(time.Second)
+	if f.served() != 5 {
+		t.Errorf("back: %d serve", f.served())
+	}
+}
+
+// One refuses: withdrawn, with its word, and all go on by the old one.
+func TestRefusal(t *testing.T) {
+	f := newFleet(t, 5)
+	f.checks[2] = "unknown key"
+	f.propose(7)
+	f.run(200 * time.Millisecond)
+	if c := f.reg.Find(7); c.Fate != Withdrawn || c.Why != "b can't take it: unknown key" || f.served() != 5 {
+		t.Errorf("%+v, %d serve", c, f.served())
+	}
+}
+
+// One agrees and dies: it is waited for no longer than its lease.
+func TestDiesAfterItAgreed(t *testing.T) {
+	f := newFleet(t, 5)
+	f.propose(7)
+	// It has checked the change, and says nothing to the hold.
+	m := f.c.members[4]
+	m.Checked = 7
+	f.silent[4] = true
+	f.run(3 * time.Second)
+	if f.reg.Version != 1 || f.served() != 4 {
+		t.Errorf("version %d, %d serve by it", f.reg.Version, f.served())
+	}
+}
+
+// An answer to what was asked before a hold gives no lease after it.
+func TestLateGrant(t *testing.T) {
+	h := NewHolder(DefaultTerms, "a", "", "")
+	first := h.Tick(0)
+	h.Grant(1, Grant{Seq: first.Seq, Version: 0, Lease: time.Second})
+	second := h.Tick(time.Second)
+	h.Grant(time.Second+1, Grant{Hold: 5})
+	if r := h.Tick(time.Second + 2); r == nil || r.Held != 5 {
+		t.Fatalf("the hold is not answered at once: %+v", r)
+	}
+	h.Grant(time.Second+3, Grant{Seq: second.Seq, Version: 0, Lease: time.Second})
+	if l, _ := h.Lease(); l.Until != 0 {
+		t.Errorf("a lease after the hold: %+v", l)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -33,6 +33,7 @@
 	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow any more is an error of its writer
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	cfg, err := ReadConfig(os.Getenv)
 	if err != nil {
