--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -189,7 +189,7 @@
 		if err := n.gateway.Check(w.Grant.Next); err != nil {
 			refusal = err.Error()
 		}
-		n.holder.Checked(w.Grant.Change, refusal)
+		n.holder.Checked(w.Grant.Change, w.Grant.Next, refusal)
 	}
 }
 
--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -57,9 +57,10 @@
 	beat        = 40 * time.Millisecond // a tick of a leader
 	beatsToLead = 10                    // without a quorum's word: it steps down
 	electAfter  = beatsToLead * beat    // and up to twice that: without a leader's word
-	readEvery   = 4 * time.Millisecond
-	snapEvery   = 500 // entries
-	keepBehind  = 100 // entries that a snapshot stands for, kept all the same
+	readEvery   = 25 * time.Millisecond // between confirmations of a leader, for all calls that came since
+	readBusy    = time.Millisecond      // while a change is under way
+	snapEvery   = 500                   // entries
+	keepBehind  = 100                   // entries that a snapshot stands for, kept all the same
 )
 
 // state is what the log builds, and snapshots hold.
@@ -386,7 +387,10 @@
 // Wait is the time until Tick has something to do.
 func (v *Voter) Wait(now time.Duration) time.Duration {
 	if v.conduct != nil {
-		return 5 * time.Millisecond
+		if v.conduct.Busy() {
+			return 2 * time.Millisecond
+		}
+		return 12 * time.Millisecond
 	}
 	return beat / 2
 }
@@ -512,7 +516,11 @@
 		}
 		again = true
 	}
-	if v.wants && !v.reading && (now-v.readAt >= readEvery || now < v.readAt) {
+	every := readEvery
+	if v.conduct.Busy() {
+		every = readBusy
+	}
+	if v.wants && !v.reading && (now-v.readAt >= every || now < v.readAt) {
 		v.token++
 		v.reading, v.readIndex, v.wants, v.readAt = true, 0, false, now
 		v.rn.ReadIndex(binary.BigEndian.AppendUint64(nil, v.token))
--- a/internal/cluster/world/world.go
+++ b/internal/cluster/world/world.go
@@ -430,7 +430,7 @@
 	now := w.clock(n)
 	what := n.holder.Grant(now, g)
 	if what.Adopt {
-		n.text = string(g.Text)
+		n.text = string(what.Grant.Text)
 	}
 	n.lease = what.Leased
 	if what.Check {
@@ -441,7 +441,7 @@
 				if n.refuses || string(g.Next) == "bad" {
 					refusal = "can't"
 				}
-				n.holder.Checked(g.Change, refusal)
+				n.holder.Checked(g.Change, g.Next, refusal)
 				w.follow(n)
 			})
 		})
--- a/internal/field/cluster.go
+++ b/internal/field/cluster.go
@@ -33,6 +33,7 @@
 	BadEvery int     `json:"bad_every,omitempty"` // each such one is a policy that gateways refuse; 0: none
 	Marks    float64 `json:"marks,omitempty"`     // requests a second that show which policy decides; default 100
 	Serve    bool    `json:"serve,omitempty"`     // gateways go on without a majority
+	RestS    float64 `json:"rest_s,omitempty"`    // no changes and no marks for so long first: what members cost at rest
 }
 
 const clusterPort = 8444
@@ -64,6 +65,8 @@
 	marks  []mark
 	wg     sync.WaitGroup
 	closed int // marks that no policy decided
+	rest   Cluster
+	begun  chan struct{}
 }
 
 func (s *Schedule) folders() int {
@@ -172,7 +175,7 @@
 			return err
 		}
 	}
-	f.marking = &marking{f: f, client: &cluster.Client{Cfg: f.clusterFile(0, false), By: "field"}}
+	f.marking = &marking{f: f, client: &cluster.Client{Cfg: f.clusterFile(0, false), By: "field"}, begun: make(chan struct{})}
 	return nil
 }
 
@@ -247,7 +250,9 @@
 
 // start begins proposals and marks.
 func (m *marking) start() {
+	defer close(m.begun)
 	stop := &m.f.stop
+	m.measureRest()
 	if every := m.f.plan.Cluster.EveryS; every > 0 {
 		m.wg.Add(1)
 		go func() {
@@ -340,15 +345,20 @@
 	HeldMs99     float64   `json:"held_ms_p99"`
 	Seconds      []float64 `json:"-"` // from proposal to outcome, of the committed
 	P50, P99     float64   `json:"-"`
-	Waiting      int       `json:"waiting"` // gateways without a lease in the end
+	Waiting      int       `json:"waiting"`       // gateways without a lease in the end
+	RecoverS     float64   `json:"recover_s_max"` // from the end of a fault under which nothing was decided to the first decision
 	BytesMemberS float64   `json:"bytes_per_member_s"`
+	LeaderCPU    float64   `json:"leader_cpu"`   // share of a core that the leader takes at rest
+	FollowerCPU  float64   `json:"follower_cpu"` // and a gateway without a vote, on average
+	FollowerMB   float64   `json:"follower_mb"`  // resident
 }
 
 // finish waits for the outcome of all changes, and checks the register.
 func (m *marking) finish() *Cluster {
+	<-m.begun
 	m.wg.Wait()
 	f := m.f
-	r := &Cluster{}
+	r := &m.rest
 	// What was not heard of is asked for: one outcome each, the same at whoever leads.
 	for end := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		open := 0
@@ -390,6 +400,72 @@
 	return r
 }
 
+// measureRest takes what members cost while nothing changes.
+func (m *marking) measureRest() {
+	long := seconds(m.f.plan.Cluster.RestS)
+	if long == 0 {
+		return
+	}
+	time.Sleep(long / 4)
+	before, err := m.client.Ask(cluster.Ask{Do: "status"}, 3*time.Second)
+	if err != nil {
+		return
+	}
+	cpu := func() (leader, others float64) {
+		n := 0
+		for _, g := range m.f.gateways {
+			c := g.CPU().Seconds()
+			if g.Name == before.Leader.Name {
+				leader = c
+			} else if g.index >= m.f.plan.folders() {
+				others += c
+				n++
+			}
+		}
+		return leader, others / float64(max(1, n))
+	}
+	at := time.Now()
+	l0, o0 := cpu()
+	time.Sleep(long * 3 / 4)
+	after, err := m.client.Ask(cluster.Ask{Do: "status"}, 3*time.Second)
+	l1, o1 := cpu()
+	took := time.Since(at).Seconds()
+	if err != nil || after.Leader.Name != before.Leader.Name {
+		return
+	}
+	m.rest.LeaderCPU, m.rest.FollowerCPU = (l1-l0)/took, (o1-o0)/took
+	bytes := after.Counts["bytes_in"] + after.Counts["bytes_out"] - before.Counts["bytes_in"] - before.Counts["bytes_out"]
+	m.rest.BytesMemberS = float64(bytes) / took / float64(max(1, len(after.Members)))
+	n := 0
+	for _, g := range m.f.gateways[m.f.plan.folders():] {
+		m.rest.FollowerMB += g.MemoryMB()
+		n++
+	}
+	m.rest.FollowerMB /= float64(max(1, n))
+}
+
+// recover is the longest that it took after the end of a fault, under which no
+// gateway decided anything, until one did.
+func (m *marking) recover() (most float64) {
+	for _, e := range m.f.events {
+		if !strings.HasPrefix(e.What, "start") && !strings.HasPrefix(e.What, "end of") && !strings.HasPrefix(e.What, "continue") {
+			continue
+		}
+		first, quiet := time.Duration(math.MaxInt64), true
+		for _, a := range m.marks {
+			if a.to > e.At {
+				first = min(first, a.to)
+			} else if a.to > e.At-400*time.Millisecond {
+				quiet = false
+			}
+		}
+		if quiet && first < math.MaxInt64 && e.At > m.marks[0].from {
+			most = max(most, (first - e.At).Seconds())
+		}
+	}
+	return most
+}
+
 // check holds what gateways answered against the register's history.
 func (m *marking) check(r *Cluster) {
 	f := m.f
@@ -420,7 +496,9 @@
 	if n := len(r.Seconds); n > 0 {
 		r.P50, r.P99 = r.Seconds[n/2], r.Seconds[min(n-1, n*99/100)]
 	}
-	r.Marks = len(m.marks)
+	if r.Marks = len(m.marks); r.Marks > 0 {
+		r.RecoverS = m.recover()
+	}
 	// By hand: none is decided by an older version that came after an answer by a newer one.
 	byEnd := slices.Clone(m.marks)
 	slices.SortFunc(byEnd, func(a, b mark) int { return cmp.Compare(a.to, b.to) })
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -367,7 +367,7 @@
 	f.schedule(began)
 	f.load.start()
 	if f.marking != nil {
-		f.marking.start()
+		go f.marking.start()
 	}
 	for end := began + seconds(f.plan.Seconds); f.net.Now() < end; time.Sleep(50 * time.Millisecond) {
 		f.say("%.0f of %.0f s, %d tries", (f.net.Now() - began).Seconds(), f.plan.Seconds, f.load.count())
--- a/internal/field/process.go
+++ b/internal/field/process.go
@@ -304,6 +304,22 @@
 	return os.Mkdir(p.Dir, 0o700)
 }
 
+// CPU is the time of processors that this life has taken.
+func (p *Process) CPU() time.Duration {
+	p.mu.Lock()
+	pid := p.id.PID
+	p.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, ok := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	if err != nil || !ok || len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond // Linux counts in hundredths
+}
+
 // MemoryMB is its resident memory.
 func (p *Process) MemoryMB() float64 {
 	p.mu.Lock()
--- a/internal/policy/conduct.go
+++ b/internal/policy/conduct.go
@@ -46,7 +46,8 @@
 	Term    uint64        `json:"term"`
 	Version int64         `json:"version"`
 	Lease   time.Duration `json:"lease,omitempty"` // from when the gateway asked; 0: none
-	Text    []byte        `json:"text,omitempty"`  // of the version, if the gateway has another
+	Made    uint64        `json:"made,omitempty"`  // the change that has become the version: the gateway has its text from the check
+	Text    []byte        `json:"text,omitempty"`  // of the version, if it has neither
 	Change  uint64        `json:"change,omitempty"`
 	Next    []byte        `json:"next,omitempty"` // the change to check
 	Hold    uint64        `json:"hold,omitempty"` // decide nothing, and say so with this round
@@ -93,8 +94,10 @@
 	tried   int
 	after   time.Duration // no new round before
 	members map[uint64]*member
+	order   []uint64 // their ids, sorted: a replay is the same
 	reading []uint64 // whose calls the read under way confirms
 	waiting []uint64 // those that came since
+	hurry   bool     // a turn is over: gateways wait for their leases
 	out     Out
 
 	// What the last turn took, for those that measure.
@@ -131,6 +134,8 @@
 	if m == nil {
 		m = &member{}
 		c.members[id] = m
+		i, _ := slices.BinarySearch(c.order, id)
+		c.order = slices.Insert(c.order, i, id)
 	}
 	if r.Seq <= m.Seq { // late, or twice
 		return
@@ -138,14 +143,14 @@
 	if m.Renew, m.seen, m.asks = r, now, true; !slices.Contains(c.waiting, id) {
 		c.waiting = append(c.waiting, id)
 	}
-	c.step(now)
+	c.read() // what it says of a change counts at the next Tick: hundreds may come together
 }
 
 // Confirmed tells that after the last Out with Read the voters still took this
 // one for the leader, and that all of the log until then is applied.
 func (c *Conduct) Confirmed(now time.Duration) {
 	ready := c.reading
-	c.reading = nil
+	c.reading, c.hurry = nil, false
 	for _, id := range ready {
 		if m := c.members[id]; m != nil && m.asks {
 			c.answer(now, id, m)
@@ -167,7 +172,11 @@
 		g.Change, g.Next = p.ID, p.Text
 	}
 	if m.Version != g.Version {
-		g.Text, _ = c.reg.Text(g.Version)
+		if made := c.reg.Made(g.Version); made != 0 && made == m.Checked && m.Refusal == "" {
+			g.Made = made
+		} else {
+			g.Text, _ = c.reg.Text(g.Version)
+		}
 	}
 	switch {
 	case c.stage == Holding || c.stage == Turning:
@@ -190,11 +199,14 @@
 
 // Tick lets time pass.
 func (c *Conduct) Tick(now time.Duration) {
-	for id, m := range c.members {
-		if m.until < now && now-m.seen > 20*c.terms.Lease {
+	c.order = slices.DeleteFunc(c.order, func(id uint64) bool {
+		m := c.members[id]
+		gone := m.until < now && now-m.seen > 20*c.terms.Lease
+		if gone {
 			delete(c.members, id)
 		}
-	}
+		return gone
+	})
 	c.step(now)
 }
 
@@ -207,7 +219,7 @@
 			c.Held = now - c.at
 		}
 		c.enter(Idle, now)
-		c.change = 0
+		c.change, c.hurry = 0, true
 		for _, m := range c.members {
 			m.fenced = false
 		}
@@ -225,18 +237,16 @@
 
 func (c *Conduct) enter(s Stage, now time.Duration) { c.stage, c.at = s, now }
 
-// each calls do for the members in order of their ids, so that a replay is the same.
+// each calls do for the members in order of their ids.
 func (c *Conduct) each(do func(id uint64, m *member)) {
-	ids := make([]uint64, 0, len(c.members))
-	for id := range c.members {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range c.order {
 		do(id, c.members[id])
 	}
 }
 
+// Busy reports whether a change is under way, so that every moment counts.
+func (c *Conduct) Busy() bool { return c.stage != Idle || c.hurry }
+
 // call asks all members to renew at once.
 func (c *Conduct) call() {
 	c.each(func(id uint64, m *member) {
@@ -256,6 +266,11 @@
 	case Holding:
 		c.hold(now)
 	}
+	c.read()
+}
+
+// read asks for a confirmation, if any call waits for one.
+func (c *Conduct) read() {
 	if len(c.reading) == 0 && !c.out.Read && slices.ContainsFunc(c.waiting, c.due) {
 		c.reading, c.waiting = c.waiting, nil
 		c.out.Read = true
--- a/internal/policy/explore.go
+++ b/internal/policy/explore.go
@@ -99,7 +99,7 @@
 	reg.Changes = slices.Clone(s.reg.Changes)
 	n.reg = &reg
 	c := *s.c
-	c.reg, c.members, c.reading, c.waiting = n.reg, map[uint64]*member{}, slices.Clone(s.c.reading), slices.Clone(s.c.waiting)
+	c.reg, c.members, c.reading, c.waiting, c.order = n.reg, map[uint64]*member{}, slices.Clone(s.c.reading), slices.Clone(s.c.waiting), slices.Clone(s.c.order)
 	for id, m := range s.c.members {
 		x := *m
 		c.members[id] = &x
@@ -151,7 +151,7 @@
 	}
 	h := s.holders[l.member]
 	if w := h.Grant(s.now, *l.grant); w.Check {
-		h.Checked(l.grant.Change, "")
+		h.Checked(l.grant.Change, l.grant.Next, "")
 	}
 	s.call(l.member)
 }
@@ -241,7 +241,7 @@
 			}
 		} else if g := l.grant; g != nil {
 			t[7] = 1
-			t[1], t[2], t[3], t[4], t[5] = rel(g.Seq), int64(g.Change), round(g.Hold), g.Version, flag(g.Text != nil)
+			t[1], t[2], t[3], t[4], t[5] = rel(g.Seq), int64(g.Change), round(g.Hold), g.Version, flag(g.Text != nil)+2*flag(g.Made != 0)
 			if t[6] = -9; g.Lease > 0 && i >= 0 {
 				t[6] = left(s.holders[i].sent[g.Seq%16] + g.Lease)
 			}
--- a/internal/policy/holder.go
+++ b/internal/policy/holder.go
@@ -28,6 +28,7 @@
 	missed  int // calls in a row without an answer
 	checked uint64
 	refusal string
+	next    []byte // what was checked
 	held    uint64
 	heldAt  time.Duration
 	fenced  string
@@ -96,6 +97,10 @@
 	if g.Change != 0 && g.Change != h.checked {
 		w.Check = true
 	}
+	if g.Made != 0 && g.Made == h.checked && g.Text == nil {
+		g.Text = h.next
+		w.Grant.Text = h.next
+	}
 	if g.Hold != 0 && g.Hold != h.held {
 		// What was asked before must not give a lease any more: the leader will count on this word.
 		h.lease, h.held, h.heldAt, h.urgent, h.least = Lease{}, g.Hold, now, true, h.seq+1
@@ -120,10 +125,10 @@
 	return w
 }
 
-// Checked tells what the gateway makes of a change: refusal "" is that it can
-// take it.
-func (h *Holder) Checked(change uint64, refusal string) {
-	h.checked, h.refusal, h.urgent = change, refusal, true
+// Checked tells what the gateway makes of the text of a change: refusal "" is that it
+// can take it.
+func (h *Holder) Checked(change uint64, text []byte, refusal string) {
+	h.checked, h.next, h.refusal, h.urgent = change, text, refusal, true
 }
 
 // Unable tells that it can't take over a version that is in force: it has none
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -121,7 +121,7 @@
 				}
 				w := f.holders[g.To].Grant(f.now, g.Grant)
 				if w.Check {
-					f.holders[g.To].Checked(g.Change, f.checks[g.To])
+					f.holders[g.To].Checked(g.Change, g.Next, f.checks[g.To])
 				}
 			}
 		}
--- a/internal/policy/register.go
+++ b/internal/policy/register.go
@@ -164,6 +164,16 @@
 	return nil, false
 }
 
+// Made is the change that has become a version; 0: it is not kept.
+func (r *Register) Made(version int64) uint64 {
+	for i := len(r.Changes) - 1; i >= 0 && version > 0; i-- {
+		if c := &r.Changes[i]; c.Version == version && c.Fate == Committed {
+			return c.ID
+		}
+	}
+	return 0
+}
+
 // Apply takes the next command of the log. It is the same at all voters: what
 // does not fit the state changes nothing.
 func (r *Register) Apply(c Command) {
