--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -29,7 +29,7 @@
 func main() {
 	root := &cobra.Command{Use: "asterlab", Short: "Stand-ins and measurements for asterwell, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(standins(), measures(), fieldCommand(), seeds(), replay(), shrink())
+	root.AddCommand(standins(), measures(), fieldCommand(), clusterSeeds(), seeds(), replay(), shrink())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "asterlab:", err)
 		os.Exit(1)
@@ -152,7 +152,7 @@
 	srv.Flags().IntVar(&gateways, "gateways", 2, "how many gateways")
 	srv.Flags().Float64Var(&rate, "rate", 300, "tries a second at each gateway")
 	c.AddCommand(srv)
-	c.AddCommand(measureEven(&seed, &gateway, print))
+	c.AddCommand(measureEven(&seed, &gateway, print), measurePolicy(&seed, &gateway, print))
 	var repo string
 	var most int
 	var only []string
@@ -161,7 +161,15 @@
 	mutants.Flags().StringVar(&repo, "repo", ".", "the repository")
 	mutants.Flags().StringSliceVar(&only, "only", nil, "only these mutants")
 	mutants.Flags().IntVar(&most, "count", 2000, "seeds for each, at the most")
-	c.AddCommand(mutants)
+	var ofCluster []string
+	policyMutants := &cobra.Command{Use: "cluster-mutants", Short: "The same for the cluster's virtual world", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return print(lab.MeasureClusterMutants(repo, ofCluster, seed, most))
+		}}
+	policyMutants.Flags().StringVar(&repo, "repo", ".", "the repository")
+	policyMutants.Flags().StringSliceVar(&ofCluster, "only", nil, "only these mutants")
+	policyMutants.Flags().IntVar(&most, "count", 2000, "seeds for each, at the most")
+	c.AddCommand(mutants, policyMutants)
 	return c
 }
 
--- a/internal/cluster/world/world.go
+++ b/internal/cluster/world/world.go
@@ -33,7 +33,7 @@
 
 // Result is what a play showed.
 type Result struct {
-	Broken                                   []string
+	Broken                                   []Broken
 	Changes, Committed, Withdrawn, Refused   int
 	Decided, Turned                          int
 	Kills, Stops, Cuts, Disks, Lost, Elected int
@@ -41,6 +41,15 @@
 	HeldMost                                 time.Duration
 }
 
+// Broken is a promise that did not hold.
+type Broken struct {
+	Rule string // start, leaders, outcome, mixed, refused, liveness
+	At   time.Duration
+	What string
+}
+
+func (b Broken) String() string { return fmt.Sprintf("%s after %v: %s", b.Rule, b.At, b.What) }
+
 // World is one play.
 type World struct {
 	opt    Options
@@ -80,6 +89,7 @@
 	target  int
 	inbox   []func() // came while it stood still
 	refuses bool
+	freeze  time.Duration // it stands still for so long once the leader's next answer is there
 	text    string
 	held    time.Duration
 }
@@ -251,8 +261,8 @@
 
 func (w *World) mix(x uint64) { w.res.Hash = (w.res.Hash ^ x) * 0x100000001b3 }
 
-func (w *World) breaks(format string, args ...any) {
-	w.res.Broken = append(w.res.Broken, fmt.Sprintf("after %v: ", w.now)+fmt.Sprintf(format, args...))
+func (w *World) breaks(rule, format string, args ...any) {
+	w.res.Broken = append(w.res.Broken, Broken{rule, w.now, fmt.Sprintf(format, args...)})
 }
 
 // clock is a node's own, which drifts.
@@ -274,7 +284,7 @@
 		v, err := cluster.NewVoter(n.disk, Terms, w.rng.Uint64, now)
 		switch {
 		case err != nil && !n.disk.damaged:
-			w.breaks("%s does not start: %v", n.name, err)
+			w.breaks("start", "%s does not start: %v", n.name, err)
 		case err == nil:
 			n.voter = v
 		}
@@ -354,7 +364,7 @@
 	}
 	if err := v.Err(); err != nil {
 		if !errors.Is(err, errDisk) {
-			w.breaks("%s: %v", n.name, err)
+			w.breaks("start", "%s: %v", n.name, err)
 		}
 		n.voter = nil // it steps back; the gateway goes on
 		w.note("%s steps back: %v", n.name, err)
@@ -392,7 +402,7 @@
 			w.res.Elected++
 			w.note("%s leads in term %d", n.name, v.Term())
 		} else if was != n.index {
-			w.breaks("%s and %s lead in term %d", n.name, w.nodes[was].name, v.Term())
+			w.breaks("leaders", "%s and %s lead in term %d", n.name, w.nodes[was].name, v.Term())
 		}
 		if c := v.Conduct(); c.Held > 0 {
 			w.res.HeldMost, c.Held = max(w.res.HeldMost, c.Held), 0
@@ -414,11 +424,11 @@
 			w.note("change %x: %s %d %s", c.ID, c.Fate, c.Version, c.Why)
 			w.mix(c.ID ^ uint64(w.now))
 		} else if was.Fate != c.Fate || was.Version != c.Version {
-			w.breaks("change %x is %s as version %d, and at %s %s as %d", c.ID, was.Fate, was.Version, n.name, c.Fate, c.Version)
+			w.breaks("outcome", "change %x is %s as version %d, and at %s %s as %d", c.ID, was.Fate, was.Version, n.name, c.Fate, c.Version)
 		}
 		if c.Fate == policy.Committed && c.Text != nil {
 			if text, ok := w.texts[c.Version]; ok && text != string(c.Text) {
-				w.breaks("version %d has two texts", c.Version)
+				w.breaks("outcome", "version %d has two texts", c.Version)
 			}
 			w.texts[c.Version] = string(c.Text)
 		}
@@ -427,6 +437,13 @@
 
 // granted is a gateway's hearing of the leader.
 func (w *World) granted(n *node, g policy.Grant) {
+	if n.freeze > 0 && g.Lease > 0 { // the answer is there, and nobody reads it
+		w.stop(n, n.freeze)
+		n.freeze = 0
+		life := n.life
+		n.inbox = append(n.inbox, func() { w.alive(n, life, func() { w.granted(n, g) }) })
+		return
+	}
 	now := w.clock(n)
 	what := n.holder.Grant(now, g)
 	if what.Adopt {
@@ -514,14 +531,14 @@
 	v := n.lease.Version
 	w.mix(uint64(v)<<32 ^ uint64(n.index) ^ uint64(w.now))
 	if v < w.newest {
-		w.breaks("%s decides by version %d, %d has been decided by", n.name, v, w.newest)
+		w.breaks("mixed", "%s decides by version %d, %d has been decided by", n.name, v, w.newest)
 	}
 	w.newest = max(w.newest, v)
 	if v > 0 && n.text != w.texts[v] {
-		w.breaks("%s decides by %q in version %d", n.name, n.text, v)
+		w.breaks("mixed", "%s decides by %q in version %d", n.name, n.text, v)
 	}
 	if n.text == "bad" {
-		w.breaks("%s decides by a policy that gateways refused", n.name)
+		w.breaks("refused", "%s decides by a policy that gateways refused", n.name)
 	}
 }
 
@@ -591,12 +608,10 @@
 	case 0, 1:
 		w.kill(n)
 		w.at(w.now+long, func() { w.back(n) })
-	case 2, 3:
-		w.note("%s stands still for %v", n.name, long)
-		w.res.Stops++
-		n.stopped = true
-		life := n.life
-		w.at(w.now+long, func() { w.goOn(n, life) })
+	case 2:
+		w.stop(n, long)
+	case 3:
+		n.freeze = 2*long + time.Millisecond
 	case 4: // one way, from or to all others
 		w.res.Cuts++
 		w.note("%s is cut off one way", n.name)
@@ -644,6 +659,15 @@
 	}
 }
 
+// stop lets a process stand still.
+func (w *World) stop(n *node, long time.Duration) {
+	w.note("%s stands still for %v", n.name, long)
+	w.res.Stops++
+	n.stopped = true
+	life := n.life
+	w.at(w.now+long, func() { w.goOn(n, life) })
+}
+
 func (w *World) link(a, b *node) *link {
 	k := [2]int{a.index, b.index}
 	if w.links[k] == nil {
@@ -738,7 +762,7 @@
 		*l = link{}
 	}
 	for _, n := range w.nodes {
-		if n.refuses = false; n.disk != nil {
+		if n.refuses, n.freeze = false, 0; n.disk != nil {
 			n.disk.crash = nil
 		}
 		if n.stopped {
@@ -787,10 +811,10 @@
 	for _, n := range w.nodes {
 		if n.lease.Until <= w.clock(n) || n.lease.Version != newest {
 			v, state := n.holder.State(w.clock(n))
-			w.breaks("%s does not serve by version %d in the end: version %d, %s", n.name, newest, v, state)
+			w.breaks("liveness", "%s does not serve by version %d in the end: version %d, %s", n.name, newest, v, state)
 		}
 		if n.voter != nil && n.voter.Register().Pending() != nil {
-			w.breaks("%s: a change is under way for good", n.name)
+			w.breaks("liveness", "%s: a change is under way for good", n.name)
 		}
 	}
 	w.mix(math.Float64bits(float64(w.res.Decided)))
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -393,6 +393,14 @@
 	return r, nil
 }
 
+// MemoryMB is the gateways' mean resident memory.
+func (f *Field) MemoryMB() (mb float64) {
+	for _, g := range f.gateways {
+		mb += g.MemoryMB() / float64(len(f.gateways))
+	}
+	return mb
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // checkProcesses looks at what is left: all that should run does, and ends when it is told to.
--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -98,7 +98,18 @@
 // seeds until a rule breaks. only, if there are any, names those that are tried.
 func MeasureSeeds(repo string, only []string, seed uint64, most int) (*Report, error) {
 	r := &Report{Name: "seeds", Seed: seed, Figure: map[string]any{}}
-	files, err := filepath.Glob(filepath.Join(repo, "internal/sim/testdata/mutants/*.txt"))
+	return huntAll(r, repo, "internal/sim", "seeds", only, seed, most)
+}
+
+// MeasureClusterMutants is the same for the cluster's virtual world.
+func MeasureClusterMutants(repo string, only []string, seed uint64, most int) (*Report, error) {
+	r := &Report{Name: "cluster-mutants", Seed: seed, Figure: map[string]any{}}
+	return huntAll(r, repo, "internal/cluster/world", "cluster-seeds", only, seed, most)
+}
+
+// huntAll hunts the mutants of a virtual world, which a command of the laboratory plays.
+func huntAll(r *Report, repo, world, command string, only []string, seed uint64, most int) (*Report, error) {
+	files, err := filepath.Glob(filepath.Join(repo, world, "testdata/mutants/*.txt"))
 	if err != nil || len(files) == 0 {
 		return nil, fmt.Errorf("no mutants below %s: run this in the repository, or name it with --repo", repo)
 	}
@@ -112,7 +123,7 @@
 		if len(only) > 0 && !slices.Contains(only, m.Name) {
 			continue
 		}
-		by, seeds, took, err := m.hunt(repo, seed, most)
+		by, seeds, took, err := m.hunt(repo, command, seed, most)
 		if err != nil {
 			return nil, err
 		}
@@ -130,7 +141,7 @@
 var brokenBy = regexp.MustCompile(`(?m)^seed (\d+) broke "([^"]+)"`)
 
 // hunt runs seeds until one fails, and tells the rule that broke.
-func (m Mutant) hunt(repo string, seed uint64, most int) (by string, seeds int, took time.Duration, err error) {
+func (m Mutant) hunt(repo, command string, seed uint64, most int) (by string, seeds int, took time.Duration, err error) {
 	dir, err := os.MkdirTemp("", "mutant-")
 	if err != nil {
 		return "", 0, 0, err
@@ -147,7 +158,7 @@
 		return "", 0, 0, fmt.Errorf("mutant %s: %w: %s", m.Name, err, out)
 	}
 	began := time.Now()
-	run := exec.Command(binary, "seeds", "--first", "--from", fmt.Sprint(seed), "--count", fmt.Sprint(most))
+	run := exec.Command(binary, command, "--first", "--from", fmt.Sprint(seed), "--count", fmt.Sprint(most))
 	var out bytes.Buffer
 	run.Stdout = &out
 	run.Run() // ends with 1 where a rule broke
--- a/internal/lab/mutants_test.go
+++ b/internal/lab/mutants_test.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// Those of the cluster's world.
+func TestClusterMutantsFit(t *testing.T) {
+	files, err := filepath.Glob("../cluster/world/testdata/mutants/*.txt")
+	if err != nil || len(files) < 6 {
+		t.Fatalf("%d mutants, %v", len(files), err)
+	}
+	for _, f := range files {
+		m, err := ReadMutant(f)
+		if err == nil {
+			_, err = m.overlay("../..", t.TempDir())
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestBadMutants(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "m.txt")
 	for want, text := range map[string]string{
