--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"asterwell/internal/seam"
@@ -26,7 +27,7 @@
 func (c *Client) Ask(q Ask, limit time.Duration) (r Reply, err error) {
 	world := seam.Or(c.World)
 	end := world.Now().Add(limit)
-	peers := append([]Named(nil), c.Cfg.Voters...)
+	peers := c.Cfg.seeds()
 	err = ErrNobody
 	for first := true; first || world.Now().Before(end); first = false {
 		for i := 0; i < len(peers) && i < 20; i++ {
@@ -39,13 +40,18 @@
 				if p := got.Leader; p != nil && i < 10 {
 					peers = append(peers[:i+1:i+1], append([]Named{{p.Name, p.Address}}, peers[i+1:]...)...)
 				}
+				for _, p := range got.Voters { // they may be others than the file knows
+					if !slices.ContainsFunc(peers, func(x Named) bool { return x.Name == p.Name }) {
+						peers = append(peers, Named{p.Name, p.Address})
+					}
+				}
 			case got.Error != "":
 				return got, errors.New(got.Error)
 			default:
 				return got, nil
 			}
 		}
-		peers = append([]Named(nil), c.Cfg.Voters...)
+		peers = c.Cfg.seeds()
 		world.Sleep(50 * time.Millisecond)
 	}
 	return r, err
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -150,6 +152,18 @@
 	return policy.Terms{Lease: span(c.LeaseMs), Drift: c.DriftShare, Renew: span(c.RenewMs), CheckWithin: span(c.CheckWithinMs), HoldWithin: span(c.HoldWithinMs)}
 }
 
+// seeds are the members to ask first: the first voters, and all whose address is
+// known.
+func (c *Config) seeds() []Named {
+	all := slices.Clone(c.Voters)
+	for _, name := range slices.Sorted(maps.Keys(c.Addresses)) {
+		if !slices.ContainsFunc(all, func(v Named) bool { return v.Name == name }) {
+			all = append(all, Named{name, c.Addresses[name]})
+		}
+	}
+	return all
+}
+
 // Reach is where a member is reached from here.
 func (c *Config) Reach(name, address string) string {
 	if a := c.Addresses[name]; a != "" {
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -52,12 +52,18 @@
 	heldAt time.Duration
 
 	// The voter's own.
-	members map[uint64]*pipe
+	members map[uint64]*reached
 	met     map[uint64]*pipe // voters that have said something, by the way it came
 	waits   []*waiter
 	was     error
 }
 
+// reached is the way to a gateway, and which voters it has been told of.
+type reached struct {
+	p    *pipe // nil: it is this process's own
+	told uint64
+}
+
 // Heard is what a voter says to a gateway.
 type Heard struct {
 	policy.Grant
@@ -73,10 +79,10 @@
 		cfg.Name = name
 	}
 	n := &Node{cfg: cfg, world: world, now: now, log: log, gateway: g, id: world.Random() | 1, hbox: actor.NewBox[any](world),
-		vbox: actor.NewBox[any](world), members: map[uint64]*pipe{}, met: map[uint64]*pipe{}}
+		vbox: actor.NewBox[any](world), members: map[uint64]*reached{}, met: map[uint64]*pipe{}}
 	n.holder = policy.NewHolder(cfg.Terms(), cfg.Name, cfg.Zone, digest)
 	n.mesh = newMesh(world, cfg.Cluster, cfg.Connections, n.handle)
-	for _, v := range cfg.Voters {
+	for _, v := range cfg.seeds() {
 		n.peers = append(n.peers, Peer{Name: v.Name, Address: v.Address})
 	}
 	if cfg.Folder != "" {
@@ -165,6 +171,10 @@
 	if len(h.Voters) > 0 {
 		n.peers = h.Voters
 	}
+	if h.Leader == nil && h.Term == 0 {
+		n.target = "" // it knows no leader either
+		return
+	}
 	if h.Leader != nil {
 		was := n.target
 		n.target = h.Leader.Name
@@ -317,11 +327,17 @@
 			n.mesh.Counts.Spoilt.Add(1)
 			return
 		}
-		n.members[f.From] = a.p
+		if m := n.members[f.From]; m == nil {
+			n.members[f.From] = &reached{p: a.p}
+		} else {
+			m.p = a.p
+		}
 		if !n.voter.Renew(now, f.From, r) {
 			h := Heard{Voters: n.voter.Peers()}
 			if p, ok := n.voter.Leader(); ok {
 				h.Leader = &p
+			}
+			if h.Leader != nil || len(h.Voters) > 0 {
 				n.tell(f.From, a.p, &h)
 			}
 		}
@@ -341,6 +357,7 @@
 	if p, ok := v.Leader(); ok && !v.Leads() {
 		r.Leader = &p
 	}
+	r.Voters = v.Peers()
 	if err := v.Err(); err != nil {
 		r.Error = "this member has stepped back: " + err.Error()
 		n.reply(a.p, a.f, r)
@@ -473,15 +490,15 @@
 		}
 	}
 	for _, g := range grants {
-		p, ok := n.members[g.To]
+		m, ok := n.members[g.To]
 		if !ok {
 			continue
 		}
 		h := &Heard{Grant: g.Grant}
-		if g.Seq%32 == 1 {
-			h.Voters = peers
+		if m.told != n.voter.changed {
+			h.Voters, m.told = peers, n.voter.changed
 		}
-		n.tell(g.To, p, h)
+		n.tell(g.To, m.p, h)
 	}
 	if len(n.waits) > 0 {
 		n.settle(n.now())
--- a/internal/cluster/voter.go
+++ b/internal/cluster/voter.go
@@ -81,6 +81,7 @@
 	state   state
 	conf    *raftpb.ConfState
 	applied uint64
+	changed uint64 // index of the last change of voters
 	snapped uint64
 	term    uint64
 	vote    uint64
@@ -152,7 +153,7 @@
 	}
 	if err := v.guard(func() error {
 		v.rn, err = raft.NewRawNode(&raft.Config{ID: v.Self.ID, ElectionTick: beatsToLead, HeartbeatTick: 2, Storage: v.mem, Applied: v.applied,
-			MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 16 << 20, CheckQuorum: true, PreVote: true,
+			MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 16 << 20, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
 			DisableProposalForwarding: true, Logger: quiet{}})
 		return err
 	}); err != nil {
@@ -539,7 +540,7 @@
 	}
 	v.state, v.conf = st, s.GetMetadata().GetConfState()
 	v.applied = s.GetMetadata().GetIndex()
-	v.snapped = v.applied
+	v.snapped, v.changed = v.applied, v.applied
 	return nil
 }
 
@@ -568,6 +569,7 @@
 		}
 		known := slices.Concat(v.conf.Voters, v.conf.VotersOutgoing, v.conf.Learners, v.conf.LearnersNext)
 		maps.DeleteFunc(v.state.Peers, func(id uint64, _ Peer) bool { return !slices.Contains(known, id) })
+		v.changed = e.GetIndex()
 		v.snapped = 0 // a new one takes only a snapshot that knows it
 	}
 	v.applied = e.GetIndex()
--- a/internal/field/cluster.go
+++ b/internal/field/cluster.go
@@ -136,7 +136,7 @@
 // clusterFile is a gateway's, in which others are reached by links.
 func (f *Field) clusterFile(i int, links bool) *cluster.Config {
 	p := f.plan.Cluster
-	c := &cluster.Config{Enabled: true, Cluster: "field", Name: "g-" + strconv.Itoa(i), Zone: f.plan.zone(i), Listen: clusterAddress(i),
+	c := &cluster.Config{Enabled: true, Cluster: "field", Name: "g-" + strconv.Itoa(i), Zone: f.plan.zone(i), Listen: clusterAddress(i), Address: clusterAddress(i),
 		Addresses: map[string]string{}, WithoutMajority: cluster.Refuse}
 	if p.Serve {
 		c.WithoutMajority = cluster.Serve
--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -387,8 +387,13 @@
 	if f.marking != nil {
 		c = f.marking.finish()
 	}
+	var cpu time.Duration
+	for _, g := range f.gateways {
+		cpu += g.CPU()
+	}
 	f.checkProcesses()
 	r := f.report(began)
+	r.CPUMsTry = cpu.Seconds() * 1000 / float64(max(1, r.Tries))
 	r.Cluster = c
 	return r, nil
 }
--- a/internal/field/report.go
+++ b/internal/field/report.go
@@ -25,7 +25,8 @@
 	Even       Even          `json:"even"`
 	ColdOver   float64       `json:"cold_work_over_bound_max"` // work that a cold server got in a second over what it bears
 
-	Cluster *Cluster `json:"cluster,omitempty"`
+	Cluster  *Cluster `json:"cluster,omitempty"`
+	CPUMsTry float64  `json:"cpu_ms_per_try"` // of the gateways' lives that were there at the end, starts included
 
 	weights []float64
 
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -219,3 +219,15 @@
 		t.Errorf("a lease after the hold: %+v", l)
 	}
 }
+
+// Every state of small models: messages late, lost or twice. And as many of a larger
+// one, in which processes die, as fit into a second; measure policy visits more.
+func TestExplore(t *testing.T) {
+	for _, b := range []Bounds{{Members: 2, Changes: 1}, {Members: 2, Changes: 1, Lost: 1}, {Members: 3, Changes: 2, Lost: 1, Doubled: 1, Deaths: 1, Most: 1, States: 10000}} {
+		states, all, broken := Explore(b)
+		t.Logf("%+v: %d states, all of them: %v", b, states, all)
+		if broken != "" || all != (b.States == 0) || states < 3000 {
+			t.Errorf("%+v: %d states, all %v: %s", b, states, all, broken)
+		}
+	}
+}
