Ask the next member where one has no vote any more; draw clusters from seeds

Line at fault: Client.Ask returned any error that was not ErrNotLeader. field draw now draws clusters, their faults one after the other, and list-silent and starve; the log tells of leaders.

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -45,6 +45,8 @@
 						peers = append(peers, Named{p.Name, p.Address})
 					}
 				}
+			case got.Ask:
+				err = fmt.Errorf("%w: %s: %s", ErrNobody, peers[i].Name, got.Error)
 			case got.Error != "":
 				return got, errors.New(got.Error)
 			default:
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -56,6 +56,7 @@
 	met     map[uint64]*pipe // voters that have said something, by the way it came
 	waits   []*waiter
 	was     error
+	saw     string // the leader last told of in the log
 }
 
 // reached is the way to a gateway, and which voters it has been told of.
@@ -148,7 +149,7 @@
 		if n.voter != nil {
 			n.vbox.Put(arrived{p, f})
 		} else if f.Kind == KindAsk {
-			n.reply(p, f, Reply{Error: "this member has no vote" + map[bool]string{true: ": " + n.bad}[n.bad != ""]})
+			n.reply(p, f, Reply{Ask: true, Error: "this member has no vote" + map[bool]string{true: ": " + n.bad}[n.bad != ""]})
 		}
 	case KindGrant:
 		var h Heard
@@ -269,6 +270,7 @@
 type Reply struct {
 	Error   string           `json:"error,omitempty"`
 	Leader  *Peer            `json:"leader,omitempty"` // ask this one
+	Ask     bool             `json:"ask,omitempty"`    // this one has no vote: ask another
 	Version int64            `json:"version"`
 	Change  *policy.Change   `json:"change,omitempty"`
 	Changes []policy.Change  `json:"changes,omitempty"`
@@ -359,7 +361,7 @@
 	}
 	r.Voters = v.Peers()
 	if err := v.Err(); err != nil {
-		r.Error = "this member has stepped back: " + err.Error()
+		r.Ask, r.Error = true, "this member has stepped back: "+err.Error()
 		n.reply(a.p, a.f, r)
 		return
 	}
@@ -473,6 +475,10 @@
 		n.was = err
 		n.log.Error("stepped back", "error", err, "damaged", errors.Is(err, ErrDamaged))
 	}
+	if p, _ := n.voter.Leader(); p.Name != n.saw {
+		n.saw = p.Name
+		n.log.Info("leader", "name", p.Name, "term", n.voter.Term())
+	}
 	messages, grants := n.voter.Out()
 	peers := n.voter.Peers()
 	for _, m := range messages {
--- a/internal/field/cluster.go
+++ b/internal/field/cluster.go
@@ -472,7 +472,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	version := map[int]int64{}
-	byVersion := map[int64]int{}
+	byVersion, unknown := map[int64]int{}, map[int]bool{}
 	for _, c := range m.all {
 		r.Changes++
 		switch c.fate {
@@ -486,6 +486,8 @@
 			if c.to > 0 {
 				r.Seconds = append(r.Seconds, (c.to - c.from).Seconds())
 			}
+		case policy.UnderWay:
+			unknown[c.k] = true
 		case policy.Withdrawn:
 			r.Withdrawn++
 		case policy.Refused:
@@ -515,6 +517,7 @@
 			continue
 		}
 		switch v, ok := version[a.k]; {
+		case !ok && unknown[a.k]: // nobody could be asked what became of it
 		case !ok:
 			r.Stale++
 			f.breaks("policy", "g-%d decided by policy %d, which was never in force", a.gateway, a.k)
@@ -526,7 +529,7 @@
 	// And by a program that is not ours.
 	var ops []porcupine.Operation
 	for _, c := range m.all {
-		if c.fate == policy.Committed {
+		if c.fate == policy.Committed || unknown[c.k] {
 			to := int64(c.to)
 			if c.to == 0 {
 				to = math.MaxInt64
--- a/internal/field/schedule.go
+++ b/internal/field/schedule.go
@@ -344,6 +344,32 @@
 			s.Faults = append(s.Faults, f)
 		}
 	}
+	more := rand.New(rand.NewPCG(seed, 0xc1a5)) // of its own: older seeds mean what they meant
+	for _, f := range []Fault{{Kind: "list-silent", Who: []string{"gateways:0.3"}, ForS: 3}, {Kind: "starve", Who: []string{"gateways:0.1"}, ForS: 3}} {
+		if more.IntN(12) == 0 {
+			f.AtS = 2 + float64(more.IntN(50))/10
+			s.Faults = append(s.Faults, f)
+		}
+	}
+	if more.IntN(3) == 0 {
+		s.Cluster = &ClusterPlan{Voters: 3 + 2*more.IntN(2), Spare: 1, EveryS: 0.4, BadEvery: 5 + more.IntN(5)}
+		spare, at := "g-"+strconv.Itoa(s.Cluster.Voters), 2.0
+		for _, f := range []Fault{
+			{Kind: "kill", Who: []string{"leader"}, ForS: 0.4}, {Kind: "stop", Who: []string{"leader"}, ForS: 2.5},
+			{Kind: "cut", Way: "from", From: []string{"leader"}, To: []string{"voters"}, ForS: 2}, {Kind: "cut", From: []string{"gateways:0.5"}, To: []string{"voters"}, ForS: 2},
+			{Kind: "delay", From: []string{"gateways"}, To: []string{"voters"}, Ms: 40, ForS: 2}, {Kind: "disk-full", Who: []string{"g-1"}},
+			{Kind: "propose"}, {Kind: "propose-killed", Ms: float64(more.IntN(40))}, {Kind: "kill", Who: []string{"g-1"}, Back: "older", ForS: 0.3},
+			{Kind: "replace-voter", Who: []string{"g-0"}, To: []string{spare}},
+		} {
+			// One after the other, and one vote lost for good at the most: cuts of one link that overlap
+			// end together, and without a majority nothing is to be seen.
+			if more.IntN(4) == 0 && at < 11 {
+				f.AtS = at
+				at += 2.6
+				s.Faults = append(s.Faults, f)
+			}
+		}
+	}
 	cores := 0
 	for i := range s.Servers {
 		cores += 2 * s.weight(i)
