--- a/internal/field/cluster.go
+++ b/internal/field/cluster.go
@@ -369,7 +369,9 @@
 					open++
 				}
 			} else if err != nil && strings.Contains(err.Error(), "unknown change") {
-				c.fate = cmp.Or(c.fate, policy.Refused) // it never came in
+				if c.fate == policy.UnderWay { // it never came in
+					c.fate = policy.Refused
+				}
 			} else {
 				open++
 			}
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -196,6 +196,7 @@
 		sum.RecoverS = max(sum.RecoverS, c.RecoverS)
 		if c.Linearizable != "Ok" {
 			sum.Linearizable = c.Linearizable
+			r.Rule(false, "%s: porcupine on the register: %s", name, c.Linearizable)
 		}
 		switch name {
 		case "all there":
