--- a/choice/adopt_test.go
+++ b/choice/adopt_test.go
@@ -115,6 +115,7 @@
 	if sum != 10 {
 		t.Errorf("%d pass in a moment, the burst is 10", sum)
 	}
+	m.Adopt(m.now, 29, adopting(plan("basic", 20, 10), plan("pro", 2, 10))) // the same units stand for less time
 	m.Adopt(m.now, 30, adopting(plan("pro", 2, 10)))
 	if got := m.passed("basic", 5); got != 0 {
 		t.Errorf("%d pass by a plan that has ended", got)
@@ -173,3 +174,42 @@
 		t.Errorf("sent %d, refused %d: the old count has been counted", m.q.sent, m.q.refused)
 	}
 }
+
+// After a change the counter's word does not stand for a ceiling for a while: counts
+// have begun anew, and others may have sent what is not yet in them.
+func TestAdoptDoubtsCounts(t *testing.T) {
+	for _, changed := range []bool{false, true} {
+		pro := plan("pro", 2, 10)
+		pro.CeilingRate, pro.CeilingBurst = 4, 20
+		set := adopting(pro)
+		set.Counter, set.CounterTimeout, set.Doors = true, 50*time.Millisecond, 5
+		m := newMeter(t, set)
+		passed := func(n int) int {
+			before := m.q.sent
+			for range n {
+				m.last++
+				sent, counts := m.q.sent, len(m.q.counts)
+				m.Request(m.now, Request{ID: m.last, Class: "read", Plan: "pro", Customer: "c", NotAfter: m.now + 2*time.Second, Units: 1, Width: 5})
+				for ; counts < len(m.q.counts); counts++ {
+					name := m.q.counts[counts]
+					m.Counted(m.now, Counted{Name: name, Status: OK, Total: m.q.amounts[name], Elapsed: time.Millisecond})
+				}
+				if m.q.sent > sent {
+					m.Outcome(m.now, Outcome{ID: m.last, Backend: 1, Status: OK, Elapsed: time.Millisecond})
+				}
+			}
+			return m.q.sent - before
+		}
+		for range 16 { // a counter that is quiet for long may have lost its counts by itself
+			passed(1)
+			m.now += time.Second
+		}
+		if changed {
+			m.Adopt(m.now, 1, set)
+		}
+		// The quota has room for 10; this gateway's share of the ceiling's burst is 4.
+		if got := passed(30); changed && got > 4 || !changed && got < 8 {
+			t.Errorf("changed %v: %d pass at once", changed, got)
+		}
+	}
+}
