Share the mesh, the servers' dialect, verdicts and the budget of repeats with the system

Need: the new system carries traffic with today's core, module, fleet and connections; four parts spoke of one deployment only. Ruled out: copies of them beside the old; a second HTTP client. Change: internal/mesh is the cluster's connections with the frame left to the user; protocol.Dialect names the headers (time left, proof of not having run, echo, the server meant); routing.Verdict says whether a refused request may have run; the budget of repeats and tries of a class are settings, and gateways may become more or fewer at Adopt.

--- a/choice/adopt.go
+++ b/choice/adopt.go
@@ -55,6 +55,11 @@
 	}
 	b.beat = max(b.beat/8, b.set.Tick)
 	b.density = 0
+	if b.set.Doors, b.set.Index = set.Doors, set.Index; set.RetryMost > 0 {
+		b.set.RetryShare, b.set.RetryMost = set.RetryShare, set.RetryMost
+		b.retries = min(b.retries, set.RetryMost)
+	}
+	b.spread = math.Sqrt(float64(set.Doors)) / 20
 	b.set.Classes, b.set.Plans = set.Classes, set.Plans
 	b.set.CrossZone, b.set.CounterPrice, b.set.ProbePrice = set.CrossZone, set.CounterPrice, set.ProbePrice
 	b.set.WastePrice, b.set.LateFailPrice, b.set.MaxUnits = set.WastePrice, set.LateFailPrice, set.MaxUnits
--- a/choice/api.go
+++ b/choice/api.go
@@ -47,6 +47,7 @@
 	Group         Group
 	KeyTTL        time.Duration
 	Stream        bool
+	Tries         int // servers that one request may be sent to; 0: the settings' MaxTries
 }
 
 // Plan is what a customer has bought. Quotas hold over all gateways together.
@@ -69,7 +70,9 @@
 
 	Tick           time.Duration // shortest time between two batches of events
 	MaxTries       int
-	SecondCopies   bool // two attempts of one request may be out at once
+	RetryShare     float64 // of a repeat that each request adds to the budget; 0: a tenth
+	RetryMost      float64 // repeats in the budget; 0: ten
+	SecondCopies   bool    // two attempts of one request may be out at once
 	Cancels        bool
 	Probes         bool
 	RetryAfter     bool          // clients are told when to come back
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,7 +160,7 @@
 
 const (
 	namePeriod   = NameLife / 3
-	mostRetries  = 10                      // in the budget, which a tenth of each request fills
+	mostRetries  = 10                      // in the budget, where the settings name no other
 	quietCounter = 2 * time.Second         // without an answer: it may have been emptied meanwhile
 	mostLooks    = 2                       // probes for a request
 	leastReach   = 8                       // backends used, where there are so many
@@ -186,7 +186,8 @@
 		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
 	}
 	b.beat = max(b.beat/8, set.Tick)
-	b.limit, b.retries, b.beyond = limit.New(b.beat), mostRetries, 0.3
+	b.set.RetryShare, b.set.RetryMost = cmp.Or(set.RetryShare, 0.1), cmp.Or(set.RetryMost, mostRetries)
+	b.limit, b.retries, b.beyond = limit.New(b.beat), b.set.RetryMost, 0.3
 	b.spread = math.Sqrt(float64(set.Doors)) / 20
 	b.looks = int(min(worthLooks/max(set.ProbePrice, 1e-9), mostLooks))
 	for _, p := range set.Plans {
@@ -317,7 +318,7 @@
 		return
 	}
 	b.act.SetTimer(left, "end "+strconv.FormatUint(uint64(q.ID), 10))
-	b.retries = min(b.retries+0.1, mostRetries)
+	b.retries = min(b.retries+b.set.RetryShare, b.set.RetryMost)
 	b.admit(now, r)
 }
 
@@ -812,7 +813,7 @@
 
 // maySend is rule 2, with the limits on attempts.
 func (b *Balancer) maySend(now time.Duration, r *request, be *backend) bool {
-	if r.done || r.stream || len(r.tries) >= b.set.MaxTries || r.out > 0 && !b.set.SecondCopies {
+	if r.done || r.stream || len(r.tries) >= cmp.Or(r.class.Tries, b.set.MaxTries) || r.out > 0 && !b.set.SecondCopies {
 		return false
 	}
 	first := r.bound()
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
 
 	"github.com/cespare/xxhash/v2"
+
+	"asterwell/internal/mesh"
 )
 
 // Kind of a frame.
@@ -42,10 +43,24 @@
 	mostFrame    = 8 << 20
 )
 
-var (
-	errStrange = errors.New("not a frame of this cluster")
-	errSpoilt  = errors.New("a frame's checksum is wrong")
-)
+// Connections that a frame came by.
+type pipe = mesh.Pipe[*Frame]
+
+var errStrange, errSpoilt = mesh.ErrStrange, mesh.ErrSpoilt
+
+// codec is a cluster's.
+func codec(cluster uint64) mesh.Codec[*Frame] {
+	return mesh.Codec[*Frame]{
+		Encode: func(f *Frame) []byte { return f.encode(cluster) },
+		Read: func(in *bufio.Reader) (*Frame, int, error) {
+			f, err := readFrame(in, cluster)
+			if err != nil {
+				return nil, 0, err
+			}
+			return f, headerSize + 2 + len(f.FromName) + len(f.ToName) + len(f.Body), nil
+		},
+	}
+}
 
 // clusterNumber stands for a cluster's name in frames.
 func clusterNumber(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"asterwell/internal/actor"
+	"asterwell/internal/mesh"
 	"asterwell/internal/policy"
 	"asterwell/internal/seam"
 )
@@ -32,7 +33,7 @@
 	log     *slog.Logger
 	gateway Gateway
 	id      uint64 // of this process
-	mesh    *mesh
+	mesh    *mesh.Mesh[*Frame]
 	holder  *policy.Holder
 	hbox    *actor.Box[any]
 	store   *Store
@@ -82,7 +83,7 @@
 	n := &Node{cfg: cfg, world: world, now: now, log: log, gateway: g, id: world.Random() | 1, hbox: actor.NewBox[any](world),
 		vbox: actor.NewBox[any](world), members: map[uint64]*reached{}, met: map[uint64]*pipe{}}
 	n.holder = policy.NewHolder(cfg.Terms(), cfg.Name, cfg.Zone, digest)
-	n.mesh = newMesh(world, cfg.Cluster, cfg.Connections, n.handle)
+	n.mesh = mesh.New(mesh.Options[*Frame]{World: world, Codec: codec(clusterNumber(cfg.Cluster)), Handle: n.handle, Most: cfg.Connections})
 	for _, v := range cfg.seeds() {
 		n.peers = append(n.peers, Peer{Name: v.Name, Address: v.Address})
 	}
@@ -93,7 +94,7 @@
 			log.Error("no vote", "folder", cfg.Folder, "error", err)
 		}
 	}
-	if err := n.mesh.listen(cfg.Listen); err != nil {
+	if err := n.mesh.Listen(cfg.Listen); err != nil {
 		return nil, fmt.Errorf("cluster: listen: %w", err)
 	}
 	return n, nil
@@ -133,7 +134,7 @@
 // Stop ends it.
 func (n *Node) Stop() {
 	n.halt.Store(true)
-	n.mesh.close()
+	n.mesh.Close()
 	n.hbox.Put(nil)
 	n.vbox.Put(nil)
 }
@@ -248,7 +249,7 @@
 		n.target = ""
 		return
 	}
-	n.mesh.to(n.cfg.Reach(n.target, n.peers[i].Address)).send(f)
+	n.mesh.To(n.cfg.Reach(n.target, n.peers[i].Address)).Send(f)
 }
 
 // The voter's side.
@@ -295,7 +296,7 @@
 	if err != nil {
 		panic(err)
 	}
-	p.send(&Frame{Kind: KindReply, From: n.voterID, To: f.From, FromName: n.cfg.Name, ToName: f.FromName, Body: body})
+	p.Send(&Frame{Kind: KindReply, From: n.voterID, To: f.From, FromName: n.cfg.Name, ToName: f.FromName, Body: body})
 }
 
 func (n *Node) vote() {
@@ -429,7 +430,7 @@
 			}
 		}
 		r.Leader = &v.Self
-		r.Counts = n.mesh.Counts.all()
+		r.Counts = n.mesh.Counts.All()
 	case "replace":
 		old := uint64(0)
 		for _, p := range v.Peers() {
@@ -446,11 +447,6 @@
 	n.reply(a.p, a.f, r)
 }
 
-func (c *Counts) all() map[string]int64 {
-	return map[string]int64{"sent": c.Sent.Load(), "got": c.Got.Load(), "bytes_out": c.BytesOut.Load(), "bytes_in": c.BytesIn.Load(),
-		"dropped": c.Dropped.Load(), "strange": c.Strange.Load(), "spoilt": c.Spoilt.Load(), "old": c.Old.Load()}
-}
-
 // settle answers proposals whose entry has come to hold, or may never.
 func (n *Node) settle(now time.Duration) {
 	n.waits = slices.DeleteFunc(n.waits, func(w *waiter) bool {
@@ -490,9 +486,9 @@
 		f := &Frame{Kind: KindRaft, From: n.voterID, To: m.GetTo(), FromName: n.cfg.Name, Body: body}
 		if i := slices.IndexFunc(peers, func(p Peer) bool { return p.ID == m.GetTo() }); i >= 0 {
 			f.ToName = peers[i].Name
-			n.mesh.to(n.cfg.Reach(peers[i].Name, peers[i].Address)).send(f)
+			n.mesh.To(n.cfg.Reach(peers[i].Name, peers[i].Address)).Send(f)
 		} else if p := n.met[m.GetTo()]; p != nil { // one that is made a voter has no list of them yet
-			p.send(f)
+			p.Send(f)
 		}
 	}
 	for _, g := range grants {
@@ -524,5 +520,5 @@
 	if err != nil {
 		panic(err)
 	}
-	p.send(&Frame{Kind: KindGrant, From: n.voterID, To: member, FromName: n.cfg.Name, Body: body})
+	p.Send(&Frame{Kind: KindGrant, From: n.voterID, To: member, FromName: n.cfg.Name, Body: body})
 }
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,7 +17,28 @@
 type Call struct {
 	head        []byte // the request line and the headers that pass
 	body        []byte
-	Transparent bool // any whole answer but a fault of the server is the client's
+	echo        []byte // what an answer to it repeats, if the dialect says so
+	Transparent bool   // any whole answer but a fault of the server is the client's
+	Final       bool   // that too: no other server may be asked
+}
+
+// Dialect is what a deployment's servers say in headers.
+type Dialect struct {
+	Deadline string   // the time that a request has left
+	Millis   bool     // it is in milliseconds, else in seconds
+	NotRun   string   // in an answer: the request has not run
+	Any      bool     // whatever the answer's status; else with 503 and 504
+	Echo     string   // an answer repeats the request's, and one with another is somebody else's; "": it does not
+	Target   string   // names the one server that may run the request; "": none does
+	Drop     []string // further headers of clients that end here
+}
+
+// Platform is the dialect of the platform in service.
+var Platform = &Dialect{Deadline: headerTimeout, NotRun: headerNotRun}
+
+func (d *Dialect) drops(key []byte) bool {
+	return hop(key) || is(key, d.Deadline) || d.Target != "" && is(key, d.Target) ||
+		slices.ContainsFunc(d.Drop, func(name string) bool { return is(key, name) })
 }
 
 // The names of headers on the platform.
@@ -61,6 +83,11 @@
 
 // NewCall copies a request, since its memory is used again. see is shown each header.
 func NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) *Call {
+	return Platform.NewCall(ctx, see)
+}
+
+// NewCall is the same in another dialect.
+func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) *Call {
 	h := &ctx.Request.Header
 	c := &Call{head: make([]byte, 0, 512)}
 	c.head = append(c.head, h.Method()...)
@@ -69,7 +96,10 @@
 	c.head = append(c.head, " HTTP/1.1\r\n"...)
 	for key, value := range h.All() {
 		see(key, value)
-		if !hop(key) {
+		if d.Echo != "" && is(key, d.Echo) {
+			c.echo = append([]byte(nil), value...)
+		}
+		if !d.drops(key) {
 			c.head = append(append(append(append(c.head, key...), ": "...), value...), '\r', '\n')
 		}
 	}
@@ -86,12 +116,19 @@
 	c.head = append(append(append(append(c.head, key...), ": "...), value...), '\r', '\n')
 }
 
-// wire is the request as one attempt sends it, with the time it has left.
-func (c *Call) wire(left time.Duration) []byte {
-	w := make([]byte, 0, len(c.head)+len(c.body)+len(headerTimeout)+20)
+// wire is the request as one attempt sends it to a server, with the time it has left.
+func (d *Dialect) wire(c *Call, target string, left time.Duration) []byte {
+	w := make([]byte, 0, len(c.head)+len(c.body)+len(d.Deadline)+len(d.Target)+len(target)+24)
 	w = append(w, c.head...)
-	w = append(w, headerTimeout+": "...)
-	w = strconv.AppendFloat(w, max(left, time.Millisecond).Seconds(), 'f', 3, 64)
+	if d.Target != "" {
+		w = append(append(append(append(w, d.Target...), ": "...), target...), '\r', '\n')
+	}
+	w = append(append(w, d.Deadline...), ": "...)
+	if left = max(left, time.Millisecond); d.Millis {
+		w = strconv.AppendInt(w, left.Milliseconds(), 10)
+	} else {
+		w = strconv.AppendFloat(w, left.Seconds(), 'f', 3, 64)
+	}
 	w = append(w, "\r\n\r\n"...)
 	return append(w, c.body...)
 }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -26,6 +26,7 @@
 	opt     transport.PeerOptions
 	reports bool
 	Ends    Ends // set before the core runs
+	Dialect *Dialect
 	servers map[uint32]*server
 }
 
@@ -33,6 +34,7 @@
 // way there, it can still be cancelled.
 type server struct {
 	addr  string
+	name  string
 	peer  *transport.Peer[routing.Attempt]   // takes what is new; nil: off the list
 	peers []*transport.Peer[routing.Attempt] // all that may have something under way
 }
@@ -47,7 +49,7 @@
 
 // NewFleet returns a fleet without servers.
 func NewFleet(opt transport.PeerOptions, reports bool) *Fleet {
-	return &Fleet{opt: opt, reports: reports, servers: map[uint32]*server{}}
+	return &Fleet{opt: opt, reports: reports, Dialect: Platform, servers: map[uint32]*server{}}
 }
 
 // Update takes the list's news.
@@ -67,7 +69,7 @@
 		}
 		s.leave()
 		id := m.ID
-		s.addr = m.Addr
+		s.addr, s.name = m.Addr, m.Name
 		s.peer = transport.NewPeer(m.Addr, f.opt, func(r transport.Result[routing.Attempt]) { f.ended(id, r) })
 		s.peers = append(s.peers, s.peer)
 	}
@@ -94,7 +96,7 @@
 // Send begins an attempt.
 func (f *Fleet) Send(id uint32, a routing.Attempt, call any, left time.Duration) {
 	if s := f.servers[id]; s != nil && s.peer != nil {
-		s.peer.Send(a, call.(*Call).wire(left), call)
+		s.peer.Send(a, f.Dialect.wire(call.(*Call), s.name, left), call)
 		return
 	}
 	f.Ends.Ended(id, a, choice.ConnectFailed, nil, nil)
@@ -127,7 +129,7 @@
 	if r.Key.ID == 0 {
 		status, load := choice.ConnectFailed, (*choice.Load)(nil)
 		if r.End != transport.NotSent {
-			status = outcome(r.End, r.Answer, false)
+			status = f.Dialect.outcome(r.End, r.Answer, &Call{})
 		}
 		if r.End == transport.Spoilt {
 			status = choice.Moot // it tells nothing
@@ -145,7 +147,7 @@
 		return
 	}
 	call := r.Note.(*Call)
-	status := outcome(r.End, r.Answer, call.Transparent)
+	status := f.Dialect.outcome(r.End, r.Answer, call)
 	var load *choice.Load
 	if r.Answer != nil && f.reports {
 		load = report(r.Answer.Header.Peek(headerLoad))
@@ -159,7 +161,7 @@
 
 // outcome is the protocol's table. A 503 or 504 proves that nothing ran only
 // where the server says so: any proxy on the way may word one.
-func outcome(end transport.End, answer *fasthttp.Response, transparent bool) choice.Status {
+func (d *Dialect) outcome(end transport.End, answer *fasthttp.Response, call *Call) choice.Status {
 	switch end {
 	case transport.NotSent:
 		return choice.ConnectFailed
@@ -170,23 +172,32 @@
 	}
 	status := answer.StatusCode()
 	switch {
+	case d.Target != "" && status == fasthttp.StatusMisdirectedRequest: // another server has the address now
+		return choice.ConnectFailed
+	case d.Any && d.says(answer, d.NotRun, "1"):
+		return choice.Full
+	case len(call.echo) > 0 && !d.says(answer, d.Echo, string(call.echo)): // to some other request
+		return choice.Error
 	case status == fasthttp.StatusOK:
 		return choice.OK
 	case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout:
-		if notRun(answer) {
+		if d.says(answer, d.NotRun, "1") {
 			return choice.Full
 		}
-	case transparent && status >= 200 && status < 500:
+	case call.Transparent && status >= 200 && status < 500:
+		return choice.OK
+	}
+	if call.Final {
 		return choice.OK
 	}
 	return choice.Error
 }
 
-// notRun looks for the proof however its name is spelt.
-func notRun(answer *fasthttp.Response) bool {
-	for key, value := range answer.Header.All() {
-		if is(key, headerNotRun) {
-			return string(value) == "1"
+// says looks for a header however its name is spelt.
+func (d *Dialect) says(answer *fasthttp.Response, name, value string) bool {
+	for key, v := range answer.Header.All() {
+		if is(key, name) {
+			return string(v) == value
 		}
 	}
 	return false
--- a/internal/protocol/fleet_test.go
+++ b/internal/protocol/fleet_test.go
@@ -47,7 +47,7 @@
 		"broken":                     {transport.Broken, nil, false, choice.Reset},
 		"spoilt":                     {transport.Spoilt, nil, false, choice.Error},
 	} {
-		if got := outcome(c.end, c.answer, c.transparent); got != c.want {
+		if got := Platform.outcome(c.end, c.answer, &Call{Transparent: c.transparent}); got != c.want {
 			t.Errorf("%s: %d, want %d", name, got, c.want)
 		}
 	}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -331,8 +331,9 @@
 	Kind       Kind
 	Answer     *fasthttp.Response
 	RetryAfter time.Duration
-	Status     int   // of a refusal: 429, or 503 where the servers are at fault
-	Err        error // of one that is Unfit
+	Status     int             // of a refusal: 429, or 503 where the servers are at fault
+	Verdict    routing.Verdict // of a refusal
+	Err        error           // of one that is Unfit
 }
 
 // Answers hands a request's one answer from the core to the client's handler.
@@ -362,9 +363,9 @@
 }
 
 // Refused is told by the core.
-func (a *Answers) Refused(after time.Duration, tried bool) {
-	f := Final{Kind: Refused, RetryAfter: after, Status: fasthttp.StatusTooManyRequests}
-	if tried || after == 0 {
+func (a *Answers) Refused(after time.Duration, verdict routing.Verdict) {
+	f := Final{Kind: Refused, RetryAfter: after, Status: fasthttp.StatusTooManyRequests, Verdict: verdict}
+	if verdict != routing.Untried || after == 0 {
 		f.Status = fasthttp.StatusServiceUnavailable
 	}
 	a.end(f)
--- a/internal/routing/gate.go
+++ b/internal/routing/gate.go
@@ -77,6 +77,6 @@
 	c.stats.Unleased++
 	if r := c.final(id); r != nil {
 		c.stats.Refused++
-		r.Refused(untilLease, true) // no fault of the customer's
+		r.Refused(untilLease, Unrun) // no fault of the customer's
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -37,11 +37,21 @@
 	Served(answer any)
 	// Refused: to try again is harmless. A request that was tried met a fault of
 	// the servers; one that was not is beyond its quota, or there is no room.
-	Refused(retryAfter time.Duration, tried bool)
+	Refused(retryAfter time.Duration, verdict Verdict)
 	Failed(timedOut bool) // no promise
 	Unfit(err error)      // the policy in force does not allow what it says; it was not tried
 }
 
+// Verdict tells whether a request may have run.
+type Verdict int
+
+// The verdicts.
+const (
+	Untried Verdict = iota // it was sent to nobody
+	Unrun                  // it was, and has not run: each that it was sent to has proved that
+	MayHaveRun
+)
+
 // Member is a server of the list and where it listens.
 type Member struct {
 	choice.Member
@@ -154,6 +164,18 @@
 	server uint32
 	sent   time.Duration
 	out    bool
+	status choice.Status // its end
+}
+
+// verdict is what the attempts so far prove.
+func (o *open) verdict() Verdict {
+	v := Untried
+	for _, a := range o.attempts {
+		if v = max(v, Unrun); a.out || a.status != choice.Full && a.status != choice.ConnectFailed && a.status != choice.Moot {
+			return MayHaveRun
+		}
+	}
+	return v
 }
 
 type probe struct {
@@ -317,7 +339,7 @@
 		return
 	}
 	a := &o.attempts[m.Try]
-	a.out = false
+	a.out, a.status = false, m.status
 	o.out--
 	c.stats.Outcomes[m.status]++
 	c.heard(m.server, m.status)
@@ -426,7 +448,7 @@
 		left = min(left, limit)
 	}
 	if o.answered || left <= 0 { // the request is over: it must not go out
-		o.attempts[try].out = false
+		o.attempts[try].out, o.attempts[try].status = false, choice.Moot
 		o.out--
 		c.later = append(c.later, choice.Outcome{ID: id, Try: try, Backend: backend, Status: choice.Moot, Final: o.answered})
 		return
@@ -440,7 +462,7 @@
 	o := x.open[id]
 	if r := (*Core)(x).final(id); r != nil {
 		x.stats.Refused++
-		r.Refused(retryAfter, len(o.attempts) > 0)
+		r.Refused(retryAfter, o.verdict())
 	}
 }
 
@@ -475,7 +497,7 @@
 // stop gives up an attempt that is out.
 func (c *Core) stop(id uint32, o *open, try int, status choice.Status) {
 	a := &o.attempts[try]
-	a.out = false
+	a.out, a.status = false, status
 	o.out--
 	c.stats.Outcomes[status]++
 	c.heard(a.server, status)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -33,8 +33,8 @@
 type reply struct{ w *world }
 
 func (r reply) Served(answer any) { r.w.note("served %v", answer) }
-func (r reply) Refused(after time.Duration, tried bool) {
-	r.w.note("refused, after %v, tried %v", after, tried)
+func (r reply) Refused(after time.Duration, verdict Verdict) {
+	r.w.note("refused, after %v, tried %v", after, verdict != Untried)
 }
 func (r reply) Failed(timedOut bool) { r.w.note("failed, timed out %v", timedOut) }
 func (r reply) Unfit(err error)      { r.w.note("unfit: %v", err) }
