--- /dev/null
+++ b/internal/bond/links/links.go
@@ -0,0 +1,174 @@
+// Package links is a net of processes on simulated time, for tests: messages are
+// encoded as on the wire, take their time, and are lost or held as a test wants.
+package links
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"asterwell/internal/plane"
+)
+
+// Actor is a process.
+type Actor interface {
+	Tick(now plane.Time) []plane.Send
+	Take(now plane.Time, from string, msg any) []plane.Send
+}
+
+const (
+	pace  = 50 * time.Millisecond
+	frame = 24 // bytes around each message
+)
+
+type event struct {
+	at       plane.Time
+	from, to string
+	msg      any // nil: a tick
+	life     int
+	no       int
+}
+
+type host struct {
+	actor  Actor
+	life   int
+	frozen bool
+	held   []event
+}
+
+// Net is all links.
+type Net struct {
+	Now    plane.Time
+	Delay  time.Duration
+	Jitter time.Duration
+	Loss   float64
+	Cut    func(from, to string) bool
+	Fail   func(err error)
+	Bytes  map[string]int // sent, by process
+
+	rand   *rand.Rand
+	hosts  map[string]*host
+	queue  queue
+	no     int
+	kinds  map[string]int
+	length map[string]int
+}
+
+// New is a net without processes.
+func New(seed uint64, fail func(error)) *Net {
+	return &Net{Delay: time.Millisecond, Jitter: time.Millisecond, Fail: fail, Bytes: map[string]int{},
+		Cut:  func(string, string) bool { return false },
+		rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{}, kinds: map[string]int{},
+		length: map[string]int{}}
+}
+
+// Start runs a process, in place of an earlier one at the address.
+func (n *Net) Start(addr string, a Actor) {
+	life := 1
+	if h := n.hosts[addr]; h != nil {
+		life = h.life + 1
+	}
+	n.hosts[addr] = &host{actor: a, life: life}
+	n.add(event{at: n.Now + time.Duration(n.rand.Int64N(int64(pace))), to: addr, life: life})
+}
+
+// Kill ends a process.
+func (n *Net) Kill(addr string) { n.hosts[addr].actor = nil }
+
+// Freeze stops a process; what comes for it waits.
+func (n *Net) Freeze(addr string) { n.hosts[addr].frozen = true }
+
+// Thaw lets it go on.
+func (n *Net) Thaw(addr string) {
+	h := n.hosts[addr]
+	h.frozen = false
+	for _, e := range h.held {
+		e.at = n.Now
+		n.add(e)
+	}
+	h.held = nil
+}
+
+// Post sends what an actor returned.
+func (n *Net) Post(from string, sends []plane.Send) {
+	for _, s := range sends {
+		b, err := cbor.Marshal(s.Msg)
+		if err != nil {
+			n.Fail(err)
+			return
+		}
+		copied := reflect.New(reflect.TypeOf(s.Msg))
+		if err := cbor.Unmarshal(b, copied.Interface()); err != nil {
+			n.Fail(err)
+			return
+		}
+		n.Bytes[from] += len(b) + frame
+		n.kinds[reflect.TypeOf(s.Msg).String()]++
+		n.length[reflect.TypeOf(s.Msg).String()] += len(b) + frame
+		if n.Cut(from, s.To) || n.rand.Float64() < n.Loss {
+			continue
+		}
+		at := n.Now + n.Delay + time.Duration(n.rand.Int64N(int64(n.Jitter)+1))
+		n.add(event{at: at, from: from, to: s.To, msg: copied.Elem().Interface()})
+	}
+}
+
+// Kinds is how many messages and bytes of each type were sent; it starts anew.
+func (n *Net) Kinds() (count, length map[string]int) {
+	count, length = n.kinds, n.length
+	n.kinds, n.length = map[string]int{}, map[string]int{}
+	return count, length
+}
+
+// Run lets time pass.
+func (n *Net) Run(d time.Duration) {
+	end := n.Now + d
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		e := heap.Pop(&n.queue).(event)
+		n.Now = max(n.Now, e.at)
+		n.step(e)
+	}
+	n.Now = end
+}
+
+func (n *Net) step(e event) {
+	h := n.hosts[e.to]
+	switch {
+	case h == nil || h.actor == nil || e.msg == nil && e.life != h.life:
+	case h.frozen:
+		h.held = append(h.held, e)
+	case e.msg == nil:
+		n.Post(e.to, h.actor.Tick(n.Now))
+		n.add(event{at: n.Now + pace, to: e.to, life: h.life})
+	default:
+		n.Post(e.to, h.actor.Take(n.Now, e.from, e.msg))
+	}
+}
+
+func (n *Net) add(e event) {
+	n.no++
+	e.no = n.no
+	heap.Push(&n.queue, e)
+}
+
+// queue is ordered by time, and by when it was added.
+type queue []event
+
+func (q queue) Len() int      { return len(q) }
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(e any)   { *q = append(*q, e.(event)) }
+
+func (q queue) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(q[i].at, q[j].at), cmp.Compare(q[i].no, q[j].no)) < 0
+}
+
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/bond/machine.go
@@ -0,0 +1,224 @@
+package bond
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+const (
+	beatEvery  = 400 * time.Millisecond
+	askAfter   = 800 * time.Millisecond // a silent node is asked, straight and through others
+	askAgain   = 200 * time.Millisecond
+	relays     = 4
+	goneAfter  = 1300 * time.Millisecond // and then held for gone
+	ownGap     = 400 * time.Millisecond  // between our ticks: it was we who stood still
+	helloAlone = 300 * time.Millisecond
+	helloLost  = 500 * time.Millisecond
+	forget     = 30 * time.Second
+	doubtFor   = 500 * time.Millisecond
+	swapEvery  = 100 * time.Millisecond
+	mostKnown  = 256
+	mostTries  = 16
+	mostSwift  = 8 // rumours passed on at once between two ticks; the rest go together
+	others     = 2 // random ones beside the watchers that a rumour goes to
+)
+
+// entry is a node with what is known of it here alone.
+type entry struct {
+	node  Node
+	lost  bool       // held for gone because we ourselves are cut off: not told to anyone
+	heard plane.Time // of a watched one: the last sign, or the start of the wait
+	asked int        // times since then
+	via   string     // who last reached it when we couldn't
+	ended plane.Time // since when it is gone
+}
+
+func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
+
+type doubt struct {
+	node Node
+	till plane.Time
+}
+
+// Machine is one process's part.
+type Machine struct {
+	self  Node
+	rand  *rand.Rand
+	seeds []string
+	known map[string]bool // addresses from disk, and of forgotten nodes
+	nodes map[string]*entry
+	doubt map[string]doubt
+
+	ring    []string // live ones by their hash, self among them
+	stale   bool
+	watched map[string]bool
+
+	born    plane.Time
+	now     plane.Time
+	ticked  plane.Time
+	heard   plane.Time // last message of anyone
+	beat    plane.Time // next ones
+	hello   plane.Time
+	try     plane.Time
+	swapped plane.Time
+	told    map[string]plane.Time // when it was last told that it is held for gone
+	swift   int
+	late    map[string]bool // addresses whose news waits for the tick
+	out     Out
+}
+
+// New starts with nothing but seeds. A start's Life should be higher than those before
+// it; where it isn't, the others' memory of the old one mends that.
+func New(self Node, seeds []string, seed uint64, now plane.Time) *Machine {
+	self.State, self.Seq = Up, max(self.Seq, 1)
+	m := &Machine{
+		self: self, rand: rand.New(rand.NewPCG(seed, 0xb0d)),
+		known: map[string]bool{}, nodes: map[string]*entry{}, doubt: map[string]doubt{},
+		watched: map[string]bool{}, told: map[string]plane.Time{}, late: map[string]bool{},
+		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
+	}
+	m.beat, m.hello, m.try = now, now, now
+	m.nodes[self.Addr] = &entry{node: self}
+	m.Seeds(now, seeds)
+	return m
+}
+
+// Seeds replaces the seeds.
+func (m *Machine) Seeds(now plane.Time, seeds []string) {
+	m.seeds = slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == m.self.Addr || a == "" })
+	m.hello, m.try = now, now
+}
+
+// Know adds addresses remembered from an earlier life.
+func (m *Machine) Know(_ plane.Time, addrs []string) {
+	for _, a := range addrs {
+		m.remember(a)
+	}
+}
+
+func (m *Machine) remember(addr string) {
+	if addr != m.self.Addr && addr != "" && len(m.known) < mostKnown {
+		m.known[addr] = true
+	}
+}
+
+// Leave says that this process will end; it goes on beating until then.
+func (m *Machine) Leave(now plane.Time) Out {
+	m.now = now
+	if m.self.State == Up {
+		m.self.State = Leaving
+		m.renew()
+		m.tell()
+	}
+	return m.take()
+}
+
+// SetHeld notes the configuration's version held here; the next tick spreads it.
+func (m *Machine) SetHeld(v uint32) {
+	if m.self.Held != v {
+		m.self.Held = v
+		m.renew()
+	}
+}
+
+// SetReady notes whether this process calls itself ready.
+func (m *Machine) SetReady(ready bool) {
+	if m.self.Ready != ready {
+		m.self.Ready = ready
+		m.renew()
+	}
+}
+
+// renew gives our own entry its next version, and leaves it to be told.
+func (m *Machine) renew() {
+	m.self.Seq++
+	m.nodes[m.self.Addr].node = m.self
+	m.late[m.self.Addr] = true
+	m.out.Changed = true
+	m.stale = true
+}
+
+// View is every node, the gone ones too until they are forgotten, sorted by address.
+func (m *Machine) View() []Node {
+	v := make([]Node, 0, len(m.nodes))
+	for _, e := range m.nodes {
+		n := e.node
+		if e.lost {
+			n.State = Gone
+		}
+		v = append(v, n)
+	}
+	slices.SortFunc(v, func(a, b Node) int { return strings.Compare(a.Addr, b.Addr) })
+	return v
+}
+
+// Up is the nodes that are up and not leaving, sorted by address.
+func (m *Machine) Up() []Node {
+	return slices.DeleteFunc(m.View(), func(n Node) bool { return n.State != Up })
+}
+
+// take hands over what has gathered.
+func (m *Machine) take() Out {
+	o := m.out
+	m.out = Out{}
+	return o
+}
+
+func (m *Machine) send(to string, msg any) {
+	if to != m.self.Addr {
+		m.out.Send = append(m.out.Send, plane.Send{To: to, Msg: msg})
+	}
+}
+
+// Tick beats, watches, tries those that may be there, and tells what waited.
+func (m *Machine) Tick(now plane.Time) Out {
+	m.now = now
+	if now-m.ticked > ownGap {
+		m.thaw()
+	}
+	m.ticked = now
+	m.swift = 0
+	m.settle()
+	m.watch()
+	m.resolve()
+	m.tell()
+	if now >= m.beat {
+		m.beat = now + beatEvery
+		for _, w := range m.watchers() {
+			m.send(w, m.sign())
+		}
+	}
+	m.seek()
+	m.expire()
+	return m.take()
+}
+
+// thaw: the silence was ours, so every wait begins again.
+func (m *Machine) thaw() {
+	m.heard = m.now
+	for _, e := range m.nodes {
+		e.heard, e.asked = m.now, 0
+	}
+	for a, d := range m.doubt {
+		d.till = m.now + doubtFor
+		m.doubt[a] = d
+	}
+	m.beat, m.hello, m.try = m.now, m.now, m.now
+}
+
+func (m *Machine) sign() Beat { return Beat{m.self.Life, m.self.Seq, m.hash()} }
+
+// hash covers all nodes not gone. What is lost to us alone counts as it was.
+func (m *Machine) hash() uint64 {
+	var h uint64
+	for _, e := range m.nodes {
+		if e.node.State != Gone {
+			h ^= e.node.mark()
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/bond/node.go
@@ -0,0 +1,123 @@
+// Package bond knows which processes of the system there are. Each one sends
+// heartbeats to a few watchers that its place on a ring names; a watcher that
+// misses them spreads the word, and whoever lives takes it back.
+package bond
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"asterwell/internal/plane"
+)
+
+// State of a process.
+type State uint8
+
+// The states. Leaving ones still serve, but take on no duty.
+const (
+	Up State = iota
+	Leaving
+	Gone
+)
+
+func (s State) String() string { return [...]string{"up", "leaving", "gone"}[min(s, Gone)] }
+
+// Node is what a process says of itself. Its mesh address is its identity; Life
+// grows at each start, and Seq with each change in a life.
+type Node struct {
+	Addr    string `cbor:"1,keyasint"`
+	Name    string `cbor:"2,keyasint,omitempty"`
+	Zone    string `cbor:"3,keyasint,omitempty"`
+	Control string `cbor:"4,keyasint,omitempty"`
+	Member  bool   `cbor:"5,keyasint,omitempty"`
+	Life    uint64 `cbor:"6,keyasint"`
+	Seq     uint64 `cbor:"7,keyasint"`
+	State   State  `cbor:"8,keyasint,omitempty"`
+	Ready   bool   `cbor:"9,keyasint,omitempty"`
+	Held    uint32 `cbor:"10,keyasint,omitempty"`
+}
+
+// newer is the order in which words about a node override each other: "gone" beats
+// what it was said of, and the node's next word beats "gone".
+func (n Node) newer(o Node) bool {
+	if n.Life != o.Life {
+		return n.Life > o.Life
+	}
+	if n.Seq != o.Seq {
+		return n.Seq > o.Seq
+	}
+	return n.State == Gone && o.State != Gone
+}
+
+// mark is a hash of the entry's version.
+func (n Node) mark() uint64 {
+	b := make([]byte, 0, 64)
+	b = append(b, n.Addr...)
+	b = binary.BigEndian.AppendUint64(b, n.Life)
+	b = binary.BigEndian.AppendUint64(b, n.Seq)
+	b = append(b, byte(n.State))
+	return xxhash.Sum64(b)
+}
+
+// The messages.
+type (
+	// Beat says that its sender lives, which version of itself it stands at, and what
+	// its table hashes to. It answers a Hello and a Ping too.
+	Beat struct {
+		Life uint64 `cbor:"1,keyasint"`
+		Seq  uint64 `cbor:"2,keyasint"`
+		Hash uint64 `cbor:"3,keyasint"`
+	}
+	// Hello is a beat to a process that may not know the sender.
+	Hello struct {
+		Node Node `cbor:"1,keyasint"`
+	}
+	// Rumour is news, passed on once by everyone to whom it is news.
+	Rumour struct {
+		Nodes []Node `cbor:"1,keyasint"`
+	}
+	// Index lists a table: for each node four bytes of its address's hash and four of
+	// its version's.
+	Index struct {
+		Rows []byte `cbor:"1,keyasint"`
+	}
+	// Diff has the entries that an Index lacks, and asks for those that it has newer.
+	Diff struct {
+		Nodes []Node   `cbor:"1,keyasint,omitempty"`
+		Want  []uint32 `cbor:"2,keyasint,omitempty"`
+	}
+	// Ping asks for a Beat, or, for another watcher, for a Pong that the asked one
+	// hands on: links between two processes may be cut while both live.
+	Ping struct {
+		For string `cbor:"1,keyasint,omitempty"`
+	}
+	// Probe asks another process to ping one that its watcher misses.
+	Probe struct {
+		Addr string `cbor:"1,keyasint"`
+	}
+	// Pong travels from the pinged to the prober and on to the watcher.
+	Pong struct {
+		Addr string `cbor:"1,keyasint"`
+		For  string `cbor:"2,keyasint"`
+		Life uint64 `cbor:"3,keyasint"`
+		Seq  uint64 `cbor:"4,keyasint"`
+	}
+	// Doubt tells a process that somebody holds it for gone at this version.
+	Doubt struct {
+		Life uint64 `cbor:"1,keyasint"`
+		Seq  uint64 `cbor:"2,keyasint"`
+	}
+)
+
+// Messages lists what a Machine takes; the order stays.
+func Messages() []any {
+	return []any{Beat{}, Hello{}, Rumour{}, Index{}, Diff{}, Ping{}, Probe{}, Pong{}, Doubt{}}
+}
+
+// Out is what follows from an input.
+type Out struct {
+	Send    []plane.Send
+	Changed bool     // View is another
+	Silent  []string // addresses newly gone
+}
--- /dev/null
+++ b/internal/bond/ring.go
@@ -0,0 +1,208 @@
+package bond
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// offsets on the ring at which a node's watchers stand.
+var offsets = [...]int{1, 2, 4}
+
+// settle puts the ring in order after changes, and finds whom we watch now.
+func (m *Machine) settle() {
+	if !m.stale {
+		return
+	}
+	m.stale = false
+	type spot struct {
+		hash uint64
+		addr string
+	}
+	var spots []spot
+	for a, e := range m.nodes {
+		if e.live() {
+			spots = append(spots, spot{xxhash.Sum64String(a), a})
+		}
+	}
+	slices.SortFunc(spots, func(a, b spot) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.addr, b.addr))
+	})
+	m.ring = m.ring[:0]
+	for _, s := range spots {
+		m.ring = append(m.ring, s.addr)
+	}
+	before := m.watched
+	m.watched = map[string]bool{}
+	for _, a := range m.around(-1) {
+		m.watched[a] = true
+		if !before[a] {
+			m.nodes[a].heard, m.nodes[a].asked = m.now, 0
+		}
+	}
+}
+
+// around is the nodes at the offsets after (1) or before (-1) us.
+func (m *Machine) around(way int) []string {
+	n := len(m.ring)
+	at := slices.Index(m.ring, m.self.Addr)
+	var found []string
+	for _, o := range offsets {
+		a := m.ring[((at+way*o)%n+n)%n]
+		if a != m.self.Addr && !slices.Contains(found, a) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+func (m *Machine) watchers() []string {
+	m.settle()
+	return m.around(1)
+}
+
+// some picks up to n random live others that are not in but.
+func (m *Machine) some(n int, but []string) []string {
+	m.settle()
+	var found []string
+	for range 3 * n {
+		a := m.ring[m.rand.IntN(len(m.ring))]
+		if len(found) < n && a != m.self.Addr && !slices.Contains(but, a) && !slices.Contains(found, a) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// watch asks those who are silent, and gives up those who stay so. Where nobody at
+// all is heard it is rather we who are cut off: then nothing is told, and while it
+// may be so we wait.
+func (m *Machine) watch() {
+	cut := m.now-m.heard > goneAfter
+	if cut {
+		for _, a := range m.ring {
+			if a != m.self.Addr {
+				m.lose(a)
+			}
+		}
+		return
+	}
+	for _, a := range m.ring {
+		e := m.nodes[a]
+		if !m.watched[a] || e == nil {
+			continue
+		}
+		switch silent := m.now - e.heard; {
+		case silent > goneAfter && m.now-m.heard < askAfter:
+			n := e.node
+			n.State = Gone
+			m.merge(n)
+			m.late[a] = true
+		case silent > askAfter+time.Duration(e.asked)*askAgain:
+			e.asked++
+			m.send(a, Ping{})
+			via := m.some(relays, []string{a, e.via})
+			if r := m.nodes[e.via]; r != nil && r.live() {
+				via = append(via, e.via)
+			}
+			for _, o := range via {
+				m.send(o, Probe{Addr: a})
+			}
+		}
+	}
+	m.settle()
+}
+
+func (m *Machine) lose(addr string) {
+	e := m.nodes[addr]
+	if !e.lost && e.node.State != Gone {
+		e.lost, e.ended = true, m.now
+		m.stale, m.out.Changed = true, true
+		m.out.Silent = append(m.out.Silent, addr)
+	}
+}
+
+// seek tries addresses at which somebody may be: all the time where we are alone, and
+// now and then, by turns with the other nodes, those that are gone or never came.
+func (m *Machine) seek() {
+	m.settle()
+	if len(m.ring) == 1 {
+		if m.now >= m.hello {
+			m.hello = m.now + helloAlone
+			for _, a := range m.absent(m.seeds) {
+				m.greet(a)
+			}
+			rest := m.absent(m.elsewhere())
+			m.rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+			for _, a := range rest[:min(len(rest), mostTries)] {
+				m.greet(a)
+			}
+		}
+		return
+	}
+	if m.now < m.try {
+		return
+	}
+	m.try = m.now + helloLost
+	turn := 3 / float64(len(m.ring))
+	for _, a := range m.absent(m.gone()) {
+		if m.rand.Float64() < turn {
+			m.greet(a)
+		}
+	}
+	if rest := m.absent(append(slices.Clone(m.seeds), m.elsewhere()...)); len(rest) > 0 && m.rand.Float64() < turn {
+		m.greet(rest[m.rand.IntN(len(rest))])
+	}
+}
+
+func (m *Machine) greet(addr string) { m.send(addr, Hello{Node: m.self}) }
+
+func (m *Machine) gone() []string {
+	var found []string
+	for a, e := range m.nodes {
+		if !e.live() {
+			found = append(found, a)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+// elsewhere is the addresses known from before, and of those gone.
+func (m *Machine) elsewhere() []string {
+	found := m.gone()
+	for a := range m.known {
+		found = append(found, a)
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
+
+// absent leaves those that are not live.
+func (m *Machine) absent(addrs []string) []string {
+	var found []string
+	for _, a := range addrs {
+		if e := m.nodes[a]; (e == nil || !e.live()) && !slices.Contains(found, a) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// expire forgets the gone.
+func (m *Machine) expire() {
+	for _, a := range m.gone() {
+		if m.now-m.nodes[a].ended > forget {
+			delete(m.nodes, a)
+			m.remember(a)
+			m.out.Changed = true
+		}
+	}
+	for a, t := range m.told {
+		if m.now-t > forget {
+			delete(m.told, a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lore/home.go
@@ -0,0 +1,130 @@
+package lore
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"asterwell/internal/bond"
+	"asterwell/internal/plane"
+)
+
+// place is what has a home: a service in a zone.
+type place struct{ zone, service string }
+
+// home is the process that a server's place belongs to: the one of its zone (of any,
+// where the zone has none) that the hash ranks first.
+func (m *Machine) home(s Server) string {
+	p := place{s.Zone, s.Service}
+	if h, ok := m.homes[p]; ok {
+		return h
+	}
+	h := m.rank(p, true)
+	if h == "" {
+		h = m.rank(p, false)
+	}
+	if h == "" {
+		h = m.self
+	}
+	m.homes[p] = h
+	return h
+}
+
+func (m *Machine) rank(p place, near bool) string {
+	best, top := "", uint64(0)
+	try := func(n bond.Node) {
+		if n.State != bond.Up || n.Control == "" || near && n.Zone != p.zone {
+			return
+		}
+		h := xxhash.Sum64String(n.Addr + "\x00" + p.zone + "\x00" + p.service)
+		if best == "" || h > top || h == top && n.Addr < best {
+			best, top = n.Addr, h
+		}
+	}
+	try(m.me)
+	for _, a := range m.peers {
+		try(m.nodes[a])
+	}
+	return best
+}
+
+// Nodes takes the membership as it is now.
+func (m *Machine) Nodes(now plane.Time, all []bond.Node) Out {
+	m.enter(now)
+	nodes := map[string]bond.Node{}
+	var came []string // up again, or new, or another life
+	for _, n := range all {
+		switch {
+		case n.Addr == m.self:
+			m.me = n
+		case n.State != bond.Gone:
+			nodes[n.Addr] = n
+			if o, ok := m.nodes[n.Addr]; !ok || o.Life != n.Life {
+				came = append(came, n.Addr)
+			}
+		}
+	}
+	away := m.alone
+	if len(nodes) > 0 {
+		m.alone = -1
+	} else if away < 0 {
+		m.alone = now
+	}
+	m.nodes = nodes
+	m.peers = m.peers[:0]
+	for a := range nodes {
+		m.peers = append(m.peers, a)
+	}
+	slices.Sort(m.peers)
+	m.rehome()
+	m.drop()
+	m.greet(came, away)
+	return m.take()
+}
+
+// rehome finds the homes anew. Where we have become one, the waits begin.
+func (m *Machine) rehome() {
+	before := m.homes
+	m.homes = map[place]string{}
+	for _, it := range m.items {
+		if it.Phase == Ended {
+			continue
+		}
+		if m.home(it.Server) == m.self && before[place{it.Zone, it.Service}] != m.self {
+			it.beat = m.now
+		}
+	}
+}
+
+// greet is for those that came up: young news that they may have missed, and a look
+// whether the tables differ. All look, so each does so seldom.
+func (m *Machine) greet(came []string, away plane.Time) {
+	if len(came) == 0 {
+		return
+	}
+	if away >= 0 && m.filled && m.now-away > longGap {
+		m.age()
+	}
+	slices.Sort(came)
+	for _, a := range came {
+		m.catchUp(a)
+	}
+	if 2*len(came) >= len(m.peers) {
+		m.mend(2) // it was we who were away, or half of all
+		return
+	}
+	for _, a := range came {
+		if m.filled && m.rand.Float64()*float64(len(m.peers)) < 3 {
+			m.send(a, Sum{Hash: m.hash()})
+		}
+	}
+}
+
+// age: after a long absence our table is asked for anew, and what the others no
+// longer know is dropped: it may have ended, and its address be another's.
+func (m *Machine) age() {
+	for _, it := range m.items {
+		it.old = it.Phase != Ended && !(it.heard && m.now-it.beat < m.wait)
+	}
+	m.filled, m.partly, m.began, m.fetch = false, false, m.now, m.now
+}
--- /dev/null
+++ b/internal/lore/machine.go
@@ -0,0 +1,339 @@
+package lore
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"asterwell/internal/bond"
+	"asterwell/internal/plane"
+)
+
+const (
+	ownGap    = 400 * time.Millisecond // between our ticks: it was we who stood still
+	longGap   = 20 * time.Second       // after it our table is old, and the others' counts
+	spreadFor = 600 * time.Millisecond // then a leaving server is told yes, whoever is silent
+	againIn   = 150 * time.Millisecond
+	recently  = 5 * time.Second // news this young is pushed to those that come up
+	repairIn  = time.Second
+	lookIn    = 250 * time.Millisecond
+	buried    = 90 * time.Second // tombstones
+	giveUp    = 10 * time.Minute // a silent server is ended
+	mostSwift = 4                // news sent at once between two ticks; the rest go together
+)
+
+// item is a server with what is known of it here alone.
+type item struct {
+	Server
+	last  uint64     // highest sequence number heard from it
+	beat  plane.Time // when; for a home also when its wait began
+	heard bool       // a beat came here at all
+	ended plane.Time // since when it is ended or silent
+	old   bool       // from before a long absence, and not seen by others since
+}
+
+// Machine is one process's part.
+type Machine struct {
+	self, zone string
+	wait       time.Duration // a server silent for so long is Silent
+	rand       *rand.Rand
+
+	items map[string]*item
+	nodes map[string]bond.Node // not gone, without self
+	peers []string             // their addresses, sorted
+	me    bond.Node
+	homes map[place]string
+
+	spreads map[string]*spread
+	posts   map[uint64]*post
+	no      uint64
+	queue   map[string]bool // news that waits for the tick
+	swift   int
+
+	now, ticked, began plane.Time
+	repair, look       plane.Time
+	fetch              plane.Time // next one, while not filled
+	fetchNo            uint64
+	alone              plane.Time // since when there is nobody else
+	filled, partly     bool
+	out                Out
+}
+
+// New knows nothing. The heartbeat is the pace of the servers' beats.
+func New(self, zone string, heartbeat time.Duration, seed uint64, now plane.Time) *Machine {
+	return &Machine{
+		self: self, zone: zone, wait: heartbeat * 7 / 2, rand: rand.New(rand.NewPCG(seed, 0x1076)),
+		items: map[string]*item{}, nodes: map[string]bond.Node{}, homes: map[place]string{},
+		spreads: map[string]*spread{}, posts: map[uint64]*post{}, queue: map[string]bool{},
+		me:  bond.Node{Addr: self, Zone: zone},
+		now: now, ticked: now, began: now, fetch: now, alone: now, no: seed << 20,
+	}
+}
+
+// Beat takes a server's call.
+func (m *Machine) Beat(now plane.Time, call uint64, b Beat) Out {
+	m.enter(now)
+	s := b.server(now)
+	it := m.items[b.ID]
+	if it != nil && it.Phase == Ended || it != nil && b.Seq <= it.stand() && !m.repeats(it, s) {
+		m.answer(call, b.ID) // late, or of one that is gone: it changes nothing
+		return m.take()
+	}
+	if m.hear(s) {
+		m.tell(b.ID)
+	} else if home := m.home(s); home != m.self {
+		m.send(home, Pass{Row: s.row(now)})
+	}
+	if s.Phase == Quiescing {
+		m.assure(call, b.ID)
+	} else {
+		m.answer(call, b.ID)
+	}
+	return m.take()
+}
+
+// repeats: a quiescing call made again waits for the same news.
+func (m *Machine) repeats(it *item, s Server) bool {
+	return it.Phase == Quiescing && s.Phase == Quiescing
+}
+
+// stand is the highest sequence number known.
+func (it *item) stand() uint64 { return max(it.last, it.Seq) }
+
+// hear takes a beat, and says whether it is news.
+func (m *Machine) hear(s Server) bool {
+	m.oust(s)
+	it := m.items[s.ID]
+	news := it == nil || !it.same(s) && s.newer(it.Server)
+	if news {
+		m.put(s)
+		it = m.items[s.ID]
+	}
+	if s.Seq >= it.last {
+		it.last, it.beat, it.heard, it.old = s.Seq, m.now, true, false
+	}
+	return news
+}
+
+// oust ends servers whose address this one has now: no two live at one address, and
+// it is this one that was heard.
+func (m *Machine) oust(s Server) {
+	if s.Addr == "" {
+		return
+	}
+	it := m.items[s.ID]
+	var out []string
+	for id, o := range m.items {
+		if o.Addr != s.Addr || id == s.ID || o.Phase == Ended {
+			continue
+		}
+		if it == nil || !o.heard || m.now-o.beat >= m.wait {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	for _, id := range out {
+		end := m.items[id].Server
+		end.Phase = Ended
+		m.put(end)
+		m.tell(id)
+	}
+}
+
+// Delete takes a server's last call.
+func (m *Machine) Delete(now plane.Time, call uint64, id string) Out {
+	m.enter(now)
+	it := m.items[id]
+	if it == nil || it.Phase != Ended {
+		s := Server{ID: id, Phase: Ended}
+		if it != nil {
+			s = it.Server
+			s.Phase = Ended
+		}
+		m.put(s)
+		m.tell(id)
+	}
+	m.assure(call, id)
+	return m.take()
+}
+
+// put stores the newer word, and hands it to the data plane.
+func (m *Machine) put(s Server) {
+	it := m.items[s.ID]
+	if it == nil {
+		it = &item{beat: m.now}
+		m.items[s.ID] = it
+	}
+	if s.Phase == Ended && s.Service == "" {
+		id, seq := s.ID, s.Seq
+		s = it.Server
+		s.ID, s.Phase, s.Seq = id, Ended, max(seq, s.Seq)
+	}
+	if it.Phase != s.Phase {
+		it.ended = m.now
+	}
+	if it.Phase == Silent && s.Phase == Serving {
+		it.beat = m.now
+	}
+	it.Server, it.old = s, false
+	m.out.Changes = append(m.out.Changes, s)
+}
+
+// merge takes a row from another process, and says whether it was news.
+func (m *Machine) merge(r Row) bool {
+	s := r.server(m.now)
+	it := m.items[r.ID]
+	if it == nil {
+		m.put(s)
+		return true
+	}
+	it.old = false
+	if !s.newer(it.Server) {
+		return false
+	}
+	if s.Phase == Silent && it.heard && it.last > s.Seq && m.now-it.beat < m.wait && it.Phase < Quiescing {
+		it.Seq = it.last // it was the teller who didn't hear it
+		m.out.Changes = append(m.out.Changes, it.Server)
+		m.tell(r.ID)
+		return false
+	}
+	m.put(s)
+	return true
+}
+
+// answer says yes, and where the server shall call from now on.
+func (m *Machine) answer(call uint64, id string) {
+	a := Answer{Call: call, OK: true}
+	if it := m.items[id]; it != nil && it.Phase != Ended {
+		if home := m.home(it.Server); home == m.self {
+			a.Target = m.me.Control
+		} else {
+			a.Target = m.nodes[home].Control
+		}
+	}
+	m.out.Answers = append(m.out.Answers, a)
+}
+
+// Tick watches servers, sends what waits, and repairs.
+func (m *Machine) Tick(now plane.Time) Out {
+	m.enter(now)
+	m.ticked, m.swift = now, 0
+	if now >= m.look {
+		m.look = now + lookIn
+		m.watch()
+	}
+	m.flush()
+	m.push()
+	m.fill()
+	if now >= m.repair {
+		m.repair = now + repairIn
+		m.mend(1)
+		m.bury()
+	}
+	return m.take()
+}
+
+// enter begins an input, and notices our own freeze.
+func (m *Machine) enter(now plane.Time) {
+	m.now = now
+	gap := now - m.ticked
+	if gap <= ownGap {
+		return
+	}
+	m.ticked = now
+	if gap > longGap {
+		m.age()
+	}
+	for _, it := range m.items {
+		it.beat = now
+	}
+	m.mend(2)
+}
+
+// watch marks the servers at home here that have been silent too long.
+func (m *Machine) watch() {
+	var due []string
+	for id, it := range m.items {
+		if it.Phase != Ended && m.now-it.beat > m.wait && m.home(it.Server) == m.self {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		it := m.items[id]
+		s := it.Server
+		switch {
+		case it.Phase == Serving:
+			s.Phase = Silent
+		case it.Phase == Quiescing && m.now-it.beat > 4*m.wait, it.Phase == Silent && m.now-it.ended > giveUp:
+			s.Phase = Ended
+		default:
+			continue
+		}
+		s.Seq = max(s.Seq, it.last)
+		m.put(s)
+		m.tell(id)
+	}
+}
+
+// bury forgets the long ended.
+func (m *Machine) bury() {
+	for id, it := range m.items {
+		if it.Phase == Ended && m.now-it.ended > buried {
+			delete(m.items, id)
+			delete(m.spreads, id)
+		}
+	}
+}
+
+// Servers is all that are known, the ended ones too for a while, sorted by ID.
+func (m *Machine) Servers() []Server {
+	v := make([]Server, 0, len(m.items))
+	for _, id := range m.ids() {
+		v = append(v, m.items[id].Server)
+	}
+	return v
+}
+
+// Status is for people.
+type Status struct {
+	Serving, Silent, Quiescing, Ended int
+
+	Unconfirmed int // news messages that some process hasn't confirmed
+	Filled      bool
+	Hash        uint64
+}
+
+// Status counts.
+func (m *Machine) Status() Status {
+	st := Status{Unconfirmed: len(m.posts), Filled: m.filled, Hash: m.hash()}
+	for _, it := range m.items {
+		*[]*int{&st.Serving, &st.Silent, &st.Quiescing, &st.Ended}[it.Phase]++
+	}
+	return st
+}
+
+func (m *Machine) ids() []string {
+	ids := make([]string, 0, len(m.items))
+	for id := range m.items {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (m *Machine) send(to string, msg any) {
+	if to != m.self && to != "" {
+		m.out.Send = append(m.out.Send, plane.Send{To: to, Msg: msg})
+	}
+}
+
+func (m *Machine) take() Out {
+	if m.swift < mostSwift && len(m.queue) > 0 {
+		m.swift++
+		m.flush()
+	}
+	o := m.out
+	m.out = Out{}
+	return o
+}
--- /dev/null
+++ b/internal/lore/mend.go
@@ -0,0 +1,248 @@
+package lore
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"asterwell/internal/plane"
+)
+
+// Filled says whether the table can be relied on: one that is filled has given us
+// its own, or there is nobody, or nobody has had one since all started.
+func (m *Machine) Filled() bool { return m.filled }
+
+const (
+	fetchIn  = 150 * time.Millisecond
+	startFor = time.Second
+	hopeFor  = 3 * time.Second
+)
+
+// fill asks for a table until there is one.
+func (m *Machine) fill() {
+	if m.filled {
+		return
+	}
+	since := m.now - m.began
+	switch {
+	case len(m.peers) == 0:
+		m.filled = since >= startFor && m.alone >= 0 && m.now-m.alone >= startFor
+	case m.partly && since >= 3*startFor/2, since >= hopeFor:
+		m.filled = true
+	}
+	if m.filled || len(m.peers) == 0 || m.now < m.fetch {
+		return
+	}
+	m.fetch = m.now + fetchIn
+	m.no++
+	m.fetchNo = m.no
+	for _, a := range m.some(2) {
+		m.send(a, Fetch{No: m.no})
+	}
+}
+
+func (m *Machine) some(n int) []string {
+	p := slices.Clone(m.peers)
+	m.rand.Shuffle(len(p), func(i, j int) { p[i], p[j] = p[j], p[i] })
+	return p[:min(n, len(p))]
+}
+
+// mend looks with n others whether the tables differ.
+func (m *Machine) mend(n int) {
+	if !m.filled {
+		return // the whole table is under way
+	}
+	for _, a := range m.some(n) {
+		m.send(a, Sum{Hash: m.hash()})
+	}
+}
+
+// Take hears a message.
+func (m *Machine) Take(now plane.Time, from string, msg any) Out {
+	m.enter(now)
+	switch x := msg.(type) {
+	case News:
+		for _, r := range x.Rows {
+			m.merge(r)
+		}
+		if x.No != 0 {
+			m.send(from, Ack{No: x.No})
+		}
+	case Ack:
+		m.confirm(from, x.No)
+	case Pass:
+		s := x.Row.server(now)
+		if it := m.items[s.ID]; it == nil || it.Phase != Ended && s.Seq > it.stand() {
+			if m.hear(s) {
+				m.tell(s.ID)
+			}
+		}
+	case Sum:
+		if x.Hash != m.hash() && m.filled {
+			m.send(from, Parts{Rows: m.parts()})
+		}
+	case Parts:
+		if x := m.differing(x.Rows); len(x.Services) > 0 {
+			m.send(from, x)
+		}
+	case Index:
+		m.compare(from, x)
+	case Diff:
+		m.patch(from, x)
+	case Fetch:
+		w := Whole{No: x.No, Filled: m.filled}
+		for _, id := range m.ids() {
+			if it := m.items[id]; !it.old {
+				w.Rows = append(w.Rows, m.brief(it.Server))
+			}
+		}
+		m.send(from, w)
+	case Whole:
+		m.whole(x)
+	}
+	return m.take()
+}
+
+func (m *Machine) whole(w Whole) {
+	for _, r := range w.Rows {
+		m.merge(r)
+	}
+	if m.filled {
+		return
+	}
+	m.partly = true
+	if !w.Filled {
+		return
+	}
+	m.filled = true
+	for _, id := range m.ids() {
+		if it := m.items[id]; it.old {
+			s := it.Server
+			s.Phase = Ended
+			m.out.Changes = append(m.out.Changes, s)
+			delete(m.items, id)
+		}
+	}
+}
+
+// hash covers what isn't ended: tombstones go at each process's own time.
+func (m *Machine) hash() uint64 {
+	var h uint64
+	for _, it := range m.items {
+		if it.Phase != Ended {
+			h ^= it.mark()
+		}
+	}
+	return h
+}
+
+func short(s string) uint32 { return uint32(xxhash.Sum64String(s)) }
+
+func (m *Machine) services() map[uint32]uint64 {
+	sums := map[uint32]uint64{}
+	for _, it := range m.items {
+		if it.Phase != Ended {
+			sums[short(it.Service)] ^= it.mark()
+		}
+	}
+	return sums
+}
+
+func (m *Machine) parts() []byte {
+	sums := m.services()
+	var b []byte
+	for _, k := range keys(sums) {
+		b = binary.BigEndian.AppendUint32(b, k)
+		b = binary.BigEndian.AppendUint64(b, sums[k])
+	}
+	return b
+}
+
+func keys[V any](in map[uint32]V) []uint32 {
+	out := make([]uint32, 0, len(in))
+	for k := range in {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// differing is our index of the services whose hashes are not theirs.
+func (m *Machine) differing(rows []byte) Index {
+	theirs := map[uint32]uint64{}
+	for ; len(rows) >= 12; rows = rows[12:] {
+		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint64(rows[4:])
+	}
+	ours := m.services()
+	for k, h := range theirs {
+		if ours[k] == h {
+			delete(ours, k)
+		} else {
+			ours[k] = 0
+		}
+	}
+	x := Index{Services: keys(ours)}
+	for _, id := range m.ids() {
+		it := m.items[id]
+		if _, ok := slices.BinarySearch(x.Services, short(it.Service)); ok {
+			x.Rows = binary.BigEndian.AppendUint32(x.Rows, short(id))
+			x.Rows = binary.BigEndian.AppendUint32(x.Rows, uint32(it.mark()))
+		}
+	}
+	return x
+}
+
+// compare gives what an index lacks or has otherwise, and asks for the same.
+func (m *Machine) compare(from string, x Index) {
+	theirs := map[uint32]uint32{}
+	for rows := x.Rows; len(rows) >= 8; rows = rows[8:] {
+		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint32(rows[4:])
+	}
+	slices.Sort(x.Services)
+	var d Diff
+	for _, id := range m.ids() {
+		it, key := m.items[id], short(id)
+		v, has := theirs[key]
+		delete(theirs, key)
+		if has && v == uint32(it.mark()) {
+			continue
+		}
+		if has {
+			d.Want = append(d.Want, key)
+		}
+		_, asked := slices.BinarySearch(x.Services, short(it.Service))
+		if (has || asked && it.Phase != Ended) && !it.old {
+			d.Rows = append(d.Rows, m.brief(it.Server))
+		}
+	}
+	d.Want = append(d.Want, keys(theirs)...)
+	slices.Sort(d.Want)
+	if len(d.Rows)+len(d.Want) > 0 {
+		m.send(from, d)
+	}
+}
+
+// patch takes the rows of an exchange and gives those asked for. Of an ended server
+// that was forgotten here nothing is taken up.
+func (m *Machine) patch(from string, d Diff) {
+	var back Diff
+	for _, r := range d.Rows {
+		it := m.items[r.ID]
+		switch {
+		case it != nil && !it.old && it.newer(r.server(m.now)):
+			back.Rows = append(back.Rows, m.brief(it.Server))
+		case it != nil || r.Phase != Ended:
+			m.merge(r)
+		}
+	}
+	for _, id := range m.ids() {
+		if _, ok := slices.BinarySearch(d.Want, short(id)); ok && !m.items[id].old {
+			back.Rows = append(back.Rows, m.brief(m.items[id].Server))
+		}
+	}
+	if len(back.Rows) > 0 {
+		m.send(from, back)
+	}
+}
--- /dev/null
+++ b/internal/pact/doc.go
@@ -0,0 +1,34 @@
+// Package pact keeps one document, the operator's configuration, on the core machines'
+// disks, and brings it to all processes.
+//
+// Of the members, a primary and as many backups as machines may be lost (the writers of an
+// epoch) hold the document. All members hold the epoch's record: its ballot, set and writers.
+// Why nothing that was answered is lost:
+//
+//  1. A document is committed once all writers of an active epoch have synced it. A writer takes
+//     it only under the highest ballot it promised, and the epoch it was last given the state in.
+//  2. A candidate needs promises of a majority of the newest set it meets. An epoch is active
+//     when a majority has recorded it, so whoever could follow meets the newest active record,
+//     or has shut it out for good: the members that promised will not record it any more.
+//  3. It also needs the state of one writer of that record. That writer has promised, so the
+//     old epoch's commits, which need all writers, have ended; those made are in its state. A
+//     state stamped by a later candidate that failed was made in the same way, and holds them too.
+//  4. It gives the state to its own writers before anybody records the epoch, thus whoever meets
+//     the record finds the state there; and it answers only after the record is active.
+//  5. A read asks all writers whether the epoch stands after the call came in: a successor would
+//     have had a promise from one of them.
+//  6. A memory is a seat: (address, life), where the life is drawn when a disk is empty and synced
+//     before it is told. Who lost its disk holds no seat, and nobody asks it. It is given one
+//     by a fresh epoch that needs majorities of both the sets, the one before without it. One
+//     that finds a change of set half done completes it and changes nothing else.
+//  7. A ballot is synced by its candidate before it is sent, and names its life: none is used twice.
+//  8. A founding counts when all but the losses hold it on disk, so too few are left to found
+//     again, and none takes a second founding, except one in force when its own never was.
+//
+// A member that hears a primary promises nobody else, and candidates probe before they ask for
+// promises; so who is cut off one way disturbs nobody. A primary that is not answered resigns.
+//
+// Files: record.go epochs and majorities; pact.go the machine's shell; member.go what a member
+// accepts; candidate.go the way to an epoch; primary.go serving and changing the set; found.go
+// the first epoch and newcomers; client.go operators' calls; spread.go the way to all processes.
+package pact
--- /dev/null
+++ b/internal/pact/found.go
@@ -0,0 +1,121 @@
+package pact
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// founder is the process that the first seed names. It gives out the first record
+// once; a process that knows of any founding gives out none.
+type founder struct {
+	mine  bool
+	hello map[string]joiner
+	grown plane.Time // when the last newcomer came
+	asked plane.Time
+	rec   Record
+}
+
+func newFounder(c Config, now plane.Time) founder {
+	return founder{mine: len(c.Seeds) > 0 && c.Seeds[0] == c.Self, hello: map[string]joiner{}, grown: now, asked: now}
+}
+
+// greet makes a member without a seat in force known.
+func (m *Machine) greet() {
+	if !m.c.Member || m.seated() && m.d.Record.Active {
+		return
+	}
+	every := helloEvery
+	if !m.view.none() {
+		every *= 2
+	}
+	if m.now-m.hello < every {
+		return
+	}
+	m.hello = m.now
+	h := Hello{Seat: Seat{Addr: m.c.Self, Life: m.d.Life, Name: m.c.Name, Zone: m.c.Zone},
+		Grow: m.d.Genesis}
+	if !m.d.Record.Active {
+		h.Record = m.d.Record
+	}
+	who := m.near()
+	if p := m.view.primary(); p != "" && m.now-m.primed < vacant {
+		who = []string{p}
+	}
+	if slices.Contains(m.seeds, m.c.Self) {
+		m.durable(m.c.Self, h)
+	}
+	for _, to := range who {
+		m.durable(to, h)
+	}
+}
+
+func (m *Machine) onHello(from string, t Hello) {
+	if t.Seat.Addr != from {
+		return
+	}
+	if l := m.lead; l != nil {
+		if !l.rec.has(from, t.Seat.Life) {
+			l.joiners[from] = joiner{seat: t.Seat, grow: t.Grow && m.never(t.Seat), at: m.now}
+		}
+		m.tell(from)
+		return
+	}
+	if !m.view.none() {
+		m.tell(from)
+		return
+	}
+	if !m.founder.mine {
+		return
+	}
+	f := &m.founder
+	if !t.Record.none() && f.rec.none() {
+		f.rec = t.Record
+	}
+	if !f.rec.none() {
+		if t.Record.none() && f.rec.has(from, t.Seat.Life) {
+			m.send(from, Found{Record: f.rec})
+		}
+		return
+	}
+	if old, ok := f.hello[from]; t.Grow && (!ok || old.seat.Life != t.Seat.Life) {
+		f.grown = m.now
+	}
+	f.hello[from] = joiner{seat: t.Seat, grow: t.Grow, at: m.now}
+}
+
+// never says whether the address has no seat, so that one that was wiped does not count twice.
+func (m *Machine) never(s Seat) bool {
+	return !slices.ContainsFunc(m.lead.rec.Set, func(o Seat) bool { return o.Addr == s.Addr })
+}
+
+// found gives out the first record when no more members come.
+func (m *Machine) found() {
+	f := &m.founder
+	if !f.mine || !f.rec.none() || !m.view.none() || !m.d.Record.none() {
+		return
+	}
+	if m.now-f.asked >= helloEvery {
+		f.asked = m.now
+		for _, to := range m.near() {
+			m.send(to, Ask{})
+		}
+	}
+	var set []Seat
+	for _, j := range f.hello {
+		if j.grow && m.now-j.at < time.Second {
+			set = append(set, j.seat)
+		}
+	}
+	if len(set) < 2*m.c.Losses+1 || m.now-f.grown < settle || m.now-m.start < settle {
+		return
+	}
+	slices.SortFunc(set, func(a, b Seat) int { return cmp.Compare(a.Addr, b.Addr) })
+	f.rec = Record{Founding: m.rng.Uint64() | 1, Ballot: Ballot{N: 1}, Set: set, Old: set,
+		Writers: spread(set, m.c.Losses+1)}
+	for _, s := range set {
+		m.send(s.Addr, Found{Record: f.rec})
+	}
+}
--- /dev/null
+++ b/internal/pact/member.go
@@ -0,0 +1,194 @@
+package pact
+
+// willing says whether a candidate may have a promise: not while another one lives.
+func (m *Machine) willing(from string) bool {
+	if m.slow() {
+		return false
+	}
+	if m.lead != nil {
+		return from == m.c.Self
+	}
+	return m.aliveBy == "" || m.aliveBy == from || m.now-m.alive > sticky
+}
+
+func (m *Machine) hear(from string) { m.alive, m.aliveBy = m.now, from }
+
+// infant lets a member that holds no founding take the one of whoever has a seat for it.
+func (m *Machine) infant(r Record) {
+	if r.Ballot.N == 1 {
+		m.onFound(r)
+	}
+}
+
+// onFound takes a first record. A founding held is never changed for another one,
+// unless that one is in force, and so this one never was.
+func (m *Machine) onFound(r Record) {
+	if !m.c.Member || !m.d.Record.none() || !r.has(m.c.Self, m.d.Life) || m.d.Promised.above(r.Ballot) {
+		return
+	}
+	m.d.Record, m.d.Promised, m.d.Stamp, m.dirty = r, r.Ballot, r.Ballot, true
+	m.alive, m.aliveBy = m.now-silence, ""
+}
+
+// learn takes a record that is in force.
+func (m *Machine) learn(r Record) {
+	if !r.Active || r.none() {
+		return
+	}
+	if r.newer(m.view) {
+		m.view = r
+		m.redirect()
+		if m.bid == nil && r.primary() != m.c.Self {
+			m.hear(r.primary())
+		}
+	}
+	if m.lead != nil && r.Ballot.above(m.lead.rec.Ballot) {
+		m.lead = nil
+	}
+	if m.bid != nil && !m.bid.ballot.above(r.Ballot) && m.bid.phase != probing {
+		m.bid = nil
+	}
+	m.top = max(m.top, r.Ballot.N)
+	if !m.c.Member {
+		return
+	}
+	other := m.foreign(r)
+	if other && (m.d.Record.Active || m.d.Record.Ballot.N > 1) || !other && !r.newer(m.d.Record) {
+		return
+	}
+	m.d.Record, m.dirty = r, true
+	m.d.Genesis = m.d.Genesis && !m.seated()
+	if r.Ballot.above(m.d.Promised) {
+		m.d.Promised = r.Ballot
+	}
+}
+
+// foreign says whether a record is of another founding than the one held.
+func (m *Machine) foreign(r Record) bool {
+	return !m.d.Record.none() && m.d.Record.Founding != r.Founding
+}
+
+func (m *Machine) refuse(to string, b Ballot) {
+	m.send(to, Refuse{Ballot: b, Promised: m.d.Promised, Record: m.view})
+}
+
+func (m *Machine) onBeat(from string, t Beat) {
+	m.heardOf(from, t.Version)
+	if m.d.Record.Ballot.above(t.Ballot) && m.d.Record.Active {
+		m.refuse(from, t.Ballot)
+		return
+	}
+	if m.lead != nil && from != m.c.Self && t.Ballot.above(m.lead.rec.Ballot) {
+		m.lead = nil
+	}
+	if m.bid != nil && m.bid.phase == probing {
+		m.bid = nil
+	}
+	if m.bid == nil {
+		m.hear(from)
+	}
+	m.send(from, Beaten{Ballot: t.Ballot, Life: m.d.Life, Promised: m.d.Promised, Slow: m.slow(),
+		Known: m.d.Record.Active && m.d.Record.Ballot == t.Ballot})
+}
+
+func (m *Machine) onResign(from string, t Resign) {
+	if m.aliveBy == from && !m.d.Record.Ballot.above(t.Ballot) {
+		m.alive, m.aliveBy = m.now-silence, ""
+	}
+}
+
+func (m *Machine) onProbe(from string, t Probe) {
+	m.infant(t.Record)
+	m.learn(t.Record)
+	grant := m.willing(from) && (m.booked < m.now || m.bookedBy == from)
+	if grant {
+		m.booked, m.bookedBy = m.now+booking, from
+	}
+	m.send(from, Probed{Round: t.Round, Life: m.d.Life, Grant: grant, Record: m.d.Record,
+		Promised: m.d.Promised})
+}
+
+func (m *Machine) onPrepare(from string, t Prepare) {
+	m.infant(t.Record)
+	if t.Life != m.d.Life || m.foreign(t.Record) {
+		return
+	}
+	m.top = max(m.top, t.Ballot.N)
+	above := t.Ballot.above(m.d.Promised)
+	if above && !m.willing(from) || m.d.Promised.above(t.Ballot) && m.bug != bugNoPromise {
+		m.refuse(from, t.Ballot)
+		return
+	}
+	if above {
+		m.d.Promised, m.dirty = t.Ballot, true
+		m.yield(t.Ballot)
+		m.hear(from)
+	}
+	m.durable(from, Promise{Ballot: t.Ballot, Life: m.d.Life, Record: m.d.Record, Stamp: m.d.Stamp,
+		Kept: m.d.Kept, Next: m.d.Next})
+}
+
+// yield ends what this process does under a lower ballot.
+func (m *Machine) yield(b Ballot) {
+	if m.lead != nil && b.above(m.lead.rec.Ballot) {
+		m.lead = nil
+	}
+	if m.bid != nil && (m.bid.phase == probing || b.above(m.bid.ballot)) {
+		m.bid = nil
+	}
+}
+
+// obeys says whether a candidate's or a primary's order holds here.
+func (m *Machine) obeys(from string, b Ballot, life uint64) bool {
+	if life != m.d.Life {
+		return false
+	}
+	if m.d.Promised.above(b) && m.bug != bugNoPromise {
+		m.refuse(from, b)
+		return false
+	}
+	if b.above(m.d.Promised) {
+		m.d.Promised, m.dirty = b, true
+		m.yield(b)
+	}
+	m.hear(from)
+	return true
+}
+
+func (m *Machine) onCopy(from string, t Copy) {
+	if !m.obeys(from, t.Ballot, t.Life) {
+		return
+	}
+	if m.d.Stamp != t.Ballot { // a late double must not undo an append
+		m.d.Stamp, m.d.Next, m.dirty = t.Ballot, t.Next, true
+		m.commit(t.Kept)
+	}
+	m.durable(from, Copied{Ballot: t.Ballot, Life: m.d.Life})
+}
+
+func (m *Machine) onEnact(from string, t Enact) {
+	if m.foreign(t.Record) || !m.obeys(from, t.Record.Ballot, t.Life) {
+		return
+	}
+	if m.d.Record.Ballot != t.Record.Ballot {
+		m.d.Record, m.dirty = t.Record, true
+		m.d.Genesis = m.d.Genesis && !m.seated()
+	}
+	m.durable(from, Enacted{Ballot: t.Record.Ballot, Life: m.d.Life})
+}
+
+func (m *Machine) onAppend(from string, t Append) {
+	if t.Ballot != m.d.Stamp && m.bug != bugNoPromise || !m.obeys(from, t.Ballot, t.Life) {
+		return
+	}
+	if t.Doc.Version > latest(m.d.Kept, m.d.Next).Version {
+		m.d.Next, m.dirty = t.Doc, true
+	}
+	m.durable(from, Appended{Ballot: t.Ballot, Life: m.d.Life, Version: t.Doc.Version})
+}
+
+func (m *Machine) onConfirm(from string, t Confirm) {
+	if (t.Ballot == m.d.Stamp || m.bug == bugNoPromise) && m.obeys(from, t.Ballot, t.Life) {
+		m.send(from, Confirmed(t))
+	}
+}
--- /dev/null
+++ b/internal/pact/pact.go
@@ -0,0 +1,409 @@
+package pact
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+const (
+	beatEvery   = 200 * time.Millisecond
+	helloEvery  = 150 * time.Millisecond
+	pullEvery   = 300 * time.Millisecond
+	resendEvery = 100 * time.Millisecond
+	sticky      = 600 * time.Millisecond  // a primary heard within it lives
+	silence     = 700 * time.Millisecond  // and is lost after it
+	stall       = 450 * time.Millisecond  // a disk or a writer that takes longer is left out
+	vacant      = 1500 * time.Millisecond // a member silent so long may lose its seat
+	settle      = 600 * time.Millisecond  // no founding while members still come
+	patience    = 800 * time.Millisecond  // an operator's call, ticks included, ends within 900 ms
+	perRank     = 70 * time.Millisecond
+	booking     = 150 * time.Millisecond // keeps candidates from meeting half-way
+	gather      = 25 * time.Millisecond
+)
+
+// Config is what a process knows about itself.
+type Config struct {
+	Self       string // mesh address
+	Name, Zone string
+	Member     bool // has a disk
+	Genesis    bool // the disk is empty because nothing was ever there
+	Losses     int
+	Seeds      []string
+	Seed       uint64
+}
+
+// Doc is the document. Version 0 is none.
+type Doc struct {
+	Version uint32 `cbor:"1,keyasint,omitempty"`
+	Body    []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Disk is all that a member must not forget.
+type Disk struct {
+	Life     uint64 `cbor:"1,keyasint"`
+	Genesis  bool   `cbor:"2,keyasint,omitempty"` // never had a seat, so there is nothing forgotten
+	Promised Ballot `cbor:"3,keyasint"`
+	Record   Record `cbor:"4,keyasint"`
+	Stamp    Ballot `cbor:"5,keyasint"` // the epoch that Kept and Next were last copied or appended in
+	Kept     Doc    `cbor:"6,keyasint"` // committed
+	Next     Doc    `cbor:"7,keyasint"` // perhaps not committed, above Kept
+}
+
+// latest is the state that a writer vouches for.
+func latest(kept, next Doc) Doc {
+	if next.Version > kept.Version {
+		return next
+	}
+	return kept
+}
+
+// Verdict is how an operator's call ended.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Kept Verdict = iota + 1
+	Busy
+	Read
+	None
+)
+
+func (v Verdict) String() string {
+	return [...]string{"?", "kept", "busy", "read", "none"}[min(int(v), 4)]
+}
+
+// Answer ends a Put or Get.
+type Answer struct {
+	ID      uint64
+	Verdict Verdict
+	Doc     *Doc
+	Primary string
+}
+
+// Write asks to sync a disk's whole content.
+type Write struct {
+	Seq  uint64
+	Disk Disk
+}
+
+// Out is what a machine wants done.
+type Out struct {
+	Send    []plane.Send
+	Write   *Write
+	Answers []Answer
+	Adopt   *Doc
+}
+
+// Peer is a process as the membership sees it.
+type Peer struct {
+	Addr, Name, Zone string
+	Member, Up       bool
+	Held             uint32
+}
+
+// Status is for operators.
+type Status struct {
+	Role     string // follower, member, candidate, primary
+	Epoch    uint64
+	Primary  string
+	Members  []string
+	Writers  []string
+	Founding uint64
+	Version  uint32
+}
+
+type heldSend struct {
+	seq  uint64
+	send plane.Send
+}
+
+type pendingWrite struct {
+	seq uint64
+	at  plane.Time
+}
+
+// Machine is one process's part.
+type Machine struct {
+	c     Config
+	d     Disk
+	rng   *rand.Rand
+	salt  uint64
+	now   plane.Time
+	start plane.Time
+	tick  plane.Time
+	out   Out
+	loop  []plane.Send // to itself
+
+	dirty   bool
+	seq     uint64
+	written uint64
+	writes  []pendingWrite
+	fresh   []plane.Send // to go out once what this input wrote is synced
+	held    []heldSend
+
+	seeds  []string
+	peers  []Peer
+	view   Record // the newest active one known
+	told   uint32 // highest committed version heard of
+	teller string
+	primed plane.Time // when the primary last told its view
+
+	alive    plane.Time // when a primary or a candidate promised to was heard
+	aliveBy  string
+	top      uint64 // highest ballot number seen
+	jitter   plane.Time
+	booked   plane.Time // until when only bookedBy may be granted a probe
+	bookedBy string
+	bid      *bid
+	lead     *lead
+	shun     map[string]plane.Time
+
+	calls   []*call
+	queue   []*wait
+	hello   plane.Time
+	pulled  plane.Time
+	turn    int
+	founder founder
+	adopted uint32 // the newest handed out to be put in force
+	bug     bug
+}
+
+// bug switches a guard off, to show that the tests miss it.
+type bug uint8
+
+const (
+	bugAckEarly  bug = iota + 1 // answer before the backups have it
+	bugNoPromise                // obey primaries that were overtaken
+	bugAnyData                  // take over with whatever data the promises bring
+)
+
+// New starts a process. A nil disk is an empty one, or none.
+func New(c Config, d *Disk, now plane.Time) *Machine {
+	h := fnv.New64a()
+	h.Write([]byte(c.Self))
+	m := &Machine{c: c, rng: rand.New(rand.NewPCG(c.Seed, h.Sum64())), now: now, start: now, tick: now, alive: now,
+		shun: map[string]plane.Time{}, seeds: slices.Clone(c.Seeds), hello: now - helloEvery, pulled: now - pullEvery}
+	m.salt = m.rng.Uint64()
+	m.jitter = time.Duration(m.rng.Int64N(int64(60 * time.Millisecond)))
+	m.founder = newFounder(c, now)
+	if !c.Member {
+		return m
+	}
+	if d != nil && d.Life != 0 {
+		m.d = *d
+	} else {
+		m.d = Disk{Life: m.rng.Uint64() | 1, Genesis: c.Genesis}
+		m.dirty = true
+	}
+	m.top = m.d.Promised.N
+	if m.d.Record.Active {
+		m.view = m.d.Record
+	}
+	if w := m.d.Record.Writers; len(w) > 0 && w[0] == c.Self {
+		m.alive = now - silence + 150*time.Millisecond
+	}
+	return m
+}
+
+// Held is the newest committed document known here.
+func (m *Machine) Held() *Doc {
+	if m.d.Kept.Version == 0 {
+		return nil
+	}
+	d := m.d.Kept
+	return &d
+}
+
+// Status tells operators how things stand.
+func (m *Machine) Status() Status {
+	s := Status{Role: "follower", Epoch: m.view.Ballot.N, Primary: m.view.primary(), Founding: m.view.Founding,
+		Writers: slices.Clone(m.view.Writers), Version: m.d.Kept.Version}
+	for _, seat := range m.view.Set {
+		s.Members = append(s.Members, seat.Addr)
+	}
+	switch {
+	case m.lead != nil:
+		s.Role = "primary"
+	case m.bid != nil:
+		s.Role = "candidate"
+	case m.seated():
+		s.Role = "member"
+	}
+	return s
+}
+
+// Peers takes the membership's view, which may be wrong.
+func (m *Machine) Peers(now plane.Time, peers []Peer) {
+	m.now, m.peers = max(m.now, now), slices.Clone(peers)
+}
+
+// Seeds replaces the addresses to turn to.
+func (m *Machine) Seeds(now plane.Time, seeds []string) {
+	m.now, m.seeds = max(m.now, now), slices.Clone(seeds)
+}
+
+// Tick lets time pass.
+func (m *Machine) Tick(now plane.Time) Out {
+	m.now = max(m.now, now)
+	if m.now-m.tick > sticky && m.lead == nil { // frozen: what was not heard says nothing
+		m.alive = m.now
+		m.bid = nil
+	}
+	m.tick = m.now
+	m.expire()
+	m.greet()
+	m.found()
+	m.steer()
+	m.rise()
+	m.catchUp()
+	return m.end()
+}
+
+// Written says that a write, and all before it, are synced.
+func (m *Machine) Written(now plane.Time, seq uint64) Out {
+	m.now = max(m.now, now)
+	m.written = max(m.written, seq)
+	m.writes = slices.DeleteFunc(m.writes, func(w pendingWrite) bool { return w.seq <= m.written })
+	rest := m.held[:0:0]
+	for _, h := range m.held {
+		if h.seq <= m.written {
+			m.send(h.send.To, h.send.Msg)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	m.held = rest
+	return m.end()
+}
+
+// Take takes a message.
+func (m *Machine) Take(now plane.Time, from string, msg any) Out {
+	m.now = max(m.now, now)
+	m.take(from, msg)
+	return m.end()
+}
+
+func (m *Machine) take(from string, msg any) {
+	switch t := msg.(type) {
+	case Hello:
+		m.onHello(from, t)
+	case Found:
+		m.onFound(t.Record)
+	case Ask:
+		m.tell(from)
+	case View:
+		m.learn(t.Record)
+		if from == m.view.primary() {
+			m.primed = m.now
+		}
+		m.heardOf(from, t.Version)
+	case Push:
+		m.commit(t.Doc)
+	case Pull:
+		if m.d.Kept.Version > t.Held {
+			m.send(from, Push{Doc: m.d.Kept})
+		}
+	case Forward:
+		m.onForward(from, t)
+	case Answered:
+		m.onAnswered(t)
+	default:
+		if m.c.Member {
+			m.takeMember(from, msg)
+		}
+	}
+}
+
+func (m *Machine) takeMember(from string, msg any) {
+	switch t := msg.(type) {
+	case Beat:
+		m.onBeat(from, t)
+	case Resign:
+		m.onResign(from, t)
+	case Probe:
+		m.onProbe(from, t)
+	case Prepare:
+		m.onPrepare(from, t)
+	case Copy:
+		m.onCopy(from, t)
+	case Enact:
+		m.onEnact(from, t)
+	case Append:
+		m.onAppend(from, t)
+	case Confirm:
+		m.onConfirm(from, t)
+	case Probed:
+		m.onProbed(from, t)
+	case Promise:
+		m.onPromise(from, t)
+	case Refuse:
+		m.onRefuse(from, t)
+	case Copied:
+		m.onCopied(from, t)
+	case Enacted:
+		m.onEnacted(from, t)
+	case Beaten:
+		m.onBeaten(from, t)
+	case Appended:
+		m.onAppended(from, t)
+	case Confirmed:
+		m.onConfirmed(from, t)
+	}
+}
+
+func (m *Machine) send(to string, msg any) {
+	if to == m.c.Self {
+		m.loop = append(m.loop, plane.Send{To: to, Msg: msg})
+		return
+	}
+	m.out.Send = append(m.out.Send, plane.Send{To: to, Msg: msg})
+}
+
+// durable sends once all that is known here now is on disk.
+func (m *Machine) durable(to string, msg any) {
+	m.fresh = append(m.fresh, plane.Send{To: to, Msg: msg})
+}
+
+// end closes an input: what it wrote, and what may go out at once.
+func (m *Machine) end() Out {
+	for {
+		for len(m.loop) > 0 {
+			s := m.loop[0]
+			m.loop = m.loop[1:]
+			m.take(m.c.Self, s.Msg)
+		}
+		if m.dirty && m.c.Member {
+			m.seq++
+			m.writes = append(m.writes, pendingWrite{m.seq, m.now})
+			m.out.Write = &Write{Seq: m.seq, Disk: m.d}
+		}
+		m.dirty = false
+		fresh := m.fresh
+		m.fresh = nil
+		for _, s := range fresh {
+			if m.seq > m.written {
+				m.held = append(m.held, heldSend{m.seq, s})
+			} else {
+				m.send(s.To, s.Msg)
+			}
+		}
+		if len(m.loop) == 0 {
+			if m.d.Kept.Version > m.adopted {
+				m.adopted, m.out.Adopt = m.d.Kept.Version, m.Held()
+			}
+			out := m.out
+			m.out = Out{}
+			return out
+		}
+	}
+}
+
+// slow says whether the disk has left a write unsynced for long.
+func (m *Machine) slow() bool { return len(m.writes) > 0 && m.now-m.writes[0].at > stall }
+
+// seated says whether the newest record held gives this very memory a seat.
+func (m *Machine) seated() bool { return m.c.Member && m.d.Record.has(m.c.Self, m.d.Life) }
--- /dev/null
+++ b/internal/pact/primary.go
@@ -0,0 +1,341 @@
+package pact
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// lead is what a primary knows of its epoch. All of it may be lost.
+type lead struct {
+	rec    Record
+	since  plane.Time
+	beat   plane.Time
+	heard  map[string]plane.Time
+	slow   map[string]bool
+	rival  Ballot // a promise above the epoch that some member gave
+	rivals plane.Time
+
+	doc      *Doc // on its way to the writers
+	docAt    plane.Time
+	docSent  plane.Time
+	appended map[string]bool
+
+	round     uint64
+	roundAt   plane.Time
+	roundSent plane.Time
+	confirmed map[string]uint64
+
+	joiners map[string]joiner
+}
+
+type joiner struct {
+	seat Seat
+	grow bool
+	at   plane.Time
+}
+
+// wait is a call that came to the primary.
+type wait struct {
+	from  string
+	f     Forward
+	at    plane.Time
+	round uint64 // of confirmations that a read needs
+}
+
+// activate begins to serve: the epoch's record is where no successor can miss it.
+func (m *Machine) activate() {
+	b := m.bid
+	m.bid = nil
+	rec := b.rec
+	rec.Active = true
+	m.d.Record, m.dirty, m.view = rec, true, rec
+	m.lead = &lead{rec: rec, since: m.now, heard: map[string]plane.Time{}, slow: map[string]bool{},
+		confirmed: map[string]uint64{}, joiners: map[string]joiner{}}
+	for _, s := range rec.Set {
+		m.lead.heard[s.Addr] = m.now
+	}
+	for _, w := range m.queue {
+		w.round = 0
+	}
+	fresh := b.next.Version > m.d.Kept.Version
+	m.commit(latest(b.kept, b.next))
+	for _, to := range m.everyone() {
+		m.tell(to)
+		if fresh {
+			m.send(to, Push{Doc: m.d.Kept})
+		}
+	}
+	m.redirect()
+	m.steer()
+	m.serve()
+}
+
+// steer keeps the epoch going, or ends it for a better one.
+func (m *Machine) steer() {
+	l := m.lead
+	if l == nil {
+		return
+	}
+	hears := func(s Seat) bool { return s.Addr == m.c.Self || m.now-l.heard[s.Addr] < silence }
+	if m.slow() || !most(l.rec.Set, hears) {
+		m.resign()
+		return
+	}
+	if m.ails(hears) {
+		m.reshape(nil)
+		return
+	}
+	if plan := m.plan(); plan != nil {
+		m.reshape(plan)
+		return
+	}
+	if m.now-l.beat >= beatEvery || l.beat == 0 {
+		l.beat = m.now
+		for _, s := range l.rec.Set {
+			if s.Addr != m.c.Self {
+				m.send(s.Addr, Beat{Ballot: l.rec.Ballot, Version: m.d.Kept.Version})
+			}
+		}
+	}
+	if l.doc != nil && m.now-l.docSent >= resendEvery {
+		m.append()
+	}
+	if l.roundAt != 0 && m.now-l.roundSent >= resendEvery {
+		m.confirm()
+	}
+}
+
+// ails says whether the epoch's writers cannot go on while others could.
+func (m *Machine) ails(hears func(Seat) bool) bool {
+	l := m.lead
+	if l.rival.above(l.rec.Ballot) && m.now-l.rivals > resendEvery*3 {
+		return true
+	}
+	lost := false
+	for _, s := range l.rec.Set {
+		if s.Addr == m.c.Self || !slices.Contains(l.rec.Writers, s.Addr) {
+			continue
+		}
+		late := l.doc != nil && !l.appended[s.Addr] && m.now-l.docAt > stall ||
+			l.roundAt != 0 && l.confirmed[s.Addr] < l.round && m.now-l.roundAt > stall
+		if late || l.slow[s.Addr] {
+			m.shun[s.Addr] = m.now + 2*vacant
+		}
+		lost = lost || late || l.slow[s.Addr] || !hears(s)
+	}
+	fit := func(s Seat) bool { return hears(s) && !l.slow[s.Addr] && m.shun[s.Addr] <= m.now }
+	return lost && count(l.rec.Set, fit) > m.c.Losses
+}
+
+func (m *Machine) resign() {
+	for _, s := range m.lead.rec.Set {
+		if s.Addr != m.c.Self {
+			m.send(s.Addr, Resign{Ballot: m.lead.rec.Ballot})
+		}
+	}
+	m.lead = nil
+	m.alive, m.aliveBy = m.now, ""
+}
+
+// plan is the set to come if somebody is to have a seat, or nil.
+func (m *Machine) plan() []Seat {
+	l := m.lead
+	if m.now-l.since < 2*helloEvery {
+		return nil
+	}
+	var who []joiner
+	for _, j := range l.joiners {
+		if m.now-j.at < settle {
+			who = append(who, j)
+		}
+	}
+	slices.SortFunc(who, func(a, b joiner) int { return cmp.Compare(a.seat.Addr, b.seat.Addr) })
+	set, changed := slices.Clone(l.rec.Set), false
+	for _, j := range who {
+		i := slices.IndexFunc(set, func(s Seat) bool { return s.Addr == j.seat.Addr })
+		switch {
+		case i >= 0:
+		case j.grow:
+			set = append(set, j.seat)
+			changed = true
+			continue
+		default:
+			i = m.vacancy(set, j.seat.Zone)
+		}
+		if i >= 0 && set[i].Addr != m.c.Self {
+			set[i], changed = j.seat, true
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return set
+}
+
+// vacancy is the seat of a member silent for long, rather in that zone, or -1.
+func (m *Machine) vacancy(set []Seat, zone string) int {
+	best := -1
+	for i, s := range set {
+		at, ok := m.lead.heard[s.Addr]
+		if !ok || s.Addr == m.c.Self || m.now-at < vacant {
+			continue
+		}
+		if best < 0 || s.Zone == zone && set[best].Zone != zone {
+			best = i
+		}
+	}
+	return best
+}
+
+func (m *Machine) onBeaten(from string, t Beaten) {
+	l := m.lead
+	if l == nil || !l.rec.has(from, t.Life) || t.Ballot != l.rec.Ballot {
+		return
+	}
+	l.heard[from], l.slow[from] = m.now, t.Slow
+	m.rival(t.Promised)
+	if !t.Known {
+		m.tell(from)
+	}
+}
+
+// rival notes a promise above the epoch: that member can't serve it any more.
+func (m *Machine) rival(b Ballot) {
+	if l := m.lead; b.above(l.rec.Ballot) && b != l.rival {
+		if !l.rival.above(l.rec.Ballot) {
+			l.rivals = m.now
+		}
+		l.rival = b
+		m.top = max(m.top, b.N)
+	}
+}
+
+// serve takes up what waits: one document at a time, reads by rounds.
+func (m *Machine) serve() {
+	l := m.lead
+	if l == nil {
+		return
+	}
+	var rest []*wait
+	ask := false
+	for _, w := range m.queue {
+		switch {
+		case w.f.Read:
+			if w.round == 0 {
+				w.round, ask = l.round+1, true
+			}
+			rest = append(rest, w)
+		case w.f.Doc.Version <= m.d.Kept.Version:
+			m.reply(w, Kept, nil)
+		default:
+			if l.doc == nil {
+				d := w.f.Doc
+				l.doc, l.docAt, l.appended = &d, m.now, map[string]bool{}
+				m.append()
+			}
+			rest = append(rest, w)
+		}
+	}
+	m.queue = rest
+	if ask {
+		l.round++
+		if l.roundAt == 0 {
+			l.roundAt = m.now
+		}
+		m.confirm()
+	}
+}
+
+func (m *Machine) reply(w *wait, v Verdict, d *Doc) {
+	m.send(w.from, Answered{ID: w.f.ID, Salt: w.f.Salt, Verdict: v, Doc: d})
+}
+
+func (m *Machine) append() {
+	l := m.lead
+	l.docSent = m.now
+	for _, s := range l.rec.Set {
+		if slices.Contains(l.rec.Writers, s.Addr) && !l.appended[s.Addr] {
+			m.send(s.Addr, Append{Ballot: l.rec.Ballot, Life: s.Life, Doc: *l.doc})
+		}
+	}
+}
+
+func (m *Machine) onAppended(from string, t Appended) {
+	l := m.lead
+	if l == nil || t.Ballot != l.rec.Ballot || !l.rec.has(from, t.Life) || l.doc == nil || t.Version != l.doc.Version {
+		return
+	}
+	l.appended[from] = true
+	for _, w := range l.rec.Writers {
+		if !l.appended[w] && (m.bug != bugAckEarly || w == m.c.Self) {
+			return
+		}
+	}
+	doc := *l.doc
+	l.doc = nil
+	m.commit(doc)
+	for _, to := range m.everyone() {
+		m.send(to, Push{Doc: doc})
+	}
+	m.serve()
+}
+
+func (m *Machine) confirm() {
+	l := m.lead
+	l.roundSent = m.now
+	for _, s := range l.rec.Set {
+		if slices.Contains(l.rec.Writers, s.Addr) && l.confirmed[s.Addr] < l.round {
+			m.send(s.Addr, Confirm{Ballot: l.rec.Ballot, Life: s.Life, Round: l.round})
+		}
+	}
+}
+
+func (m *Machine) onConfirmed(from string, t Confirmed) {
+	l := m.lead
+	if l == nil || t.Ballot != l.rec.Ballot || !l.rec.has(from, t.Life) {
+		return
+	}
+	l.confirmed[from] = max(l.confirmed[from], t.Round)
+	least := l.round
+	for _, w := range l.rec.Writers {
+		least = min(least, l.confirmed[w])
+	}
+	if least == l.round {
+		l.roundAt = 0
+	}
+	var rest []*wait
+	for _, w := range m.queue {
+		switch {
+		case !w.f.Read || w.round == 0 || w.round > least:
+			rest = append(rest, w)
+		case m.d.Kept.Version == 0:
+			m.reply(w, None, nil)
+		default:
+			m.reply(w, Read, m.Held())
+		}
+	}
+	m.queue = rest
+}
+
+// onForward takes a call in, or says who is thought to be the primary.
+func (m *Machine) onForward(from string, f Forward) {
+	if m.lead == nil && (m.bid == nil || m.bid.phase == probing) {
+		m.tell(from)
+		return
+	}
+	for _, w := range m.queue {
+		if w.from == from && w.f.ID == f.ID && w.f.Salt == f.Salt {
+			return
+		}
+	}
+	m.queue = append(m.queue, &wait{from: from, f: f, at: m.now})
+	m.serve()
+}
+
+// lapse forgets calls whose callers have gone elsewhere.
+func (m *Machine) lapse() {
+	m.queue = slices.DeleteFunc(m.queue, func(w *wait) bool { return m.now-w.at > time.Second })
+}
--- /dev/null
+++ b/internal/pact/random_test.go
@@ -0,0 +1,228 @@
+package pact
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// trouble lets one world suffer, and says what broke. Up to the losses are wiped or replaced
+// at once; all else may befall any number.
+func trouble(seed uint64, bug bug, amnesia bool, trace func(string, ...any)) *verdict {
+	shapes := [][3]int{{3, 2, 1}, {3, 1, 1}, {4, 1, 1}, {6, 2, 2}, {5, 1, 2}, {8, 1, 1}}
+	s := shapes[seed%uint64(len(shapes))]
+	w := newWorld(seed, s[0], s[1], s[2])
+	w.bug, w.amnesia = bug, amnesia
+	if trace != nil {
+		w.trace = trace
+	}
+	w.startAll()
+	w.run(2500 * ms)
+	if w.primary() == nil {
+		for _, n := range w.nodes {
+			w.trace("%s %+v %+v", n.cfg.Self, n.m.Status(), n.m.d)
+		}
+		return &verdict{"not founded in time", w.now, true}
+	}
+	for round := range 3 {
+		if round == 2 && seed%3 == 0 {
+			w.loss, w.twice = 0.05, 0.05
+		}
+		for range 25 {
+			w.strike()
+			w.run(time.Duration(w.rng.Int64N(int64(250 * ms))))
+		}
+		w.settled()
+		if w.broken != nil {
+			return w.broken
+		}
+	}
+	return nil
+}
+
+// strike does one thing, bad or ordinary.
+func (w *world) strike() {
+	ms := w.members()
+	n, o := ms[w.rng.IntN(len(ms))], ms[w.rng.IntN(len(ms))]
+	any := w.nodes[w.rng.IntN(len(w.nodes))]
+	if p := w.primary(); p != nil && w.rng.IntN(3) == 0 {
+		n = p
+	}
+	if n.m == nil {
+		return
+	}
+	span := time.Duration(w.rng.Int64N(int64(3 * time.Second)))
+	switch w.rng.IntN(26) {
+	case 22, 23, 24, 25:
+		w.midst()
+	case 0, 1:
+		w.kill(n, true)
+		w.after(span, func() { w.start(n) })
+	case 2:
+		w.trace("%v freeze %s %v", w.now, n.cfg.Self, span)
+		n.frozen = w.now + span
+		n.ice++
+	case 3, 4, 5:
+		w.trace("%v cut %s>%s", w.now, n.cfg.Self, o.cfg.Self)
+		a, b := n.cfg.Self, o.cfg.Self
+		both := w.rng.IntN(2) == 0
+		w.cut[[2]string{a, b}] = true
+		w.cut[[2]string{b, a}] = w.cut[[2]string{b, a}] || both
+		w.after(span, func() { delete(w.cut, [2]string{a, b}); delete(w.cut, [2]string{b, a}) })
+	case 6:
+		w.trace("%v stall %s %v", w.now, n.cfg.Self, span)
+		n.stalled = w.now + span
+	case 7:
+		if w.rng.IntN(3) == 0 {
+			power := w.rng.IntN(2) == 0
+			for _, n := range w.nodes {
+				w.kill(n, power)
+				w.after(time.Duration(w.rng.Int64N(int64(span+1))), func() { w.start(n) })
+			}
+		}
+	case 8, 9:
+		if w.missing() >= w.losses {
+			return
+		}
+		w.wipe(n)
+		w.after(span/2, func() { w.again(n) })
+	case 10:
+		if w.missing() >= w.losses || len(w.nodes) > 14 {
+			return
+		}
+		w.wipe(n)
+		n.gone = true
+		r := w.add(true, false)
+		r.cfg.Zone = n.cfg.Zone
+		w.trace("%v %s replaces %s", w.now, r.cfg.Self, n.cfg.Self)
+		w.after(span, func() { w.start(r) })
+	case 11, 12, 13, 14:
+		w.call(any, true, Doc{})
+	default:
+		if any.up {
+			o := w.put(any)
+			if w.rng.IntN(2) == 0 { // another operator, with the same version
+				b := w.nodes[w.rng.IntN(len(w.nodes))]
+				w.call(b, false, Doc{o.doc.Version, []byte("other " + string(o.doc.Body))})
+			}
+		}
+	}
+}
+
+// midst strikes while a document is on its way.
+func (w *world) midst() {
+	p := w.primary()
+	if p == nil {
+		return
+	}
+	w.put(p)
+	kind := w.rng.IntN(7)
+	w.after(time.Duration(w.rng.Int64N(int64(12*ms))), func() {
+		w.trace("%v in the midst at %s: %d", w.now, p.cfg.Self, kind)
+		switch kind {
+		case 0:
+			for _, n := range w.nodes {
+				w.kill(n, false)
+				w.after(time.Duration(w.rng.Int64N(int64(500*ms))), func() { w.start(n) })
+			}
+		case 1:
+			if w.missing() < w.losses {
+				w.wipe(p)
+				w.after(time.Second, func() { w.again(p) })
+			}
+		case 2: // thaws as a primary of long ago, and is asked before it can look around
+			p.frozen, p.ice = w.now+1500*ms, p.ice+1
+			w.after(1300*ms, func() { w.put(w.nodes[w.rng.IntN(len(w.nodes))]) })
+			w.after(1501*ms, func() {
+			w.put(p)
+			w.call(p, true, Doc{})
+			if n := w.primary(); n != nil {
+				w.put(n)
+			}
+		})
+		case 3:
+			w.forget(p)
+		default: // on its own side of a cut, with some chance not alone
+			for _, n := range w.nodes {
+				if n == p || w.rng.IntN(4) == 0 {
+					continue
+				}
+				a, b := p.cfg.Self, n.cfg.Self
+				w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = true, kind > 4
+				w.after(2*time.Second, func() { delete(w.cut, [2]string{a, b}); delete(w.cut, [2]string{b, a}) })
+			}
+			w.after(1500*ms, func() { w.put(w.nodes[w.rng.IntN(len(w.nodes))]) })
+		}
+	})
+}
+
+// forget lets one member miss an epoch, and another one lose its memory of it.
+func (w *world) forget(p *node) {
+	i := w.rng.IntN(len(w.members()))
+	d, m := w.members()[i], w.members()[(i+1)%len(w.members())]
+	if d == p || m == p {
+		return
+	}
+	w.kill(d, true)
+	w.after(1200*ms, func() { w.put(p) })
+	w.after(1300*ms, func() {
+		w.start(d)
+		if w.missing() >= w.losses || !m.up || !p.up {
+			return
+		}
+		w.wipe(m)
+		w.again(m)
+		for _, n := range w.nodes {
+			a, b := p.cfg.Self, n.cfg.Self
+			w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = true, true
+			w.after(2*time.Second, func() { delete(w.cut, [2]string{a, b}); delete(w.cut, [2]string{b, a}) })
+		}
+		w.after(1500*ms, func() { w.call(d, true, Doc{}) })
+	})
+}
+
+// again starts what was wiped; in the mutant it claims its former memory.
+func (w *world) again(n *node) {
+	life := n.m.d.Life
+	w.start(n)
+	if w.amnesia && n.up {
+		n.m.d.Life = life
+	}
+}
+
+func TestTrouble(t *testing.T) {
+	seeds := uint64(300)
+	if testing.Short() {
+		seeds = 60
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			if err := trouble(seed, 0, false, nil); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestMutants shows that the judge misses none of the guards.
+func TestMutants(t *testing.T) {
+	for name, m := range map[string]struct {
+		bug     bug
+		amnesia bool
+	}{
+		"ack before backups": {bug: bugAckEarly}, "overtaken primaries obeyed": {bug: bugNoPromise},
+		"data of anybody": {bug: bugAnyData}, "wiped members vote": {amnesia: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(400) {
+				if err := trouble(seed, m.bug, m.amnesia, nil); err != nil && !err.late {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Error("not found")
+		})
+	}
+}
--- /dev/null
+++ b/internal/pact/record.go
@@ -0,0 +1,124 @@
+package pact
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Ballot orders epochs. Life keeps a member that forgot its ballots from using one twice.
+type Ballot struct {
+	N    uint64 `cbor:"1,keyasint,omitempty"`
+	By   string `cbor:"2,keyasint,omitempty"`
+	Life uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+func (b Ballot) compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By), cmp.Compare(b.Life, o.Life))
+}
+
+func (b Ballot) above(o Ballot) bool { return b.compare(o) > 0 }
+
+// Seat is a member with one memory: a wiped disk makes another seat of it.
+type Seat struct {
+	Addr string `cbor:"1,keyasint,omitempty"`
+	Life uint64 `cbor:"2,keyasint,omitempty"`
+	Name string `cbor:"3,keyasint,omitempty"`
+	Zone string `cbor:"4,keyasint,omitempty"`
+}
+
+func (s Seat) is(addr string, life uint64) bool { return s.Addr == addr && s.Life == life }
+
+// Record is an epoch. Until it is active, the set it came from has a say as well.
+type Record struct {
+	Founding uint64   `cbor:"1,keyasint,omitempty"`
+	Ballot   Ballot   `cbor:"2,keyasint"`
+	Set      []Seat   `cbor:"3,keyasint,omitempty"`
+	Old      []Seat   `cbor:"4,keyasint,omitempty"`
+	Writers  []string `cbor:"5,keyasint,omitempty"` // the primary first
+	Active   bool     `cbor:"6,keyasint,omitempty"`
+}
+
+func (r Record) none() bool { return r.Founding == 0 }
+
+func (r Record) primary() string {
+	if len(r.Writers) == 0 || !r.Active {
+		return ""
+	}
+	return r.Writers[0]
+}
+
+// newer says whether r tells more than o.
+func (r Record) newer(o Record) bool {
+	c := r.Ballot.compare(o.Ballot)
+	return !r.none() && (o.none() || c > 0 || c == 0 && r.Active && !o.Active)
+}
+
+// voters are all whose promises or records can matter.
+func (r Record) voters() []Seat {
+	if r.Active {
+		return r.Set
+	}
+	return union(r.Set, r.Old)
+}
+
+// carried says whether those who agreed can decide what follows this epoch. What
+// follows a founding needs all but the losses: then too few are left to found again.
+func (r Record) carried(losses int, agreed func(Seat) bool) bool {
+	if !r.Active && r.Ballot.N == 1 {
+		return len(r.Set) > 0 && count(r.Set, agreed) >= len(r.Set)-losses
+	}
+	return most(r.Set, agreed) && (r.Active || most(r.Old, agreed))
+}
+
+func (r Record) has(addr string, life uint64) bool { return has(r.Set, addr, life) }
+
+func has(set []Seat, addr string, life uint64) bool {
+	return slices.ContainsFunc(set, func(s Seat) bool { return s.is(addr, life) })
+}
+
+func count(set []Seat, agreed func(Seat) bool) int {
+	n := 0
+	for _, s := range set {
+		if agreed(s) {
+			n++
+		}
+	}
+	return n
+}
+
+func most(set []Seat, agreed func(Seat) bool) bool {
+	return len(set) > 0 && count(set, agreed) > len(set)/2
+}
+
+func union(a, b []Seat) []Seat {
+	all := slices.Clone(a)
+	for _, s := range b {
+		if !has(all, s.Addr, s.Life) {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// spread picks n seats, in other zones as far as there are some; the first stays first.
+func spread(seats []Seat, n int) []string {
+	var picked []Seat
+	for len(picked) < n && len(picked) < len(seats) {
+		best, least := -1, 0
+		for i, s := range seats {
+			if has(picked, s.Addr, s.Life) {
+				continue
+			}
+			same := count(picked, func(p Seat) bool { return p.Zone == s.Zone })
+			if best < 0 || same < least {
+				best, least = i, same
+			}
+		}
+		picked = append(picked, seats[best])
+	}
+	var addrs []string
+	for _, s := range picked {
+		addrs = append(addrs, s.Addr)
+	}
+	return addrs
+}
--- /dev/null
+++ b/internal/pact/world_test.go
@@ -0,0 +1,420 @@
+package pact
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+const ms = time.Millisecond
+
+// world runs processes in a virtual time, brings failures about, and judges.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	queue   events
+	order   uint64
+	nodes   []*node
+	byAddr  map[string]*node
+	cut     map[[2]string]bool
+	loss    float64
+	twice   float64
+	jitter  time.Duration
+	losses  int
+	bug     bug
+	amnesia bool // what was wiped claims its former memory
+	seeds   []string
+
+	bodies map[uint32]string // committed, as first adopted
+	acked  uint32
+	calls  map[uint64]*op
+	lastID uint64
+	sent   int
+	broken *verdict
+	trace  func(string, ...any)
+}
+
+type op struct {
+	node  *node
+	life  int
+	read  bool
+	doc   Doc
+	at    time.Duration
+	floor uint32 // acked before the call
+	done  *Answer
+	took  time.Duration
+}
+
+type node struct {
+	cfg     Config
+	m       *Machine
+	life    int // counts starts
+	up      bool
+	gone    bool
+	frozen  time.Duration
+	ice     int // counts freezes
+	stalled time.Duration
+	synced  *Disk
+	cache   []Write
+	ready   time.Duration // when the disk is through with what it has
+	adopted uint32
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newWorld(seed uint64, members, followers, losses int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), byAddr: map[string]*node{}, cut: map[[2]string]bool{},
+		losses: losses, bodies: map[uint32]string{}, calls: map[uint64]*op{}, jitter: 4 * ms,
+		trace: func(string, ...any) {}}
+	for i := range members + followers {
+		w.add(i < members, i < members)
+	}
+	return w
+}
+
+// add makes a process; it is not started yet.
+func (w *world) add(member, genesis bool) *node {
+	addr := fmt.Sprintf("n%02d", len(w.nodes))
+	n := &node{cfg: Config{Self: addr, Name: addr, Zone: string(rune('a' + len(w.nodes)%3)), Member: member,
+		Genesis: genesis, Losses: w.losses}}
+	w.nodes, w.byAddr[addr] = append(w.nodes, n), n
+	if len(w.seeds) < 3 {
+		w.seeds = append(w.seeds, addr)
+	}
+	return n
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{w.now + d, w.order, do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end && w.broken == nil {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) fail(form string, args ...any) {
+	if w.broken == nil {
+		w.broken = &verdict{fmt.Sprintf(form, args...), w.now, false}
+	}
+}
+
+// late is a failure of going on, not of safety.
+func (w *world) late(form string, args ...any) {
+	if w.broken == nil {
+		w.broken = &verdict{fmt.Sprintf(form, args...), w.now, true}
+	}
+}
+
+type verdict struct {
+	what string
+	at   time.Duration
+	late bool
+}
+
+func (v *verdict) Error() string { return fmt.Sprintf("at %v: %s", v.at, v.what) }
+
+func (w *world) start(n *node) {
+	if n.up || n.gone {
+		return
+	}
+	n.up, n.frozen, n.adopted = true, 0, 0
+	n.life++
+	n.cfg.Seed, n.cfg.Seeds = w.rng.Uint64(), w.seeds
+	var d *Disk
+	if n.synced != nil {
+		c := *n.synced
+		d = &c
+	}
+	n.m = New(n.cfg, d, w.now)
+	n.m.bug = w.bug
+	w.tick(n, n.life)
+}
+
+func (w *world) tick(n *node, life int) {
+	if !n.up || n.life != life {
+		return
+	}
+	if n.frozen <= w.now {
+		if w.rng.IntN(8) == 0 || w.now < 100*ms {
+			n.m.Peers(w.now, w.peers())
+		}
+		w.apply(n, n.m.Tick(w.now))
+	}
+	w.after(50*ms, func() { w.tick(n, life) })
+}
+
+func (w *world) peers() []Peer {
+	var p []Peer
+	for _, n := range w.nodes {
+		if n.m == nil || n.gone {
+			continue
+		}
+		q := Peer{Addr: n.cfg.Self, Zone: n.cfg.Zone, Member: n.cfg.Member, Up: n.up && n.frozen <= w.now}
+		if h := n.m.Held(); h != nil {
+			q.Held = h.Version
+		}
+		p = append(p, q)
+	}
+	return p
+}
+
+// input gives something to a process, when it has thawed if it is frozen.
+func (w *world) input(n *node, life int, do func() Out) {
+	switch {
+	case !n.up || n.life != life:
+	case n.frozen > w.now:
+		w.after(n.frozen-w.now, func() { w.input(n, life, do) })
+	default:
+		w.apply(n, do())
+	}
+}
+
+func (w *world) apply(n *node, out Out) {
+	life := n.life
+	if out.Write != nil {
+		n.cache = append(n.cache, *out.Write)
+		seq := out.Write.Seq
+		n.ready = max(n.ready, w.now, n.stalled) + ms + time.Duration(w.rng.Int64N(int64(4*ms)))
+		w.after(n.ready-w.now, func() { w.sync(n, life, seq) })
+	}
+	for _, s := range out.Send {
+		w.carry(n.cfg.Self, s)
+		if w.rng.Float64() < w.twice {
+			w.carry(n.cfg.Self, s)
+		}
+	}
+	if a := out.Adopt; a != nil {
+		if a.Version <= n.adopted {
+			w.fail("%s adopts %d after %d", n.cfg.Self, a.Version, n.adopted)
+		}
+		n.adopted = a.Version
+		if b, ok := w.bodies[a.Version]; ok && b != string(a.Body) {
+			w.fail("%s adopts %d %q, others %q", n.cfg.Self, a.Version, a.Body, b)
+		}
+		w.bodies[a.Version] = string(a.Body)
+	}
+	for _, a := range out.Answers {
+		w.answered(n, a)
+	}
+}
+
+func (w *world) sync(n *node, life int, seq uint64) {
+	if n.life != life || !n.up || len(n.cache) == 0 {
+		return
+	}
+	if n.stalled > w.now {
+		w.after(n.stalled-w.now, func() { w.sync(n, life, seq) })
+		return
+	}
+	for len(n.cache) > 0 && n.cache[0].Seq <= seq {
+		d := n.cache[0].Disk
+		n.synced, n.cache = &d, n.cache[1:]
+	}
+	w.input(n, life, func() Out { return n.m.Written(w.now, seq) })
+}
+
+func (w *world) carry(from string, s plane.Send) {
+	w.sent++
+	if w.rng.Float64() < w.loss {
+		return
+	}
+	d := ms + time.Duration(w.rng.Int64N(int64(w.jitter)))
+	if w.loss > 0 && w.rng.IntN(50) == 0 {
+		d += time.Duration(w.rng.Int64N(int64(2 * time.Second)))
+	}
+	w.after(d, func() {
+		n := w.byAddr[s.To]
+		if n == nil || w.cut[[2]string{from, s.To}] {
+			return
+		}
+		w.input(n, n.life, func() Out { return n.m.Take(w.now, from, s.Msg) })
+	})
+}
+
+// kill ends a process; without power the disk keeps only what was synced.
+func (w *world) kill(n *node, power bool) {
+	if !n.up {
+		return
+	}
+	w.trace("%v kill %s power %v", w.now, n.cfg.Self, power)
+	if len(n.cache) > 0 && power {
+		d := n.cache[len(n.cache)-1].Disk
+		n.synced = &d
+	}
+	n.up, n.cache, n.ready, n.stalled = false, nil, 0, 0
+}
+
+func (w *world) wipe(n *node) {
+	w.kill(n, false)
+	w.trace("%v wipe %s", w.now, n.cfg.Self)
+	n.synced, n.cfg.Genesis = nil, false
+}
+
+func (w *world) call(n *node, read bool, doc Doc) *op {
+	w.lastID++
+	id := w.lastID
+	o := &op{node: n, life: n.life, read: read, doc: doc, at: w.now, floor: w.acked}
+	w.calls[id] = o
+	if !n.up || n.frozen > w.now {
+		return o
+	}
+	if read {
+		w.apply(n, n.m.Get(w.now, id))
+	} else {
+		w.apply(n, n.m.Put(w.now, id, doc))
+	}
+	ice := n.ice
+	w.after(900*ms, func() {
+		if o.done == nil && n.up && n.life == o.life && n.ice == ice {
+			w.late("%s: call %d not answered", n.cfg.Self, id)
+		}
+	})
+	return o
+}
+
+func (w *world) answered(n *node, a Answer) {
+	o := w.calls[a.ID]
+	if o == nil || o.node != n || o.done != nil {
+		w.fail("%s: answer %d out of place", n.cfg.Self, a.ID)
+		return
+	}
+	o.done, o.took = &a, w.now-o.at
+	switch a.Verdict {
+	case Kept:
+		w.acked = max(w.acked, o.doc.Version)
+		if w.bodies[o.doc.Version] == "" && len(w.bodies) == 0 {
+			w.fail("version %d is acknowledged and nobody has it", o.doc.Version)
+		}
+	case Read:
+		if a.Doc.Version < o.floor {
+			w.fail("%s reads %d, %d was acknowledged", n.cfg.Self, a.Doc.Version, o.floor)
+		}
+		if b := w.bodies[a.Doc.Version]; b != string(a.Doc.Body) {
+			w.fail("%s reads %d %q, adopted %q", n.cfg.Self, a.Doc.Version, a.Doc.Body, b)
+		}
+		w.acked = max(w.acked, a.Doc.Version) // later reads may not go back behind it
+	case None:
+		if o.floor > 0 {
+			w.fail("%s reads nothing, %d was acknowledged", n.cfg.Self, o.floor)
+		}
+	}
+}
+
+// put offers the next version.
+func (w *world) put(n *node) *op {
+	top := w.acked
+	for v := range w.bodies {
+		top = max(top, v)
+	}
+	return w.call(n, false, Doc{top + 1, fmt.Appendf(nil, "%s@%v", n.cfg.Self, w.now)})
+}
+
+// record is the newest active one that any process or disk knows.
+func (w *world) record() Record {
+	var r Record
+	for _, n := range w.nodes {
+		if n.m != nil && n.m.view.newer(r) {
+			r = n.m.view
+		}
+	}
+	return r
+}
+
+// missing counts the seats whose memory is lost.
+func (w *world) missing() int {
+	return len(w.lost())
+}
+
+func (w *world) lost() []Seat {
+	return slices.DeleteFunc(slices.Clone(w.record().Set), func(s Seat) bool {
+		n := w.byAddr[s.Addr]
+		return !n.gone && n.m != nil && n.m.d.Life == s.Life && n.synced != nil && n.synced.Life == s.Life
+	})
+}
+
+func (w *world) primary() *node {
+	var p *node
+	for _, n := range w.nodes {
+		if n.up && n.frozen <= w.now && n.m.lead != nil &&
+			(p == nil || n.m.lead.rec.Ballot.above(p.m.lead.rec.Ballot)) {
+			p = n
+		}
+	}
+	return p
+}
+
+func (w *world) heal() {
+	w.cut, w.loss, w.twice = map[[2]string]bool{}, 0, 0
+	for _, n := range w.nodes {
+		n.frozen, n.stalled = 0, 0
+		w.start(n)
+	}
+}
+
+func (w *world) startAll() {
+	for _, n := range w.nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(300*ms))), func() { w.start(n) })
+	}
+}
+
+// settled judges that all goes on once all is well.
+func (w *world) settled() {
+	w.run(3000 * ms) // what was begun comes to its end
+	w.heal()
+	w.run(3500 * ms)
+	var ops []*op
+	for _, n := range w.nodes {
+		if n.up {
+			w.call(n, true, Doc{})
+			ops = append(ops, w.put(n))
+		}
+	}
+	w.run(1200 * ms)
+	for _, o := range ops {
+		if o.done == nil || o.done.Verdict != Kept {
+			w.late("%s: a put after all was healed: %+v", o.node.cfg.Self, o.done)
+		}
+	}
+	for _, n := range w.nodes {
+		if h := n.m.Held(); n.up && (h == nil || h.Version < w.acked) {
+			w.late("%s is behind: %v, %d acknowledged", n.cfg.Self, h, w.acked)
+		}
+	}
+	if w.missing() > 0 {
+		w.late("a seat was not taken again: %+v", w.lost())
+	}
+}
+
+func (w *world) members() []*node {
+	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return !n.cfg.Member || n.gone })
+}
--- /dev/null
+++ b/internal/shuttle/lane.go
@@ -0,0 +1,127 @@
+package shuttle
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"asterwell/choice"
+	"asterwell/internal/creed"
+	"asterwell/internal/protocol"
+	"asterwell/internal/routing"
+)
+
+// lane is one service: a core with the module, and its servers.
+type lane struct {
+	core  *routing.Core
+	fleet *protocol.Fleet
+	now   func() time.Duration
+	cold  time.Duration
+	known map[string]uint32 // servers' numbers here
+	set   choice.Settings
+}
+
+// The headers of the system's servers.
+var speech = &protocol.Dialect{Deadline: "X-Deadline-Ms", Millis: true, NotRun: "X-Not-Executed", Any: true, Echo: headerID,
+	Target: "X-Target-Instance", Drop: []string{"Authorization", headerTenant}}
+
+const (
+	headerID     = "X-Attempt-Id"
+	headerTenant = "X-Tenant-Name"
+	plan         = "tenant" // quotas are taken before a request comes to its lane
+)
+
+func newLane(p *Plane, name string, set choice.Settings) (*lane, error) {
+	l := &lane{now: p.opt.Now, cold: p.opt.ColdFor, known: map[string]uint32{}, set: set}
+	l.fleet = protocol.NewFleet(p.peers, false)
+	l.fleet.Dialect = speech
+	var err error
+	l.core, err = routing.New(set, p.opt.Seed^xxhash.Sum64String(name), p.opt.Now,
+		routing.Hands{World: p.opt.World, Fleet: l.fleet, Watcher: silent{}})
+	if err != nil {
+		return nil, err
+	}
+	l.fleet.Ends = l.core
+	p.opt.World.Go(l.core.Run)
+	return l, nil
+}
+
+// silent: news comes without being asked for.
+type silent struct{}
+
+func (silent) Watch(bool) {}
+
+// adopt goes over to other settings, if they are.
+func (l *lane) adopt(version int64, set choice.Settings) {
+	if len(set.Classes) == 0 || equal(l.set, set) {
+		return
+	}
+	l.set = set
+	l.core.Adopt(version, set)
+}
+
+func equal(a, b choice.Settings) bool {
+	return a.Doors == b.Doors && a.Index == b.Index && a.RetryMost == b.RetryMost && slices.Equal(a.Classes, b.Classes)
+}
+
+// update takes the service's servers. One that nobody has heard of for a while is
+// used only where there is no other.
+func (l *lane) update(list []Server) {
+	live := lo.SomeBy(list, func(s Server) bool { return s.State == choice.Up })
+	news := routing.News{Whole: true}
+	for _, s := range list {
+		if s.State == choice.Down && live {
+			continue
+		}
+		id := l.known[s.ID]
+		if id == 0 {
+			id = uint32(len(l.known) + 1)
+			l.known[s.ID] = id
+		}
+		m := choice.Member{ID: id, Key: xxhash.Sum64String(s.ID), Zone: s.Zone, State: s.State, Weight: 1}
+		if m.State == choice.Down {
+			m.State = choice.Up
+		}
+		if left := s.Warm - l.now(); left > 0 {
+			m.Started = l.now() - max(0, l.cold-left)
+		}
+		news.Members = append(news.Members, routing.Member{Member: m, Addr: s.Addr, Name: s.ID})
+	}
+	l.core.News(news)
+}
+
+// settings are a service's by the configuration: a class for each route that leads
+// to it and each rank that its requests may have.
+func (p *Plane) settings(t *creed.Table, service string) choice.Settings {
+	set := choice.Settings{Doors: p.gates, Index: p.index, Zone: p.opt.Zone, MaxTries: 1, SecondCopies: true, Cancels: true,
+		RetryAfter: true, ConnectTimeout: connectWithin, Weighted: true, ColdFrom: 0.5, ColdFor: p.opt.ColdFor,
+		CrossZone: crossZone, RetryShare: p.opt.RetryRatio * budgetUsed, RetryMost: max(1, p.opt.RetrySlack*budgetUsed/float64(p.gates)),
+		Plans: []choice.Plan{{Name: plan, ValueFactor: 1, OverrunCost: 1}}}
+	for _, r := range t.Routes() {
+		if !lo.ContainsBy(r.Backends, func(w creed.Weighted) bool { return w.Service == service && w.Share > 0 }) {
+			continue
+		}
+		c := choice.Class{Aim: cmp.Or(r.Target, r.Deadline), Deadline: r.Deadline, LateWorth: 0.3, Tries: max(r.Tries, 1)}
+		if c.Effect = choice.Retryable; r.Class == creed.Effectful {
+			c.Effect = choice.Fragile
+		}
+		for _, rank := range t.Ranks(r) {
+			c.Name, c.Value = class(r, rank), float64(max(1, 4-rank))
+			set.Classes = append(set.Classes, c)
+		}
+	}
+	slices.SortFunc(set.Classes, func(a, b choice.Class) int { return cmp.Compare(a.Name, b.Name) })
+	return set
+}
+
+const (
+	budgetUsed = 0.6 // of the budget of repeats, which gateways that come and go share
+	crossZone  = 0.1 // of the aim, that another zone's server should be quicker by
+)
+
+// class names a route's requests of one rank.
+func class(r *creed.Route, rank int) string { return r.Name + "#" + strconv.Itoa(rank) }
--- /dev/null
+++ b/internal/weave/calls.go
@@ -0,0 +1,164 @@
+package weave
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/creed"
+	"asterwell/internal/lore"
+	"asterwell/internal/pact"
+)
+
+// call is one that servers and operators may make, beside its handler. The handler
+// runs on the goroutine of the connection, and waits for the process's word.
+type call struct {
+	method, path string // a path that ends with a slash stands for all below it
+	what         string
+	handle       func(p *Process, ctx *fasthttp.RequestCtx, rest string)
+}
+
+var calls = []call{
+	{"PUT", "/api/members/", "a server's beat", (*Process).beat},
+	{"DELETE", "/api/members/", "a server has ended", (*Process).end},
+	{"PUT", "/api/configuration", "a configuration, whole", (*Process).put},
+	{"GET", "/api/configuration", "the newest configuration", (*Process).get},
+	{"GET", "/api/status", "what this process knows", (*Process).status},
+	{"GET", "/api/log", "its last lines", (*Process).log},
+}
+
+// Control serves the control address.
+func (p *Process) control(ctx *fasthttp.RequestCtx) {
+	path, method := string(ctx.Path()), string(ctx.Method())
+	known := false
+	for _, c := range calls {
+		rest, below := strings.CutPrefix(path, c.path)
+		if !below || rest != "" && !strings.HasSuffix(c.path, "/") {
+			continue
+		}
+		if known = true; c.method == method {
+			c.handle(p, ctx, rest)
+			if p.leaving.Load() {
+				ctx.SetConnectionClose()
+			}
+			return
+		}
+	}
+	if known {
+		ctx.Error("method not allowed\n", http.StatusMethodNotAllowed)
+		return
+	}
+	ctx.Error("no such call\n", http.StatusNotFound)
+}
+
+// report is a server's word of itself.
+type report struct {
+	Endpoint string
+	SelfInfo struct {
+		Backend, Epoch, Zone string
+		Capacity             int
+	}
+	HealthState struct {
+		Phase        string
+		Sequence     uint64
+		WarmupLeftMs float64
+	}
+}
+
+func (p *Process) beat(ctx *fasthttp.RequestCtx, id string) {
+	var r report
+	err := json.Unmarshal(ctx.PostBody(), &r)
+	switch {
+	case err != nil:
+	case id == "":
+		err = errors.New("path: the server's id is missing")
+	case r.Endpoint == "":
+		err = errors.New("Endpoint is missing")
+	case r.SelfInfo.Backend == "":
+		err = errors.New("SelfInfo.Backend is missing")
+	case r.HealthState.Phase != "serving" && r.HealthState.Phase != "quiescing":
+		err = fmt.Errorf("HealthState.Phase is unknown: %q", r.HealthState.Phase)
+	}
+	if err != nil {
+		ctx.Error(err.Error()+"\n", http.StatusBadRequest)
+		return
+	}
+	b := lore.Beat{ID: id, Addr: r.Endpoint, Service: r.SelfInfo.Backend, Zone: r.SelfInfo.Zone, Epoch: r.SelfInfo.Epoch,
+		Capacity: r.SelfInfo.Capacity, Quiescing: r.HealthState.Phase == "quiescing", Seq: r.HealthState.Sequence,
+		WarmMs: int(r.HealthState.WarmupLeftMs)}
+	p.member(ctx, func(call uint64) { p.box.Put(beaten{call, b}) })
+}
+
+func (p *Process) end(ctx *fasthttp.RequestCtx, id string) {
+	p.member(ctx, func(call uint64) { p.box.Put(deleted{call, id}) })
+}
+
+// member answers a server's call.
+func (p *Process) member(ctx *fasthttp.RequestCtx, put func(call uint64)) {
+	a, ok := p.ask(put).(lore.Answer)
+	if !ok || !a.OK {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetContentType("application/json")
+	if a.Target == "" {
+		ctx.SetBodyString("{}")
+		return
+	}
+	body, _ := json.Marshal(map[string]string{"HeartbeatTarget": a.Target})
+	ctx.SetBody(body)
+}
+
+func (p *Process) put(ctx *fasthttp.RequestCtx, _ string) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	c, err := creed.Parse(body)
+	if err != nil {
+		ctx.Error(err.Error()+"\n", http.StatusBadRequest)
+		return
+	}
+	doc := pact.Doc{Version: c.Version(), Body: body}
+	a, _ := p.ask(func(call uint64) { p.box.Put(proposed{call, doc}) }).(pact.Answer)
+	if a.Verdict != pact.Kept {
+		p.busy(ctx)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString("{}")
+}
+
+func (p *Process) get(ctx *fasthttp.RequestCtx, _ string) {
+	a, _ := p.ask(func(call uint64) { p.box.Put(fetched{call}) }).(pact.Answer)
+	switch {
+	case a.Verdict == pact.Read && a.Doc != nil:
+		ctx.SetContentType("application/json")
+		ctx.SetBody(a.Doc.Body)
+	case a.Verdict == pact.None:
+		ctx.Error("there is no configuration yet\n", http.StatusNotFound)
+	default:
+		p.busy(ctx)
+	}
+}
+
+// busy sends the caller elsewhere, or here again.
+func (p *Process) busy(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Header.Set("Retry-After", "0.2")
+	ctx.Error("nobody can take it now\n", http.StatusServiceUnavailable)
+}
+
+func (p *Process) status(ctx *fasthttp.RequestCtx, _ string) {
+	body, err := json.MarshalIndent(p.ask(func(call uint64) { p.box.Put(examined{call}) }), "", "  ")
+	if err != nil {
+		ctx.Error(err.Error()+"\n", http.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+func (p *Process) log(ctx *fasthttp.RequestCtx, _ string) {
+	ctx.SetBodyString(strings.Join(p.ring.Lines(), "\n") + "\n")
+}
--- /dev/null
+++ b/internal/weave/disk.go
@@ -0,0 +1,86 @@
+package weave
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"asterwell/internal/bond"
+	"asterwell/internal/lore"
+	"asterwell/internal/pact"
+	"asterwell/internal/vault"
+)
+
+// record is the name under which agreement's state is kept.
+const record = "pact"
+
+// open reads what is on disk, and begins to write what comes.
+func (p *Process) open(dir string) (*vault.Vault, *pact.Disk, error) {
+	v, err := vault.Open(dir)
+	if err != nil {
+		return nil, nil, fmt.Errorf("StateDir: %w", err)
+	}
+	go p.write(v)
+	data, err := v.Load(record)
+	var back *vault.SteppedBack
+	if errors.As(err, &back) { // what it has forgotten, it may have promised: it does not count as one that remembers
+		p.say.WithError(err).Error("state is damaged: joins anew")
+		return v, nil, nil
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		return v, nil, nil
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("StateDir: %w", err)
+	}
+	d := &pact.Disk{}
+	if err := cbor.Unmarshal(data, d); err != nil {
+		return nil, nil, fmt.Errorf("StateDir: record %q: %w", record, err)
+	}
+	return v, d, nil
+}
+
+const writeAgain = 200 * time.Millisecond
+
+// write syncs what agreement wants kept, the newest of what has come: each is whole.
+// A disk that refuses is asked again; until then nothing is acknowledged.
+func (p *Process) write(v *vault.Vault) {
+	for {
+		all := p.disk.Take(-1)
+		if len(all) == 0 {
+			continue
+		}
+		last := all[len(all)-1]
+		data, err := cbor.Marshal(last.Disk)
+		for err == nil {
+			if err = v.Save(record, data); err == nil {
+				break
+			}
+			p.say.WithError(err).Warn("disk refuses")
+			time.Sleep(writeAgain)
+			err = nil
+		}
+		p.box.Put(written{last.Seq})
+	}
+}
+
+// Status is what an operator sees of a process.
+type Status struct {
+	Name, Mesh string
+	Ready      bool
+	Leaving    bool
+	Version    string
+	Pact       pact.Status
+	Nodes      []bond.Node
+	Servers    []lore.Server
+	Mesh_      map[string]int64 `json:"Frames"`
+}
+
+func (p *Process) examine() Status {
+	return Status{Name: p.set.NodeName, Mesh: p.self, Ready: p.ready.Load(), Leaving: p.leaving.Load(),
+		Version: fmt.Sprintf("%08x", p.plane.Version()), Pact: p.pact.Status(), Nodes: p.bond.View(), Servers: p.lore.Servers(),
+		Mesh_: p.mesh.Counts.All()}
+}
--- /dev/null
+++ b/internal/weave/frame.go
@@ -0,0 +1,93 @@
+package weave
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"asterwell/internal/bond"
+	"asterwell/internal/lore"
+	"asterwell/internal/mesh"
+	"asterwell/internal/pact"
+	"asterwell/internal/toll"
+)
+
+// frame is a message of one process for another. On the wire: the length of the
+// rest in four bytes, the version, the message's number, the sender's address with
+// its length before it, and the message in cbor.
+type frame struct {
+	From string
+	Msg  any
+}
+
+const (
+	frameVersion = 1
+	mostFrame    = 16 << 20
+)
+
+// The messages of each machine, by the number that they have on the wire: the
+// machine's times 32, and the place in its list.
+var machines = [][]any{bond.Messages(), lore.Messages(), pact.Messages(), toll.Messages()}
+
+// The machines' places there.
+const (
+	ofBond = iota
+	ofLore
+	ofPact
+	ofToll
+)
+
+var numbers = func() map[reflect.Type]byte {
+	n := map[reflect.Type]byte{}
+	for i, all := range machines {
+		for j, m := range all {
+			n[reflect.TypeOf(m)] = byte(i*32 + j)
+		}
+	}
+	return n
+}()
+
+// owner tells which machine a message is for.
+func owner(msg any) int { return int(numbers[reflect.TypeOf(msg)]) / 32 }
+
+var codec = mesh.Codec[*frame]{Encode: encode, Read: read}
+
+func encode(f *frame) []byte {
+	body, err := cbor.Marshal(f.Msg)
+	if err != nil {
+		panic(fmt.Sprintf("message %T: %v", f.Msg, err)) // a bug: the types are our own
+	}
+	b := make([]byte, 4, 4+3+len(f.From)+len(body))
+	b = append(b, frameVersion, numbers[reflect.TypeOf(f.Msg)], byte(len(f.From)))
+	b = append(append(b, f.From...), body...)
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	return b
+}
+
+func read(in *bufio.Reader) (*frame, int, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(in, head[:]); err != nil {
+		return nil, 0, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size < 3 || size > mostFrame {
+		return nil, 0, fmt.Errorf("%w: %d bytes", mesh.ErrStrange, size)
+	}
+	b := make([]byte, size)
+	if _, err := io.ReadFull(in, b); err != nil {
+		return nil, 0, err
+	}
+	kind, from := int(b[1]), 3+int(b[2])
+	if b[0] != frameVersion || kind/32 >= len(machines) || kind%32 >= len(machines[kind/32]) || from > len(b) {
+		return nil, 0, fmt.Errorf("%w: version %d, kind %d", mesh.ErrStrange, b[0], kind)
+	}
+	msg := reflect.New(reflect.TypeOf(machines[kind/32][kind%32]))
+	if err := cbor.Unmarshal(b[from:], msg.Interface()); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", mesh.ErrSpoilt, err)
+	}
+	return &frame{From: string(b[3:from]), Msg: msg.Elem().Interface()}, int(size) + 4, nil
+}
--- /dev/null
+++ b/internal/weave/serve.go
@@ -0,0 +1,106 @@
+package weave
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"asterwell/choice"
+	"asterwell/internal/lore"
+	"asterwell/internal/shuttle"
+	"asterwell/internal/transport"
+)
+
+// How a process leaves: clients are sent here until the platform has seen twice
+// that it is not ready.
+const (
+	staysFor = 2500 * time.Millisecond
+	lastCall = 300 * time.Millisecond // before the grace ends
+)
+
+// serve begins to listen to clients, the platform, servers and operators.
+func (p *Process) serve() error {
+	b := p.set.Bind
+	clients := p.set.BoundsReq.FdLimit / 3
+	if b.Ingress != "" {
+		s := transport.NewServer(p.plane.Handle, mostBody)
+		s.ReadBufferSize, s.ReadTimeout, s.IdleTimeout, s.WriteTimeout = mostHead, headTime, idleTime, answerTime
+		if err := p.listen("Ingress", b.Ingress, clients, s); err != nil {
+			return err
+		}
+	}
+	if b.Readiness != "" {
+		if err := p.listen("Readiness", b.Readiness, 64, transport.NewServer(p.readiness, 0)); err != nil {
+			return err
+		}
+	}
+	if b.ControlPlane != "" {
+		s := transport.NewServer(p.control, mostConfiguration)
+		s.IdleTimeout = idleTime
+		if err := p.listen("ControlPlane", b.ControlPlane, 512, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// What clients may send, and how long they may take. The configuration's bounds are
+// at most these.
+const (
+	mostBody          = 64 << 20
+	mostHead          = 17 << 10
+	mostConfiguration = 16 << 20
+	headTime          = 4 * time.Second
+	idleTime          = 17 * time.Second
+	answerTime        = 15 * time.Second
+)
+
+func (p *Process) listen(key, addr string, most int, s *fasthttp.Server) error {
+	ln, err := transport.Listen(nil, addr, most)
+	if err != nil {
+		return fmt.Errorf("Bind.%s: %w", key, err)
+	}
+	p.listeners = append(p.listeners, ln)
+	go func() {
+		if err := ln.Serve(s); !errors.Is(err, net.ErrClosed) {
+			p.say.WithError(err).WithField("bind", key).Error("does not listen any more")
+		}
+	}()
+	return nil
+}
+
+func (p *Process) readiness(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/api/readiness" {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	} else if !p.ready.Load() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// ended reports whether a process that leaves has answered all.
+func (p *Process) ended(now time.Time) bool {
+	gone := now.Sub(p.left)
+	if gone < staysFor {
+		return false
+	}
+	open := 0
+	for _, ln := range p.listeners[:1] { // clients; who else calls goes elsewhere
+		open += ln.Drain()
+	}
+	return open == 0 && p.plane.Open() == 0 || gone > p.set.Bounds.Grace-lastCall
+}
+
+// served is a server as the data plane sees it.
+func served(s lore.Server) shuttle.Server {
+	state := choice.Up
+	switch s.Phase {
+	case lore.Quiescing:
+		state = choice.Draining
+	case lore.Silent:
+		state = choice.Down
+	}
+	return shuttle.Server{ID: s.ID, Addr: s.Addr, Service: s.Service, Zone: s.Zone, Capacity: s.Capacity, Warm: s.Warm, State: state}
+}
