--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -111,9 +111,15 @@
 	e.cur.sum += add - back
 }
 
-// learn takes in units that others have added.
+// learn takes in units that others have added. Those of a long time come in a lump,
+// and the room that grew meanwhile beyond the burst is forgotten: since others keep
+// to the limit too, a lump leaves no debt that was not there.
 func (e *entry) learn(now plane.Time, units float64) {
+	before := e.room(now)
 	e.tat = max(now-e.tau, e.tat) + e.span(units)
+	if now-e.readAt > stallGap {
+		e.tat = min(e.tat, now+e.tau-e.span(min(before, 0)-1))
+	}
 }
 
 func (e *entry) unsent() float64 { return float64(e.cur.sum-e.sent) / milli }
