Take the clients' socket from the platform, and answer staff at a second address

Change: LB_SOCKET_FD, management address with readiness, figures and drain; kept connections close behind their answer while it drains. Books of the module go to a file of their own: they decide nothing.

--- /dev/null
+++ b/choice/books.go
@@ -0,0 +1,18 @@
+package choice
+
+// Books tells what it has counted, and what it goes by now.
+func (b *Balancer) Books() Books {
+	b.books.Out, b.books.Limit, b.books.Rate = b.limit.Load, b.limit.Max, b.sends
+	return b.books
+}
+
+// Avoided are the servers in the list that this gateway would send nothing now but a trial.
+func (b *Balancer) Avoided() int {
+	n := 0
+	for _, be := range b.fleet {
+		if be.listed && be.Out() {
+			n++
+		}
+	}
+	return n
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -199,12 +199,6 @@
 	return b, nil
 }
 
-// Books tells what it has counted, and what it goes by now.
-func (b *Balancer) Books() Books {
-	b.books.Out, b.books.Limit, b.books.Rate = b.limit.Load, b.limit.Max, b.sends
-	return b.books
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (b *Balancer) logOnce(text string) {
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -18,16 +18,20 @@
 )
 
 // Config is all that a gateway is told. LB_CONFIG names its file; LB_NAME,
-// LB_LISTEN and LB_DISCOVERY go before what the file says.
+// LB_LISTEN, LB_DISCOVERY and LB_MANAGEMENT go before what the file says.
 type Config struct {
 	Name      string
 	Listen    string
 	Discovery string
 	Counter   string
-	Seed      uint64
-	Limits    Limits
-	Known     protocol.List
-	Settings  settings.Settings
+
+	Management string // "": nobody may call
+	Socket     int    // descriptor of the clients' listening socket; 0: the gateway opens its own
+
+	Seed     uint64
+	Limits   Limits
+	Known    protocol.List
+	Settings settings.Settings
 }
 
 // Limits are what the platform holds a gateway to.
@@ -130,6 +134,7 @@
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		Counter   string          `json:"counter"`
+		Manage    string          `json:"management"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     protocol.List   `json:"known"`
@@ -138,8 +143,9 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, keyed(err)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Limits: f.Limits, Known: f.Known}
-	for name, to := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery} {
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Limits: f.Limits, Known: f.Known, Management: f.Manage}
+	for name, to := range map[string]*string{"LB_NAME": &c.Name, "LB_LISTEN": &c.Listen, "LB_DISCOVERY": &c.Discovery,
+		"LB_MANAGEMENT": &c.Management} {
 		if v := env(name); v != "" {
 			*to = v
 		}
@@ -153,7 +159,17 @@
 	if err := address("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Management != "" {
+		if err := address("management", c.Management); err != nil {
+			return nil, err
+		}
+	}
 	var err error
+	if fd := env("LB_SOCKET_FD"); fd != "" {
+		if c.Socket, err = strconv.Atoi(fd); err != nil || c.Socket < 3 {
+			return nil, fmt.Errorf("LB_SOCKET_FD: not a descriptor from 3: %q", fd)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: not up to 16 hex digits: %q", f.Seed)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -20,6 +20,7 @@
 	"asterwell/internal/actor"
 	"asterwell/internal/backoff"
 	"asterwell/internal/cluster"
+	"asterwell/internal/ops"
 	"asterwell/internal/protocol"
 	"asterwell/internal/protocol/openapi"
 	"asterwell/internal/routing"
@@ -69,8 +70,9 @@
 }
 
 const (
-	maxBody  = 64 << 10
-	staysFor = 700 * time.Millisecond // after SIGTERM: so long may the front send more
+	maxBody   = 64 << 10
+	drainsFor = time.Second            // until idle connections close: new ones come for 0.2 s after the first no
+	staysFor  = 700 * time.Millisecond // after SIGTERM: so long may the front send more
 )
 
 // clock returns the core's clock: the Unix time as it was at the start, and
@@ -110,7 +112,9 @@
 	sockets   *transport.Sockets
 	parts     []part
 	listeners []*transport.Listener
+	figures   *ops.Figures
 	leaving   atomic.Bool
+	draining  atomic.Bool
 }
 
 // What a running gateway is told.
@@ -118,6 +122,7 @@
 	term   struct{}
 	hup    struct{}
 	failed struct{ error }
+	drain  struct{ on bool }
 )
 
 // Term tells the gateway to end, once all is answered.
@@ -126,6 +131,17 @@
 // Hup tells it that the files have changed.
 func (g *Gateway) Hup() { g.box.Put(hup{}) }
 
+// Drain makes the gateway ask for no more clients, or for clients again, at once.
+func (g *Gateway) Drain(on bool) {
+	if g.draining.Swap(on) != on {
+		log.Printf("event=drain on=%v", on)
+		g.box.Put(drain{on})
+	}
+}
+
+// away tells that clients should come in elsewhere the next time.
+func (g *Gateway) away() bool { return g.leaving.Load() || g.draining.Load() }
+
 // New puts a gateway together in a world (nil: the real one). reread reads its files
 // anew, at Hup.
 func New(world seam.Seam, files *Files, reread func() (*Files, error)) (*Gateway, error) {
@@ -148,8 +164,17 @@
 	}
 	now := clock(world)
 	g.sockets = transport.NewSockets(servers)
+	g.figures = ops.NewFigures(func() int { return g.core.Targets() }, func() int { return g.core.Avoided() })
+	for _, c := range set.Classes {
+		g.figures.Class(c.Name)
+	}
 	fleet := protocol.NewFleet(transport.PeerOptions{World: world, Connect: orDefault(set.ConnectTimeout, time.Second),
-		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: g.sockets}, set.Reports)
+		Keep: transport.NewKeep(orDefault(set.IdleClose, 10*time.Second) / 2), Sockets: g.sockets,
+		Wrote: func(note any) {
+			if note != nil { // no probe
+				g.figures.Dispatched()
+			}
+		}}, set.Reports)
 	watch := &watcher{}
 	hands := routing.Hands{World: world, Fleet: fleet, Watcher: watch}
 	if set.Counter {
@@ -203,19 +228,31 @@
 
 	front = protocol.NewFront(set.Settings)
 	front.Late = g.gate != nil
-	front.Core, front.Now, front.Leaving = g.core, now, g.leaving.Load
+	front.Core, front.Now, front.Leaving, front.Tally = g.core, now, g.away, g.figures
 	front.Ready = func() bool {
-		return !g.leaving.Load() && g.core.Stats().Ready > 0 && g.srv.trusted() && g.gate.open(now)
+		return !g.away() && g.core.Ready() > 0 && g.srv.trusted() && g.gate.open(now)
 	}
-	if err := g.serve(cfg.Listen, clients, transport.NewServer(front.Handle, maxBody)); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	ln, err := g.listen(clients)
+	if err != nil {
+		return nil, err
+	}
+	g.serve(ln, transport.NewServer(front.Handle, maxBody))
+	if cfg.Management != "" {
+		ln, err := ops.Listen(world, cfg.Management)
+		if err != nil {
+			return nil, fmt.Errorf("management: %w", err)
+		}
+		desk := &ops.Desk{Ready: front.Ready, Drain: g.Drain, Figures: g.figures}
+		g.world.Go(func() { g.box.Put(failed{desk.Serve(ln)}) })
 	}
 	if op.Enabled {
-		described.Core, described.IDs, described.Now, described.Leaving = g.core, front.IDs, now, g.leaving.Load
+		described.Core, described.IDs, described.Now, described.Leaving = g.core, front.IDs, now, g.away
 		described.Random = world.Random
-		if err := g.serve(op.Listen, clients, transport.NewServer(described.Handle, op.MaxBodyKB<<10)); err != nil {
+		ln, err := transport.Listen(world, op.Listen, clients)
+		if err != nil {
 			return nil, fmt.Errorf("openapi: listen: %w", err)
 		}
+		g.serve(ln, transport.NewServer(described.Handle, op.MaxBodyKB<<10))
 		g.parts = append(g.parts, &follower{described, op, text, world.NewBell()})
 		log.Printf("event=start openapi=%s description=%s", op.Listen, op.Description)
 	}
@@ -224,15 +261,26 @@
 	return g, nil
 }
 
-// serve begins to listen; what comes is served once the gateway runs.
-func (g *Gateway) serve(addr string, most int, s *fasthttp.Server) error {
-	ln, err := transport.Listen(g.world, addr, most)
+// listen takes the clients' socket that the platform holds, or opens one.
+func (g *Gateway) listen(most int) (*transport.Listener, error) {
+	if g.cfg.Socket > 0 {
+		ln, err := transport.Inherit(g.cfg.Socket, most)
+		if err != nil {
+			return nil, fmt.Errorf("LB_SOCKET_FD: %d: %w", g.cfg.Socket, err)
+		}
+		return ln, nil
+	}
+	ln, err := transport.Listen(g.world, g.cfg.Listen, most)
 	if err != nil {
-		return err
+		return nil, fmt.Errorf("listen: %w", err)
 	}
+	return ln, nil
+}
+
+// serve serves what comes, once the gateway runs.
+func (g *Gateway) serve(ln *transport.Listener, s *fasthttp.Server) {
 	g.listeners = append(g.listeners, ln)
 	g.world.Go(func() { g.box.Put(failed{ln.Serve(s)}) })
-	return nil
 }
 
 // follower is the part that follows a description's file.
@@ -257,11 +305,13 @@
 		}
 	}()
 	totals := g.world.Now().Add(totalsEvery)
-	var last time.Time // to check whether all is answered
+	var last, idle time.Time // to check whether all is answered; to close what is idle, while it drains
 	for {
 		next := totals
-		if !last.IsZero() && last.Before(next) {
-			next = last
+		for _, at := range []time.Time{last, idle} {
+			if !at.IsZero() && at.Before(next) {
+				next = at
+			}
 		}
 		for _, m := range g.box.Take(max(0, next.Sub(g.world.Now()))) {
 			switch m := m.(type) {
@@ -270,7 +320,15 @@
 					return fmt.Errorf("serve: %w", m.error)
 				}
 			case hup:
-				g.reload()
+				g.figures.Reloaded(g.reload())
+			case drain:
+				if idle = (time.Time{}); m.on {
+					idle = g.world.Now().Add(drainsFor)
+				} else if last.IsZero() {
+					for _, ln := range g.listeners {
+						ln.Resume()
+					}
+				}
 			case term:
 				if !g.leaving.Swap(true) {
 					log.Printf("event=leaving open=%d", g.core.Stats().Open)
@@ -283,6 +341,10 @@
 			totals = now.Add(totalsEvery)
 			g.report()
 		}
+		if !idle.IsZero() && !now.Before(idle) {
+			idle = time.Time{}
+			g.drain()
+		}
 		if !last.IsZero() && !now.Before(last) {
 			if last = now.Add(5 * time.Millisecond); g.drain() == 0 && g.core.Stats().Open == 0 {
 				g.report()
@@ -294,12 +356,12 @@
 
 const totalsEvery = 10 * time.Second
 
-// reload takes over what can change in a running gateway.
-func (g *Gateway) reload() {
+// reload takes over what can change in a running gateway, and tells whether it did.
+func (g *Gateway) reload() bool {
 	next, err := g.reread()
 	if err != nil {
 		log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
-		return
+		return false
 	}
 	g.cfg = g.cfg.reload(next.Config)
 	g.srv.reload(next.SRV)
@@ -307,6 +369,7 @@
 	if g.counter != nil {
 		g.counter.Move(g.cfg.Counter)
 	}
+	return true
 }
 
 // drain closes what is idle, and counts what is left.
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"asterwell/choice"
+	"asterwell/internal/ops"
 	"asterwell/internal/routing"
 	"asterwell/internal/seam"
 	"asterwell/internal/transport"
@@ -49,13 +50,21 @@
 	delete(s.open, id)
 }
 
+// Tally hears how clients' requests end.
+type Tally interface {
+	Took() // a request is under way
+	Gave() // and no more
+	Ended(class string, how ops.How)
+}
+
 // Front is the platform's front: it reads a request's terms from its headers.
 type Front struct {
 	Core    Core
 	IDs     *IDs
 	Now     func() time.Duration
 	Ready   func() bool
-	Leaving func() bool // the program is about to end
+	Leaving func() bool // the next request should come in elsewhere
+	Tally   Tally       // nil: nobody counts
 	classes map[string]choice.Class
 	plans   map[string]float64 // the most units that a request can have
 	doors   int
@@ -98,7 +107,7 @@
 // Handle serves one request.
 func (f *Front) Handle(ctx *fasthttp.RequestCtx) {
 	defer func() {
-		if f.Leaving() { // the next request should come in elsewhere
+		if f.Leaving() {
 			ctx.SetConnectionClose()
 		}
 	}()
@@ -118,7 +127,15 @@
 		bad(ctx, err)
 		return
 	}
-	switch a := Await(ctx, f.Core, f.IDs, id, r); a.Kind {
+	if f.Tally != nil {
+		f.Tally.Took()
+		defer f.Tally.Gave()
+	}
+	a := Await(ctx, f.Core, f.IDs, id, r)
+	if how := figure[a.Kind]; how != "" && f.Tally != nil {
+		f.Tally.Ended(r.Class, how)
+	}
+	switch a.Kind {
 	case Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
 		PassOn(ctx, a.Answer)
@@ -138,6 +155,9 @@
 	}
 }
 
+// figure is how figures name the kinds; the others are no requests, or nobody is left.
+var figure = map[Kind]ops.How{Served: ops.Success, Refused: ops.Overload, Failed: ops.Failure, TimedOut: ops.Failure}
+
 // bad answers a request whose terms are wrong.
 func bad(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"log"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"asterwell/choice"
@@ -140,6 +141,34 @@
 	trust      time.Duration // from then on the saved copy has to do
 	version    int64         // of the policy in the module
 	waiting    []uint32      // requests at the gate, in order
+	listed     map[uint32]bool
+	counted    time.Duration // when view was brought up to date
+	view       view
+}
+
+// view is what others may read at any time, without the core's turn.
+type view struct{ listed, avoided, ready atomic.Int64 }
+
+const viewEvery = 200 * time.Millisecond
+
+// Ready is the number of servers that requests may go to.
+func (c *Core) Ready() int { return int(c.view.ready.Load()) }
+
+// Targets are the servers in the list, and Avoided those of them that nothing is sent to now.
+func (c *Core) Targets() int { return int(c.view.listed.Load()) }
+
+// Avoided are the listed servers that this gateway keeps away from.
+func (c *Core) Avoided() int { return int(c.view.avoided.Load()) }
+
+func (c *Core) survey(now time.Duration) {
+	c.counted = now
+	c.view.listed.Store(int64(len(c.listed)))
+	c.view.avoided.Store(int64(len(c.listed) - len(c.up) + c.bal.Avoided()))
+	ready := 0
+	if c.told || now >= c.trust {
+		ready = len(c.up)
+	}
+	c.view.ready.Store(int64(ready))
 }
 
 type open struct {
@@ -172,7 +201,8 @@
 // New returns a core that acts through hands once it runs. now is its clock.
 func New(set choice.Settings, seed uint64, now func() time.Duration, hands Hands) (*Core, error) {
 	c := &Core{box: actor.NewBox[message](hands.World), now: now, hands: hands, open: map[uint32]*open{},
-		probes: map[uint32]probe{}, counts: map[string]time.Duration{}, up: map[uint32]bool{}}
+		probes: map[uint32]probe{}, counts: map[string]time.Duration{}, up: map[uint32]bool{},
+		listed: map[uint32]bool{}}
 	if c.probeLimit = set.ConnectTimeout; c.probeLimit <= 0 {
 		c.probeLimit = time.Second
 	}
@@ -216,6 +246,9 @@
 		t.fire(c, now)
 		c.settle()
 	}
+	if now-c.counted >= viewEvery {
+		c.survey(now)
+	}
 }
 
 // settle tells the module the ends of what it cancelled.
@@ -365,16 +398,21 @@
 	if !m.Broken {
 		if c.hands.Fleet.Update(m); m.Whole {
 			clear(c.up)
+			clear(c.listed)
 		}
 		for _, s := range m.Members {
 			r.Members = append(r.Members, s.Member)
 			if delete(c.up, s.ID); s.State == choice.Up {
 				c.up[s.ID] = true
 			}
+			if delete(c.listed, s.ID); s.State != choice.Down {
+				c.listed[s.ID] = true
+			}
 		}
 		c.told = c.told || !m.Saved
 	}
 	c.bal.Roster(now, r)
+	c.survey(now)
 }
 
 type asked struct {
@@ -384,9 +422,8 @@
 
 func (m *asked) apply(c *Core, now time.Duration) {
 	s := c.stats
-	if s.Open = len(c.open); c.told || now >= c.trust {
-		s.Ready = len(c.up)
-	}
+	c.survey(now)
+	s.Open, s.Ready = len(c.open), c.Ready()
 	s.Out, s.Module, s.Version = len(c.probes), c.bal.Books(), c.version
 	for _, o := range c.open {
 		s.Out += o.out
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -37,7 +37,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{Listener: ln, world: world, most: most, room: world.NewBell(), open: map[*ClientConn]struct{}{}}, nil
+	return newListener(world, ln, most), nil
+}
+
+func newListener(world seam.Seam, ln net.Listener, most int) *Listener {
+	return &Listener{Listener: ln, world: world, most: most, room: world.NewBell(), open: map[*ClientConn]struct{}{}}
+}
+
+// Inherit listens on a socket that whoever started the process holds under a
+// descriptor. Closing the listener leaves the socket, and who waits there, to others.
+func Inherit(fd int, most int) (*Listener, error) {
+	file := os.NewFile(uintptr(fd), "inherited")
+	if file == nil {
+		return nil, os.ErrInvalid
+	}
+	ln, err := net.FileListener(file)
+	if err != nil {
+		return nil, err
+	}
+	return newListener(seam.Real, ln, most), file.Close() // the listener has a copy
 }
 
 // Serve serves each connection on a goroutine of its own, until the listener is closed.
@@ -171,6 +189,13 @@
 	return len(l.open)
 }
 
+// Resume ends what Drain began.
+func (l *Listener) Resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = false
+}
+
 func (l *Listener) idle(c *ClientConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -39,6 +39,7 @@
 	Connect time.Duration // until a connection is given up
 	Keep    *Keep         // an unused connection is closed after this, well before the server does
 	Sockets *Sockets
+	Wrote   func(note any) // hears of each exchange whose last byte has been written; nil: nobody does
 }
 
 // Peer is the actor that owns all connections to one server. Each carries one
@@ -244,6 +245,9 @@
 		l.idled = l.wrote.Sub(l.since)
 	}
 	p.busy[o.key] = l
+	if p.opt.Wrote != nil {
+		p.opt.Wrote(o.note)
+	}
 }
 
 func (p *Peer[K]) heard(m heard[K]) {
