Take classes, contracts and attempts over at SIGHUP, and nothing of a broken file

The figures themselves: only failed, taken and turned down were untrue, all by this cause. Change: settings go to the core, module and front in one message; shape and positive numbers are checked before anything counts.

--- a/choice/adopt.go
+++ b/choice/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,9 +11,10 @@
 	"asterwell/internal/policy"
 )
 
-// Adopt puts another policy in force: classes, plans and prices of set, which has
-// been validated. Version names it, the same at all gateways. Requests that are
-// open keep the class and the plan that they came under.
+// Adopt puts another policy in force: classes, plans, prices and the attempts that a
+// request may have, of set, which has been validated. Version names it, the same at all
+// gateways. Requests that are open keep the rules that they came under. Where version is
+// 0 and the plans are the same, quotas stay as they are.
 //
 // How quotas go over is policy.Carry's rule. The units of the policy before stay on
 // its own names of the counter: under other rates the same units stand for another
@@ -20,13 +22,36 @@
 // does at each new period of names; and as there, ceilings go by even shares until
 // the new counts are sound.
 func (b *Balancer) Adopt(now time.Duration, version int64, set Settings) {
+	if version > 0 || !slices.Equal(b.set.Plans, set.Plans) {
+		b.exchange(now, version, set.Plans)
+	}
+	classes := b.classes
+	b.classes, b.beat, b.slotPeriod = map[string]*class{}, set.Classes[0].Aim, 0
+	for _, c := range set.Classes {
+		n := &class{Class: c, Latency: health.NewLatency(c.Aim)}
+		if was := classes[c.Name]; was != nil && was.Aim == c.Aim { // servers are as they were
+			n.Latency, n.span, n.votes = was.Latency, was.span, was.votes
+		}
+		b.classes[c.Name] = n
+		b.beat = min(b.beat, c.Aim)
+		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
+	}
+	b.beat = max(b.beat/8, b.set.Tick)
+	b.density = 0
+	b.set.Classes, b.set.Plans, b.set.MaxTries = set.Classes, set.Plans, max(set.MaxTries, 1)
+	b.set.CrossZone, b.set.CounterPrice, b.set.ProbePrice = set.CrossZone, set.CounterPrice, set.ProbePrice
+	b.set.WastePrice, b.set.LateFailPrice, b.set.MaxUnits = set.WastePrice, set.LateFailPrice, set.MaxUnits
+}
+
+// exchange puts other plans in the place of those in force.
+func (b *Balancer) exchange(now time.Duration, version int64, plans []Plan) {
 	for name, then := range b.calls { // what has not been answered is taken as landed, as with any that is late
 		delete(b.calls, name)
 		then(now, Counted{Name: name, Status: Timeout})
 	}
 	old := b.plans
 	b.plans, b.ended = map[string]*Plan{}, map[*Plan]bool{}
-	for _, p := range set.Plans {
+	for _, p := range plans {
 		b.plans[p.Name] = &p
 	}
 	b.names = ""
@@ -42,22 +67,6 @@
 			b.carry(now, c, to)
 		}
 	}
-	classes := b.classes
-	b.classes, b.beat, b.slotPeriod = map[string]*class{}, set.Classes[0].Aim, 0
-	for _, c := range set.Classes {
-		n := &class{Class: c, Latency: health.NewLatency(c.Aim)}
-		if was := classes[c.Name]; was != nil && was.Aim == c.Aim { // servers are as they were
-			n.Latency, n.span, n.votes = was.Latency, was.span, was.votes
-		}
-		b.classes[c.Name] = n
-		b.beat = min(b.beat, c.Aim)
-		b.slotPeriod = max(b.slotPeriod, c.Aim, c.Deadline)
-	}
-	b.beat = max(b.beat/8, b.set.Tick)
-	b.density = 0
-	b.set.Classes, b.set.Plans = set.Classes, set.Plans
-	b.set.CrossZone, b.set.CounterPrice, b.set.ProbePrice = set.CrossZone, set.CounterPrice, set.ProbePrice
-	b.set.WastePrice, b.set.LateFailPrice, b.set.MaxUnits = set.WastePrice, set.LateFailPrice, set.MaxUnits
 	b.doubtAt = now
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -89,6 +89,7 @@
 	beyond, known bool    // its customer is taken to have no room; decided on a fresh count
 	done, stream  bool
 	asks          bool  // the counter could tell more of it
+	most          int   // attempts
 	slot          int64 // period whose count of attempts out holds this request; 0: none
 }
 
@@ -295,7 +296,7 @@
 		b.act.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{Request: q, class: cl, plan: pl, aimAt: now + cl.Aim}
+	r := &request{Request: q, class: cl, plan: pl, aimAt: now + cl.Aim, most: b.set.MaxTries}
 	r.Width = max(1, min(q.Width, b.set.Doors))
 	b.reqs[q.ID] = r
 	left := q.NotAfter - now - 2*b.set.Tick
@@ -806,7 +807,7 @@
 
 // maySend is rule 2, with the limits on attempts.
 func (b *Balancer) maySend(now time.Duration, r *request, be *backend) bool {
-	if r.done || r.stream || len(r.tries) >= b.set.MaxTries || r.out > 0 && !b.set.SecondCopies {
+	if r.done || r.stream || len(r.tries) >= r.most || r.out > 0 && !b.set.SecondCopies {
 		return false
 	}
 	first := r.bound()
@@ -973,7 +974,7 @@
 	}
 	if b.set.SecondCopies {
 		b.again(now, r)
-	} else if b.set.Cancels && b.retries >= 1 && len(r.tries) < b.set.MaxTries {
+	} else if b.set.Cancels && b.retries >= 1 && len(r.tries) < r.most {
 		b.act.Cancel(r.ID, i)
 	}
 }
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -10,8 +10,12 @@
 	"net"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
+	"asterwell/choice"
 	"asterwell/internal/cluster"
 	"asterwell/internal/protocol"
 	"asterwell/internal/settings"
@@ -32,6 +36,7 @@
 	Limits   Limits
 	Known    protocol.List
 	Settings settings.Settings
+	Text     []byte // of the file, less what is for a start only
 }
 
 // Limits are what the platform holds a gateway to.
@@ -108,18 +113,40 @@
 	return &Files{Config: cfg, SRV: srv}, err
 }
 
+// follows reports what keeps a file from taking the place of the one in use, though a
+// gateway might start with it: it may be half of one.
+func (c *Config) follows(inUse *Config) error {
+	if inUse.Text != nil {
+		if err := settings.Shape(inUse.Text, c.Text); err != nil {
+			return err
+		}
+	}
+	if err := c.Settings.Positive(); err != nil {
+		return fmt.Errorf("settings.%w", err)
+	}
+	return nil
+}
+
 // reload is the configuration with what can change while it is in use. The seed
 // and the known list are for a start, and the rest needs one.
-func (c *Config) reload(next *Config) *Config {
+func (c *Config) reload(next *Config, retunes bool) *Config {
 	now := *c
-	now.Discovery = next.Discovery
+	now.Discovery, now.Text = next.Discovery, next.Text
 	if next.Counter != "" {
 		now.Counter = next.Counter
 	}
-	log.Printf("event=reload discovery=%s counter=%s", now.Discovery, now.Counter)
+	if retunes {
+		set := &now.Settings.Settings
+		set.Classes, set.Plans, set.MaxTries = next.Settings.Classes, next.Settings.Plans, next.Settings.MaxTries
+		set.CrossZone, set.ProbePrice = next.Settings.CrossZone, next.Settings.ProbePrice
+		set.WastePrice, set.LateFailPrice = next.Settings.WastePrice, next.Settings.LateFailPrice
+	}
+	log.Printf("event=reload discovery=%s counter=%s classes=%d attempts=%d", now.Discovery, now.Counter,
+		len(now.Settings.Classes), now.Settings.MaxTries)
 	for key, same := range map[string]bool{
 		"name": c.Name == next.Name, "listen": c.Listen == next.Listen, "limits": c.Limits == next.Limits,
-		"settings": reflect.DeepEqual(c.Settings, next.Settings),
+		"management": c.Management == next.Management,
+		"settings":   reflect.DeepEqual(now.Settings, next.Settings),
 	} {
 		if !same {
 			log.Printf("event=reload key=%s what=%q", key, "changed, takes effect at the next start")
@@ -128,6 +155,29 @@
 	return &now
 }
 
+// plansVersion names the plans in force, the same at all gateways; 0 where they are those
+// of the start.
+func plansVersion(start, now []choice.Plan) int64 {
+	if slices.Equal(start, now) {
+		return 0
+	}
+	text, err := json.Marshal(now)
+	if err != nil {
+		panic(err)
+	}
+	return int64(xxhash.Sum64(text)>>12) + 1
+}
+
+// lasting is a file's text without what is for a start only.
+func lasting(text []byte) ([]byte, error) {
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(text, &all); err != nil {
+		return nil, err
+	}
+	delete(all, "known")
+	return json.Marshal(all)
+}
+
 func parseConfig(text []byte, env func(string) string) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
@@ -165,6 +215,9 @@
 		}
 	}
 	var err error
+	if c.Text, err = lasting(text); err != nil {
+		return nil, err
+	}
 	if fd := env("LB_SOCKET_FD"); fd != "" {
 		if c.Socket, err = strconv.Atoi(fd); err != nil || c.Socket < 3 {
 			return nil, fmt.Errorf("LB_SOCKET_FD: not a descriptor from 3: %q", fd)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -113,6 +114,8 @@
 	parts     []part
 	listeners []*transport.Listener
 	figures   *ops.Figures
+	retunes   bool // settings can change at SIGHUP
+	plans     []choice.Plan
 	leaving   atomic.Bool
 	draining  atomic.Bool
 }
@@ -147,7 +150,7 @@
 func New(world seam.Seam, files *Files, reread func() (*Files, error)) (*Gateway, error) {
 	world = seam.Or(world)
 	cfg, op := files.Config, files.Operator
-	g := &Gateway{world: world, cfg: cfg, box: actor.NewBox[any](world), reread: reread}
+	g := &Gateway{world: world, cfg: cfg, plans: cfg.Settings.Plans, box: actor.NewBox[any](world), reread: reread}
 	// Half of the descriptors are for clients, a third for servers; the rest
 	// are the counter's, discovery's, the listeners' and the run time's.
 	clients, servers := cfg.Limits.Sockets/2, cfg.Limits.Sockets/3
@@ -193,8 +196,14 @@
 			return nil, err
 		}
 		hands.Gate, hands.Wait = g.gate, time.Duration(files.Cluster.WaitMs*float64(time.Millisecond))
-		hands.Adopted = func(set choice.Settings) { front.Adopt(set) }
 	}
+	hands.Adopted = func(set choice.Settings) {
+		for _, c := range set.Classes {
+			g.figures.Class(c.Name)
+		}
+		front.Adopt(set)
+	}
+	g.retunes = g.gate == nil && !op.Enabled // a cluster has a policy of its own; the OpenAPI front follows none
 	var err error
 	if g.core, err = routing.New(set.Settings, cfg.Seed, now, hands); err != nil {
 		return nil, err
@@ -359,11 +368,18 @@
 // reload takes over what can change in a running gateway, and tells whether it did.
 func (g *Gateway) reload() bool {
 	next, err := g.reread()
+	if err == nil {
+		err = next.Config.follows(g.cfg)
+	}
 	if err != nil {
 		log.Printf("event=reload what=%q error=%q", "kept the configuration in use", err)
 		return false
 	}
-	g.cfg = g.cfg.reload(next.Config)
+	was := g.cfg.Settings
+	g.cfg = g.cfg.reload(next.Config, g.retunes)
+	if set := g.cfg.Settings; !reflect.DeepEqual(was, set) {
+		g.core.Adopt(plansVersion(g.plans, set.Plans), set.Settings)
+	}
 	g.srv.reload(next.SRV)
 	g.list.Move(g.cfg.Discovery)
 	if g.counter != nil {
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -89,7 +89,7 @@
 // What a running gateway can't take over stays as it is.
 func TestReloadTakesAddressesOnly(t *testing.T) {
 	c := &Config{Name: "a", Listen: "l", Discovery: "d", Counter: "c", Limits: Limits{Sockets: 256}}
-	got := c.reload(&Config{Name: "b", Listen: "m", Discovery: "e", Counter: "f", Limits: Limits{Sockets: 512}})
+	got := c.reload(&Config{Name: "b", Listen: "m", Discovery: "e", Counter: "f", Limits: Limits{Sockets: 512}}, true)
 	want := &Config{Name: "a", Listen: "l", Discovery: "e", Counter: "f", Limits: Limits{Sockets: 256}}
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -24,10 +24,21 @@
 	server, agent       net.Listener
 	socket              *net.TCPListener
 	path, clients, temp string
+	log                 *os.File // of its processes
 }
 
 func newService(t *testing.T) *service {
 	s := &service{t: t, server: listen(t), agent: listen(t), socket: listen(t).(*net.TCPListener), temp: t.TempDir()}
+	var err error
+	if s.log, err = os.Create(filepath.Join(s.temp, "log")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(s.logged())
+		}
+		s.log.Close()
+	})
 	s.path, s.clients = filepath.Join(s.temp, "config.json"), s.socket.Addr().String()
 	s.write(fmt.Sprintf(testSettings, 60000))
 	return s
@@ -47,6 +58,14 @@
 	}
 }
 
+func (s *service) logged() string {
+	text, err := os.ReadFile(s.log.Name())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // process is one of them.
 type process struct {
 	*exec.Cmd
@@ -65,7 +84,7 @@
 		s.t.Fatal(err)
 	}
 	defer socket.Close()
-	p.ExtraFiles, p.Stderr = []*os.File{socket}, s.t.Output()
+	p.ExtraFiles, p.Stderr = []*os.File{socket}, s.log
 	p.Env = append(os.Environ(), "ASTERWELL_TEST_MAIN=1", "LB_CONFIG="+s.path, "LB_SOCKET_FD=3", "LB_MANAGEMENT="+p.desk, "TMPDIR="+s.temp)
 	if err := p.Start(); err != nil {
 		s.t.Fatal(err)
@@ -173,3 +192,86 @@
 		}
 	}
 }
+
+// hup tells the process of a new file.
+func (p *process) hup(s *service, settings string) {
+	s.write(settings)
+	p.Process.Signal(syscall.SIGHUP)
+}
+
+// At SIGHUP classes come and go, with the effects and the attempts that the file says;
+// what is open is answered by the rules that it came under.
+func TestRetune(t *testing.T) {
+	s := newService(t)
+	p := s.start()
+	set := fmt.Sprintf(testSettings, 60000)
+	next := strings.NewReplacer(`"name":"submit-nom"`, `"name":"submit-new"`, `"tryLimit":5`, `"tryLimit":1`).Replace(set)
+	stage := s.stage()
+	stage.Vars["new"] = strings.ReplaceAll(strings.ReplaceAll(stage.Vars["submit2"], "submit-nom", "submit-new"), "id-2", "id-new")
+	stage.Close["retune"] = func() { p.hup(s, next); p.shows("gateway_reload_success 1") }
+	stage.Play(t, `
+		client1 send "$submit1"
+		server1 expect "\r\n\r\nbody"
+		client2 send "$read2"
+		server2 expect "\r\n\r\n"
+		retune close
+		server1 send "$ok"
+		client1 expect "\r\n\r\nhello"
+		client1 send "$new"
+		server3 expect "\r\n\r\nbody"
+		server3 send "$ok"
+		client1 expect "\r\n\r\nhello"
+		client3 send "$submit3"
+		client3 expect "HTTP/1.1 400 "
+		server2 send "$error"
+		server4 expect "GET /api HTTP/1.1\r\n"
+		server4 send "$ok"
+		client2 expect "\r\n\r\nhello"
+		client2 send "$read4"
+		server5 expect "\r\n\r\n"
+		server5 send "$error"
+		client2 expect "HTTP/1.1 50"
+		server6 expect nothing`)
+	p.shows(`gateway_replies{type="submit-new",status="success"} 1`)
+}
+
+// A file that is no whole one changes nothing, not even what is sound in it.
+func TestBrokenFiles(t *testing.T) {
+	s := newService(t)
+	p := s.start()
+	set := fmt.Sprintf(testSettings, 60000)
+	for i, broken := range []struct{ from, to, key string }{
+		{set, `{}`, "settings.balancers must be at least 1"},
+		{`"deadlineMs":5000,"effect":"retryable"`, `"deadlineMs":0,"effect":"retryable"`, "settings.services[0].deadlineMs must be above 0"},
+		{`"deadlineMs":5000,"effect":"fragile"`, `"effect":"fragile"`, "settings.services[1].deadlineMs is missing"},
+		{`"deadlineMs":5000,"effect":"fragile"`, `"deadlineMs":null,"effect":"fragile"`, "settings.services[1].deadlineMs: a null does not fit"},
+		{`"tryLimit":5`, `"tryLimit":-1`, "settings.caps.tryLimit must be above 0"},
+		{`"tryLimit":5`, `"tryLimit":"5"`, "settings: caps.tryLimit: a string does not fit"},
+		{`"tryLimit":5,`, ``, "settings.caps.tryLimit is missing"},
+		{`"maxUnits":1`, `"maxUnit":1`, "settings.familyInfo.maxUnits is missing"},
+	} {
+		spoilt := strings.Replace(set, broken.from, broken.to, 1)
+		if spoilt == set {
+			t.Fatal(broken)
+		}
+		p.hup(s, strings.Replace(spoilt, `"name":"submit-nom"`, `"name":"submit-new"`, 1))
+		p.shows(fmt.Sprint("gateway_reload_failure ", i+1))
+		if !strings.Contains(s.logged(), broken.key) {
+			t.Errorf("not told: %s", broken.key)
+		}
+	}
+	for i, text := range []string{"", "{", `{"name":"n0"}`} {
+		if err := os.WriteFile(s.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.Process.Signal(syscall.SIGHUP)
+		p.shows(fmt.Sprint("gateway_reload_failure ", 9+i))
+	}
+	stage := s.stage()
+	stage.Play(t, `
+		client1 send "$submit1"
+		server1 expect "\r\n\r\nbody"
+		server1 send "$ok"
+		client1 expect "\r\n\r\nhello"`)
+	p.shows("gateway_reload_success 0")
+}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -65,14 +66,19 @@
 	Ready   func() bool
 	Leaving func() bool // the next request should come in elsewhere
 	Tally   Tally       // nil: nobody counts
-	classes map[string]choice.Class
-	plans   map[string]float64 // the most units that a request can have
 	doors   int
+	policy  atomic.Pointer[terms]
 
 	// Late makes the core fit requests to the policy, once it knows by which it decides.
 	Late bool
 }
 
+// terms are what a policy allows requests.
+type terms struct {
+	classes map[string]choice.Class
+	plans   map[string]float64 // the most units that a request can have
+}
+
 // NewFront returns a front for the classes and plans of the settings.
 func NewFront(set choice.Settings) *Front {
 	f := &Front{IDs: NewIDs(), doors: set.Doors}
@@ -80,16 +86,17 @@
 	return f
 }
 
-// Adopt puts another policy's classes and plans in force. Where the front is Late
-// the core's goroutine calls it; else nobody may while it serves.
+// Adopt puts another policy's classes and plans in force. A request that is being read
+// goes by one of the two; where the front is Late, the core tells by which.
 func (f *Front) Adopt(set choice.Settings) {
-	f.classes, f.plans = map[string]choice.Class{}, map[string]float64{}
+	t := &terms{map[string]choice.Class{}, map[string]float64{}}
 	for _, c := range set.Classes {
-		f.classes[c.Name] = c
+		t.classes[c.Name] = c
 	}
 	for _, p := range set.Plans {
-		f.plans[p.Name] = MostUnits(&set, &p)
+		t.plans[p.Name] = MostUnits(&set, &p)
 	}
+	f.policy.Store(t)
 }
 
 // MostUnits is what a request can take from a plan at all.
@@ -209,8 +216,9 @@
 		return nil, "", fmt.Errorf("%s: longer than %d bytes", headerID, MaxID)
 	}
 	said := said{method: string(ctx.Method()), body: len(ctx.Request.Body()) > 0, timeout: got[3], terms: got[4], at: f.Now()}
+	policy := f.policy.Load()
 	if !f.Late {
-		if err := f.allows(r, said); err != nil {
+		if err := policy.allows(r, said); err != nil {
 			return nil, "", err
 		}
 	}
@@ -223,14 +231,15 @@
 	if f.Late {
 		r.Deadline = said.at + time.Hour // until the policy says
 		r.Fit = func() error {
-			if err := f.allows(r, said); err != nil {
+			policy := f.policy.Load()
+			if err := policy.allows(r, said); err != nil {
 				return err
 			}
-			return f.limits(r, said)
+			return f.limits(policy, r, said)
 		}
 		return r, id, nil
 	}
-	return r, id, f.limits(r, said)
+	return r, id, f.limits(policy, r, said)
 }
 
 // said is what a request says and the policy must allow.
@@ -242,9 +251,9 @@
 }
 
 // allows holds a request against the policy's classes and plans.
-func (f *Front) allows(r *routing.Request, s said) error {
-	class, known := f.classes[r.Class]
-	_, sold := f.plans[r.Plan]
+func (t *terms) allows(r *routing.Request, s said) error {
+	class, known := t.classes[r.Class]
+	_, sold := t.plans[r.Plan]
 	method := "POST"
 	if class.Effect == choice.Retryable {
 		method = "GET"
@@ -263,13 +272,13 @@
 }
 
 // limits gives it its terms by them.
-func (f *Front) limits(r *routing.Request, s said) error {
-	limit, err := Timeout(s.timeout, f.classes[r.Class].Deadline)
+func (f *Front) limits(t *terms, r *routing.Request, s said) error {
+	limit, err := Timeout(s.timeout, t.classes[r.Class].Deadline)
 	if err != nil {
 		return fmt.Errorf("%s: %w", headerTimeout, err)
 	}
 	r.Deadline = s.at + limit
-	r.Units, r.Width, r.First, err = f.terms(s.terms, f.plans[r.Plan])
+	r.Units, r.Width, r.First, err = f.terms(s.terms, t.plans[r.Plan])
 	return err
 }
 
