Replace the process by one beside it: one gateway by files in TMPDIR, nothing closed unserved

Need: at its end the old process took connections from the common queue and closed them (4 at the door; one request lost). A race within the new process: it serves what it accepts; all losses were the old one's. Change: the new one waits for state and list before it accepts; the old one leaves the queue to it as soon as it serves.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,7 @@
 	fleet     []*backend // in order of id
 	ring      []*backend // in an order that all gateways have, zones taking turns
 	reach     int        // how many of them it uses
+	twins     int        // processes that are this gateway
 	turns     turn.Clock // that they take
 	weight    float64    // mean
 	customers map[string]*customer
@@ -177,7 +178,7 @@
 	b := &Balancer{set: set, act: act, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*class{},
 		plans: map[string]*Plan{}, reqs: map[uint32]*request{}, byID: map[uint32]*backend{},
 		customers: map[string]*customer{}, quickest: map[string]float64{}, logged: map[string]bool{},
-		zones: map[string]*health.Zone{}, calls: map[string]func(time.Duration, Counted){}}
+		zones: map[string]*health.Zone{}, calls: map[string]func(time.Duration, Counted){}, twins: 1}
 	b.set.MaxTries = max(set.MaxTries, 1)
 	b.set.MaxRetryAfter = cmp.Or(set.MaxRetryAfter, math.MaxInt64)
 	b.beat = set.Classes[0].Aim
@@ -251,7 +252,7 @@
 			b.weight += (be.Weight - b.weight) / n
 		}
 	}
-	b.limit.Share = n / float64(b.set.Doors)
+	b.limit.Share = n / float64(b.set.Doors*b.twins)
 	b.ring = aperture.Ring(b.fleet, func(be *backend) aperture.Node {
 		return aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Member.Zone}
 	})
@@ -297,7 +298,7 @@
 		return
 	}
 	r := &request{Request: q, class: cl, plan: pl, aimAt: now + cl.Aim, most: b.set.MaxTries}
-	r.Width = max(1, min(q.Width, b.set.Doors))
+	r.Width = max(1, min(q.Width, b.set.Doors)) * b.twins
 	b.reqs[q.ID] = r
 	left := q.NotAfter - now - 2*b.set.Tick
 	if off := (left - cl.span).Abs() > 2*b.set.Tick; !off {
--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// Halve gives half of a share away, and returns what is given. Debts stay.
+func (s *Share) Halve() (room, spare float64) {
+	room, spare = max(0, s.room/2), max(0, s.spare/2)
+	s.room -= room
+	s.spare -= spare
+	return room, spare
+}
+
+// Give adds what Halve took elsewhere to an empty share that fills from now on.
+func (s *Share) Give(now time.Duration, room, spare float64) { *s = Share{room, spare, now} }
+
 // Trusted is how long counts have to be sound, after they may have been lost,
 // before the word counts for all: in that time the ceiling fills up beyond what
 // the quota can take meanwhile.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -116,6 +116,7 @@
 	figures   *ops.Figures
 	retunes   bool // settings can change at SIGHUP
 	plans     []choice.Plan
+	pair      *pair // nil: it is the only process
 	leaving   atomic.Bool
 	draining  atomic.Bool
 }
@@ -143,7 +144,10 @@
 }
 
 // away tells that clients should come in elsewhere the next time.
-func (g *Gateway) away() bool { return g.leaving.Load() || g.draining.Load() }
+func (g *Gateway) away() bool { return g.leaving.Load() || g.draining.Load() || g.pair.gives() }
+
+// serves tells whether this process takes clients.
+func (g *Gateway) serves() bool { return !g.leaving.Load() && !g.draining.Load() && g.pair.open() }
 
 // New puts a gateway together in a world (nil: the real one). reread reads its files
 // anew, at Hup.
@@ -238,20 +242,26 @@
 	front = protocol.NewFront(set.Settings)
 	front.Late = g.gate != nil
 	front.Core, front.Now, front.Leaving, front.Tally = g.core, now, g.away, g.figures
-	front.Ready = func() bool {
-		return !g.away() && g.core.Ready() > 0 && g.srv.trusted() && g.gate.open(now)
+	able := func() bool { return g.core.Ready() > 0 && g.srv.trusted() && g.gate.open(now) }
+	front.Ready = func() bool { // of the address: the next process may have it
+		return able() && (g.serves() || g.pair.gives() && !g.draining.Load())
 	}
 	ln, err := g.listen(clients)
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Socket > 0 {
+		if g.pair, err = newPair(g, ln, able); err != nil {
+			log.Printf("event=twin what=%q error=%q", "taken to be the only process", err)
+		}
+	}
 	g.serve(ln, transport.NewServer(front.Handle, maxBody))
 	if cfg.Management != "" {
 		ln, err := ops.Listen(world, cfg.Management)
 		if err != nil {
 			return nil, fmt.Errorf("management: %w", err)
 		}
-		desk := &ops.Desk{Ready: front.Ready, Drain: g.Drain, Figures: g.figures}
+		desk := &ops.Desk{Ready: func() bool { return able() && g.serves() }, Drain: g.Drain, Figures: g.figures}
 		g.world.Go(func() { g.box.Put(failed{desk.Serve(ln)}) })
 	}
 	if op.Enabled {
@@ -309,15 +319,16 @@
 		g.world.Go(p.Run)
 	}
 	defer func() {
+		g.pair.leave()
 		for _, p := range g.parts {
 			p.Stop()
 		}
 	}()
 	totals := g.world.Now().Add(totalsEvery)
-	var last, idle time.Time // to check whether all is answered; to close what is idle, while it drains
+	var last, shut, idle time.Time // to check whether all is answered; to close what is idle: at the end, or while it drains
 	for {
 		next := totals
-		for _, at := range []time.Time{last, idle} {
+		for _, at := range []time.Time{last, idle, g.pair.next()} {
 			if !at.IsZero() && at.Before(next) {
 				next = at
 			}
@@ -341,11 +352,18 @@
 			case term:
 				if !g.leaving.Swap(true) {
 					log.Printf("event=leaving open=%d", g.core.Stats().Open)
-					last = g.world.Now().Add(staysFor)
+					now := g.world.Now()
+					shut = now.Add(g.pair.end(now))
+					if last = shut; g.pair.gives() { // it may end sooner, by itself
+						last = now
+					}
 				}
 			}
 		}
 		now := g.world.Now()
+		if at := g.pair.next(); !at.IsZero() && !now.Before(at) {
+			g.pair.look(now)
+		}
 		if !now.Before(totals) {
 			totals = now.Add(totalsEvery)
 			g.report()
@@ -355,7 +373,14 @@
 			g.drain()
 		}
 		if !last.IsZero() && !now.Before(last) {
-			if last = now.Add(5 * time.Millisecond); g.drain() == 0 && g.core.Stats().Open == 0 {
+			open := 0
+			if !now.Before(shut) {
+				g.pair.shut()
+				open = g.drain()
+			} else {
+				open = g.Books().Clients
+			}
+			if last = now.Add(5 * time.Millisecond); open == 0 && g.core.Stats().Open == 0 {
 				g.report()
 				return nil
 			}
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -275,3 +275,66 @@
 		client1 expect "\r\n\r\nhello"`)
 	p.shows("gateway_reload_success 0")
 }
+
+// A second process takes over on the same socket: it knows what the first one has let
+// in, gets all that comes anew, and nothing that the first has begun is lost.
+func TestReplace(t *testing.T) {
+	s := newService(t)
+	first := s.start()
+	stage := s.stage()
+	var second *process
+	ended := make(chan error, 1)
+	stage.Close["second"] = func() {
+		second = s.start()
+		first.until(func() bool { return strings.Contains(s.logged(), "event=twin gives=true") })
+	}
+	stage.Close["term"] = func() {
+		first.Process.Signal(syscall.SIGTERM)
+		go func() { ended <- first.Wait() }()
+		first.until(func() bool { return strings.Contains(s.logged(), "event=leaving") })
+	}
+	stage.Play(t, `
+		client1 send "$tiny1"
+		server1 expect "\r\n\r\n"
+		server1 send "$ok"
+		client1 expect "\r\n\r\nhello"
+		client3 send "GET /api HTTP/1.1\r\n${bare1}Cookie: client=0000000000000007\r\n\r\n"
+		server2 expect "\r\n\r\n"
+		second close
+		client4 send "GET /api HTTP/1.1\r\n${bare2}Cookie: client=0000000000000007\r\n\r\n"
+		client4 expect "HTTP/1.1 429 "
+		client1 send "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+		client1 expect "ready\n"
+		client1 expect closed
+		term close
+		client5 send "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+		client5 expect "ready\n"
+		server2 send "$ok"
+		client3 expect "Connection: close"
+		client3 expect "\r\n\r\nhello"
+		client3 expect closed`)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	second.shows(`gateway_replies{type="status-read",status="overload"} 1`, `gateway_replies{type="status-read",status="success"} 0`)
+	if text := s.logged(); !strings.Contains(text, "event=twin took customers=") {
+		t.Error("no state taken")
+	}
+}
+
+// A successor that dies gives the queue back.
+func TestReplaceFails(t *testing.T) {
+	s := newService(t)
+	first := s.start()
+	second := s.start()
+	first.until(func() bool { return strings.Contains(s.logged(), "event=twin gives=true") })
+	second.Process.Kill()
+	second.Wait()
+	first.until(func() bool { return strings.Contains(s.logged(), "event=twin gives=false") })
+	s.stage().Play(t, `
+		client1 send "$submit1"
+		server1 expect "\r\n\r\nbody"
+		server1 send "$ok"
+		client1 expect "\r\n\r\nhello"`)
+	first.shows(`gateway_replies{type="submit-nom",status="success"} 1`)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -292,6 +292,51 @@
 	return ask.stats
 }
 
+// Twins tells how many processes are this gateway.
+func (c *Core) Twins(n int) { c.box.Put(twins(n)) }
+
+type twins int
+
+func (m twins) apply(c *Core, _ time.Duration) { c.bal.Twins(int(m)) }
+
+// Hand asks for what the module knows; it waits for the core's turn.
+func (c *Core) Hand() choice.Learnt {
+	ask := &hand{bell: seam.Or(c.hands.World).NewBell()}
+	c.box.Put(ask)
+	ask.bell.Wait(-1)
+	return ask.state
+}
+
+type hand struct {
+	bell  seam.Bell
+	state choice.Learnt
+}
+
+func (m *hand) apply(c *Core, now time.Duration) {
+	m.state = c.bal.Hand(now)
+	m.bell.Ring()
+}
+
+// Take gives the module what another process of this gateway knew. It waits for the core's
+// turn, and reports what is strange about it: then nothing is taken.
+func (c *Core) Take(s choice.Learnt) error {
+	ask := &take{bell: seam.Or(c.hands.World).NewBell(), state: s}
+	c.box.Put(ask)
+	ask.bell.Wait(-1)
+	return ask.err
+}
+
+type take struct {
+	bell  seam.Bell
+	state choice.Learnt
+	err   error
+}
+
+func (m *take) apply(c *Core, now time.Duration) {
+	m.err = c.bal.Take(now, m.state)
+	m.bell.Ring()
+}
+
 type submitted struct{ r *Request }
 
 func (m submitted) apply(c *Core, now time.Duration) {
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,6 +28,9 @@
 	open  map[*ClientConn]struct{}
 	count uint64
 	last  bool // idle connections are closed
+
+	paused atomic.Bool
+	again  seam.Bell // rung when it is no more
 }
 
 // Listen listens at addr for at most so many connections, in a world (nil: the
@@ -41,7 +45,8 @@
 }
 
 func newListener(world seam.Seam, ln net.Listener, most int) *Listener {
-	return &Listener{Listener: ln, world: world, most: most, room: world.NewBell(), open: map[*ClientConn]struct{}{}}
+	return &Listener{Listener: ln, world: world, most: most, room: world.NewBell(), again: world.NewBell(),
+		open: map[*ClientConn]struct{}{}}
 }
 
 // Inherit listens on a socket that whoever started the process holds under a
@@ -73,13 +78,17 @@
 
 // Accept waits for a connection, and then for room for it.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
+	nc, err := l.accept()
 	for err != nil && !errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, os.ErrDeadlineExceeded) { // paused
+			nc, err = l.accept()
+			continue
+		}
 		// Descriptors may be short for a moment. The server would end on an
 		// error, and with it the gateway.
 		log.Printf("event=accept error=%q", err)
 		l.world.Sleep(acceptPause)
-		nc, err = l.Listener.Accept()
+		nc, err = l.accept()
 	}
 	if err != nil {
 		return nil, err
@@ -102,6 +111,26 @@
 	return c, nil
 }
 
+func (l *Listener) accept() (net.Conn, error) {
+	for l.paused.Load() {
+		l.again.Wait(-1)
+	}
+	return l.Listener.Accept()
+}
+
+// Pause leaves what waits in the socket's queue to others who have the socket, or takes
+// it again. Only sockets of the machine can pause.
+func (l *Listener) Pause(on bool) {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.paused.Swap(on) != on {
+		until := time.Time{}
+		if on {
+			until = time.Unix(1, 0)
+		}
+		d.SetDeadline(until)
+		l.again.Ring()
+	}
+}
+
 // hasten is how long a client that holds a connection without a whole request,
 // or after its last answer, is left alone while others want one.
 const hasten = 200 * time.Millisecond
