Stream bodies and answers over 64 KiB, by a piece at a time both ways

Change: server's connection belongs to the client's answer until its end; a body is read at the server's pace; heads have 3 s, pieces 3 s.

--- a/choice/books.go
+++ b/choice/books.go
@@ -1,5 +1,7 @@
 package choice
 
+import "time"
+
 // Books tells what it has counted, and what it goes by now.
 func (b *Balancer) Books() Books {
 	b.books.Out, b.books.Limit, b.books.Rate = b.limit.Load, b.limit.Max, b.sends
@@ -16,3 +18,10 @@
 	}
 	return n
 }
+
+// Sent tells that a request's body still goes out: its server's silence counts from now on.
+func (b *Balancer) Sent(now time.Duration, id uint32, try int) {
+	if r := b.reqs[id]; r != nil && try < len(r.tries) {
+		r.tries[try].sent = now
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -71,7 +71,7 @@
 }
 
 const (
-	maxBody   = 64 << 10
+	maxBody   = transport.MaxStream
 	drainsFor = time.Second            // until idle connections close: new ones come for 0.2 s after the first no
 	staysFor  = 700 * time.Millisecond // after SIGTERM: so long may the front send more
 )
@@ -183,7 +183,7 @@
 			}
 		}}, set.Reports)
 	watch := &watcher{}
-	hands := routing.Hands{World: world, Fleet: fleet, Watcher: watch}
+	hands := routing.Hands{World: world, Fleet: fleet, Watcher: watch, Drop: protocol.Drop}
 	if set.Counter {
 		g.counter = protocol.NewCounter(world, cfg.Counter, orDefault(set.CounterTimeout, 50*time.Millisecond),
 			func(name string, s choice.Status, total float64) { g.core.Counted(name, s, total) })
--- /dev/null
+++ b/internal/protocol/body.go
@@ -0,0 +1,215 @@
+package protocol
+
+import (
+	"errors"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/seam"
+	"asterwell/internal/transport"
+)
+
+// piece is how much of a body is in hand at a time, framing aside.
+const pieceSize = 16 << 10
+
+// badBody is an error of the client's body, by status.
+type badBody int
+
+func (e badBody) Error() string { return "body: " + fasthttp.StatusMessage(int(e)) }
+
+// take reads a request's body as far as it is kept whole, and leaves the rest to an
+// upload. length is that of the whole; -1: not known yet.
+func take(ctx *fasthttp.RequestCtx) (held []byte, rest *upload, length int, err error) {
+	if !ctx.Request.IsBodyStream() {
+		body := append([]byte(nil), ctx.Request.Body()...)
+		return body, nil, len(body), nil
+	}
+	length = ctx.Request.Header.ContentLength()
+	if length > transport.MaxStream {
+		return nil, nil, 0, badBody(fasthttp.StatusRequestEntityTooLarge)
+	}
+	c, _ := ctx.Conn().(*transport.ClientConn)
+	if c != nil {
+		c.Pace(nil)
+	}
+	body := ctx.RequestBodyStream()
+	if length <= transport.Held {
+		held, err = io.ReadAll(io.LimitReader(body, transport.Held+1))
+		if err == nil && len(held) <= transport.Held {
+			return held, nil, len(held), nil
+		}
+	}
+	if err != nil {
+		return nil, nil, 0, uncome(err)
+	}
+	world := seam.Real
+	if c != nil {
+		world = c.World()
+	}
+	return held, &upload{body: body, chunked: length < 0, left: length, world: world, bell: world.NewBell()}, length, nil
+}
+
+// uncome is the error of a body that did not come whole.
+func uncome(err error) error {
+	var late interface{ Timeout() bool }
+	if errors.As(err, &late) && late.Timeout() {
+		return badBody(fasthttp.StatusRequestTimeout)
+	}
+	return badBody(fasthttp.StatusBadRequest)
+}
+
+// upload is the rest of a body. The client's goroutine reads a piece when the one that
+// writes to the server wants it; one is in hand.
+type upload struct {
+	body    io.Reader
+	chunked bool
+	left    int // of a length that is known
+	total   int
+	world   seam.Seam
+	bell    seam.Bell // where the writer waits
+	ring    func()    // for the client's goroutine
+	limit   time.Duration
+
+	begun atomic.Bool // nothing can be sent again
+	mu    sync.Mutex
+	want  bool
+	piece []byte
+	last  bool
+	err   error
+}
+
+// Next is called by the writer to the server.
+func (u *upload) Next() ([]byte, bool, error) {
+	u.mu.Lock()
+	u.want, u.piece = true, nil
+	u.mu.Unlock()
+	u.ring()
+	for {
+		u.mu.Lock()
+		piece, last, err := u.piece, u.last, u.err
+		u.mu.Unlock()
+		if err != nil || piece != nil {
+			return piece, last, err
+		}
+		u.bell.Wait(-1)
+	}
+}
+
+// claimed is what a second writer gets: the body is on its way elsewhere.
+type claimed struct{}
+
+var errClaimed = errors.New("the body has gone out to another server")
+
+func (claimed) Next() ([]byte, bool, error) { return nil, false, errClaimed }
+func (claimed) Stop()                       {}
+
+// Stop tells both sides that nothing more is wanted.
+func (u *upload) Stop() { u.fail(transport.ErrStopped) }
+
+func (u *upload) fail(err error) {
+	u.mu.Lock()
+	if u.err == nil {
+		u.err = err
+	}
+	u.mu.Unlock()
+	u.bell.Ring()
+	if u.ring != nil {
+		u.ring()
+	}
+}
+
+func (u *upload) wanted() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.want || u.err != nil
+}
+
+func (u *upload) stopped() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err != nil
+}
+
+// feed reads the client's body, on its goroutine, until all has been given or done is
+// true. wrote hears of progress. It reports false if the client's end has come.
+func (u *upload) feed(c *transport.ClientConn, done func() bool, wrote func()) bool {
+	const room = 16 // for a chunk's head
+	buf := make([]byte, room+pieceSize+2+5)
+	enough := func() bool { return done() || u.stopped() }
+	var told time.Time
+	for {
+		if !c.Await(func() bool { return u.wanted() || done() }) {
+			u.fail(io.ErrUnexpectedEOF)
+			return false
+		}
+		if enough() {
+			return true
+		}
+		c.Pace(enough)
+		n, err := u.body.Read(buf[room : room+pieceSize])
+		u.total += n
+		if u.total > transport.MaxStream {
+			err = badBody(fasthttp.StatusRequestEntityTooLarge)
+		}
+		last := err == io.EOF
+		if err != nil && !last {
+			if enough() {
+				return true
+			}
+			u.fail(err)
+			return false
+		}
+		if !u.chunked {
+			if u.left -= n; u.left == 0 {
+				last = true
+			} else if last {
+				u.fail(io.ErrUnexpectedEOF)
+				return false
+			}
+		}
+		if n == 0 && !last {
+			continue
+		}
+		u.give(u.framed(buf, room, n, last), last)
+		if now := u.world.Now(); last || now.Sub(told) > progressEvery {
+			told = now
+			wrote()
+		}
+		if last {
+			return true
+		}
+	}
+}
+
+// progressEvery is how often the core hears that a body goes on.
+const progressEvery = 200 * time.Millisecond
+
+func (u *upload) give(piece []byte, last bool) {
+	u.mu.Lock()
+	u.piece, u.last, u.want = piece, last, false
+	u.mu.Unlock()
+	u.bell.Ring()
+}
+
+// framed makes a piece of what has been read into buf at a place.
+func (u *upload) framed(buf []byte, at, n int, last bool) []byte {
+	if !u.chunked {
+		return buf[at : at+n]
+	}
+	end := at + n
+	if n > 0 {
+		head := strconv.AppendInt(nil, int64(n), 16)
+		head = append(head, '\r', '\n')
+		at -= copy(buf[at-len(head):], head)
+		end += copy(buf[end:], "\r\n")
+	}
+	if last {
+		end += copy(buf[end:], "0\r\n\r\n")
+	}
+	return buf[at:end]
+}
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/transport"
 )
 
 // Call is a client's request as it is passed on: method, path, query, body and
@@ -16,7 +18,9 @@
 type Call struct {
 	head        []byte // the request line and the headers that pass
 	body        []byte
-	Transparent bool // any whole answer but a fault of the server is the client's
+	rest        *upload // what follows it; nil: nothing
+	err         error   // the body did not come
+	Transparent bool    // any whole answer but a fault of the server is the client's
 }
 
 // The names of headers on the platform.
@@ -73,14 +77,33 @@
 			c.head = append(append(append(append(c.head, key...), ": "...), value...), '\r', '\n')
 		}
 	}
-	if body := ctx.Request.Body(); len(body) > 0 || !h.IsGet() && !h.IsHead() {
+	var length int
+	c.body, c.rest, length, c.err = take(ctx)
+	switch {
+	case c.rest != nil && length < 0:
+		c.head = append(c.head, "Transfer-Encoding: chunked\r\n"...)
+		c.body = append(append(append(strconv.AppendInt(nil, int64(len(c.body)), 16), '\r', '\n'), c.body...), '\r', '\n')
+	case length > 0 || !h.IsGet() && !h.IsHead():
 		c.head = append(c.head, "Content-Length: "...)
-		c.head = append(strconv.AppendInt(c.head, int64(len(body)), 10), '\r', '\n')
-		c.body = append([]byte(nil), body...)
+		c.head = append(strconv.AppendInt(c.head, int64(length), 10), '\r', '\n')
 	}
 	return c
 }
 
+// Upload is what follows the beginning that wire returns. Only the first who asks gets it.
+func (c *Call) Upload() transport.Upload {
+	switch {
+	case c.rest == nil:
+		return nil
+	case c.rest.begun.Swap(true):
+		return claimed{}
+	}
+	return c.rest
+}
+
+// spent tells that the request can't be sent again.
+func (c *Call) spent() bool { return c.rest != nil && c.rest.begun.Load() }
+
 // AddHeader sets a header that the client did not send.
 func (c *Call) AddHeader(key, value string) {
 	c.head = append(append(append(append(c.head, key...), ": "...), value...), '\r', '\n')
@@ -88,6 +111,9 @@
 
 // wire is the request as one attempt sends it, with the time it has left.
 func (c *Call) wire(left time.Duration) []byte {
+	if c.rest != nil {
+		left = c.rest.limit
+	}
 	w := make([]byte, 0, len(c.head)+len(c.body)+len(headerTimeout)+20)
 	w = append(w, c.head...)
 	w = append(w, headerTimeout+": "...)
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"strconv"
 	"strings"
@@ -24,6 +25,7 @@
 // Core is what a front needs of the core.
 type Core interface {
 	Submit(r *routing.Request)
+	Sent(r *routing.Request) // more of its body has gone out
 	Gone(r *routing.Request)
 }
 
@@ -134,18 +136,16 @@
 		bad(ctx, err)
 		return
 	}
-	if f.Tally != nil {
-		f.Tally.Took()
-		defer f.Tally.Gave()
-	}
+	f.took()
 	a := Await(ctx, f.Core, f.IDs, id, r)
-	if how := figure[a.Kind]; how != "" && f.Tally != nil {
-		f.Tally.Ended(r.Class, how)
+	streams := a.Kind == Served && a.Answer.IsBodyStream()
+	if !streams {
+		f.ended(r.Class, figure[a.Kind])
 	}
 	switch a.Kind {
 	case Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
-		PassOn(ctx, a.Answer)
+		passOn(ctx, a.Answer, func(how ops.How) { f.ended(r.Class, how) })
 	case Refused:
 		if a.RetryAfter > 0 {
 			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
@@ -162,12 +162,55 @@
 	}
 }
 
+func (f *Front) took() {
+	if f.Tally != nil {
+		f.Tally.Took()
+	}
+}
+
+func (f *Front) ended(class string, how ops.How) {
+	if f.Tally != nil {
+		f.Tally.Gave()
+		if how != "" {
+			f.Tally.Ended(class, how)
+		}
+	}
+}
+
+// passing is an answer that is being passed on: how it ends is known at its end.
+type passing struct {
+	io.Reader
+	done  func(how ops.How)
+	whole bool
+}
+
+func (b *passing) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+// Close is called once, with the answer written or not.
+func (b *passing) Close() error {
+	if b.done(map[bool]ops.How{true: ops.Success, false: ops.Failure}[b.whole]); b.whole {
+		return nil
+	}
+	return b.Reader.(io.Closer).Close()
+}
+
 // figure is how figures name the kinds; the others are no requests, or nobody is left.
 var figure = map[Kind]ops.How{Served: ops.Success, Refused: ops.Overload, Failed: ops.Failure, TimedOut: ops.Failure}
 
+// longest is how long a body may take at all, at the pace that a client must keep.
+const longest = 20 * time.Minute
+
 // bad answers a request whose terms are wrong.
 func bad(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
+	if status, ok := err.(badBody); ok {
+		ctx.SetStatusCode(int(status))
+		ctx.SetConnectionClose()
+	}
 	if allow, ok := err.(wrongMethod); ok {
 		ctx.Response.Header.Set("Allow", string(allow))
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
@@ -195,7 +238,7 @@
 	var got [len(singles)]string
 	var seen [len(singles)]bool
 	r = &routing.Request{Reply: &Answers{}}
-	r.Call = NewCall(ctx, func(key, value []byte) {
+	call := NewCall(ctx, func(key, value []byte) {
 		for i, name := range singles {
 			if is(key, name) {
 				if seen[i] {
@@ -205,9 +248,13 @@
 			}
 		}
 	})
+	if err == nil {
+		err = call.err
+	}
 	if err != nil {
 		return nil, "", err
 	}
+	r.Call, r.Spent = call, call.spent
 	id, r.Class, r.Plan, r.Again = got[0], got[1], got[2], got[6] == "1"
 	switch {
 	case id == "":
@@ -215,7 +262,7 @@
 	case len(id) > MaxID:
 		return nil, "", fmt.Errorf("%s: longer than %d bytes", headerID, MaxID)
 	}
-	said := said{method: string(ctx.Method()), body: len(ctx.Request.Body()) > 0, timeout: got[3], terms: got[4], at: f.Now()}
+	said := said{method: string(ctx.Method()), body: len(call.body) > 0 || call.rest != nil, timeout: got[3], terms: got[4], at: f.Now()}
 	policy := f.policy.Load()
 	if !f.Late {
 		if err := policy.allows(r, said); err != nil {
@@ -278,6 +325,10 @@
 		return fmt.Errorf("%s: %w", headerTimeout, err)
 	}
 	r.Deadline = s.at + limit
+	if call, ok := r.Call.(*Call); ok && call.rest != nil { // time counts from the body's end
+		call.rest.limit = limit
+		r.Deadline += longest
+	}
 	r.Units, r.Width, r.First, err = f.terms(s.terms, t.plans[r.Plan])
 	return err
 }
@@ -369,16 +420,36 @@
 	mu    sync.Mutex
 	final Final
 	have  bool
+	left  bool      // nobody is there to take it
 	bell  seam.Bell // of whoever waits
 }
 
 func (a *Answers) end(f Final) {
 	a.mu.Lock()
 	a.final, a.have = f, true
+	if a.left {
+		Drop(f.Answer)
+	}
 	a.mu.Unlock()
 	a.bell.Ring()
 }
 
+// leave gives up the answer, be it there or still to come.
+func (a *Answers) leave() {
+	a.mu.Lock()
+	if a.left = true; a.have {
+		Drop(a.final.Answer)
+	}
+	a.mu.Unlock()
+}
+
+// Drop gives up an answer that nobody takes, and with it the connection that it comes on.
+func Drop(answer any) {
+	if resp, _ := answer.(*fasthttp.Response); resp != nil && resp.IsBodyStream() {
+		resp.CloseBodyStream()
+	}
+}
+
 func (a *Answers) done() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -430,21 +501,60 @@
 		return a.final
 	}
 	a.bell = c.Bell()
+	var rest *upload
+	if call, ok := r.Call.(*Call); ok && call.rest != nil {
+		rest = call.rest
+		rest.ring = c.Bell().Ring
+	}
 	core.Submit(r)
+	if rest != nil && !a.uploads(c, core, r, rest) {
+		return Final{Kind: Left}
+	}
 	if !c.Await(a.done) {
 		core.Gone(r)
+		a.leave()
 		return Final{Kind: Left}
 	}
 	return a.final
 }
 
+// uploads gives a request's body to whoever sends it, and bounds the wait for what comes
+// after that. It reports false if there is nobody left to answer.
+func (a *Answers) uploads(c *transport.ClientConn, core Core, r *routing.Request, rest *upload) bool {
+	if !rest.feed(c, a.done, func() { core.Sent(r) }) {
+		rest.Stop()
+		core.Gone(r)
+		a.leave()
+		return false
+	}
+	if !c.AwaitFor(rest.limit, a.done) {
+		core.Gone(r)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.have { // its time is up
+			a.left, a.have, a.final = true, true, Final{Kind: TimedOut}
+		}
+	}
+	return true
+}
+
 // PassOn copies a server's answer to the client, its body unchanged.
 func PassOn(ctx *fasthttp.RequestCtx, answer *fasthttp.Response) {
+	passOn(ctx, answer, func(ops.How) {})
+}
+
+// passOn tells done how an answer that streams has ended.
+func passOn(ctx *fasthttp.RequestCtx, answer *fasthttp.Response, done func(how ops.How)) {
 	for key, value := range answer.Header.All() {
 		if !hop(key) && !is(key, headerLoad) && !is(key, "Date") {
 			ctx.Response.Header.AddBytesKV(key, value)
 		}
 	}
+	if stream := answer.BodyStream(); stream != nil { // it belongs to the client's answer from here on
+		ctx.Response.ImmediateHeaderFlush = true
+		ctx.Response.SetBodyStream(&passing{Reader: stream, done: done}, answer.Header.ContentLength())
+		return
+	}
 	ctx.Response.SwapBody(answer.SwapBody(nil))
 	fasthttp.ReleaseResponse(answer)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -30,6 +30,9 @@
 	// not allow it. Nil: it has them.
 	Fit func() error
 
+	// Spent tells that what has been sent of it can't be sent again. Nil: it always can.
+	Spent func() bool
+
 	id uint32
 }
 
@@ -104,6 +107,7 @@
 	Health  Health                    // nil: nobody wants to hear
 	Gate    Gate                      // nil: the settings of the start are in force for good
 	Wait    time.Duration             // most that a request waits at the gate
+	Drop    func(answer any)          // takes answers that come too late; nil: nobody has to
 	Adopted func(set choice.Settings) // hears of a policy that comes into force, before any request is decided by it
 }
 
@@ -263,6 +267,25 @@
 // Submit takes a request. Its Reply hears of the answer, whatever happens.
 func (c *Core) Submit(r *Request) { c.box.Put(submitted{r}) }
 
+// Sent tells that more of a submitted request's body has gone out: silence and time count
+// from now on.
+func (c *Core) Sent(r *Request) { c.box.Put(sent{r}) }
+
+type sent struct{ r *Request }
+
+func (m sent) apply(c *Core, now time.Duration) {
+	o := c.open[m.r.id]
+	if o == nil || o.req != m.r {
+		return
+	}
+	for try := range o.attempts {
+		if a := &o.attempts[try]; a.out {
+			a.sent = now
+			c.bal.Sent(now, m.r.id, try)
+		}
+	}
+}
+
 // Gone tells that the client of a submitted request has left.
 func (c *Core) Gone(r *Request) { c.box.Put(gone{r}) }
 
@@ -392,6 +415,7 @@
 func (m ended) apply(c *Core, now time.Duration) {
 	o := c.open[m.ID]
 	if o == nil || m.Try >= len(o.attempts) || !o.attempts[m.Try].out || o.attempts[m.Try].server != m.server {
+		c.drop(m.answer)
 		return
 	}
 	a := &o.attempts[m.Try]
@@ -403,6 +427,8 @@
 		o.answered = true
 		c.stats.Served++
 		o.req.Reply.Served(m.answer)
+	} else {
+		c.drop(m.answer)
 	}
 	c.bal.Outcome(now, choice.Outcome{ID: m.ID, Try: m.Try, Backend: m.server, Status: m.status,
 		Elapsed: now - a.sent, Final: o.answered, Load: m.load})
@@ -483,6 +509,13 @@
 	}
 }
 
+// drop gives up an answer that nobody takes.
+func (c *Core) drop(answer any) {
+	if c.hands.Drop != nil {
+		c.hands.Drop(answer)
+	}
+}
+
 func (c *Core) forget(id uint32, o *open) {
 	if o.answered && o.out == 0 {
 		delete(c.open, id)
@@ -507,7 +540,8 @@
 	if limit > 0 {
 		left = min(left, limit)
 	}
-	if o.answered || left <= 0 { // the request is over: it must not go out
+	again := try > 0 && o.req.Spent != nil && o.req.Spent()
+	if o.answered || left <= 0 || again { // the request is over: it must not go out
 		o.attempts[try].out = false
 		o.out--
 		c.later = append(c.later, choice.Outcome{ID: id, Try: try, Backend: backend, Status: choice.Moot, Final: o.answered})
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -68,6 +68,9 @@
 	head  atomic.Bool // the exchange under way has no body in its answer
 	until time.Time   // for the first byte of an answer; 0: no limit
 	begun bool        // it has come, so that the rest should follow
+
+	streams  bool          // long answers are read by whoever they are for
+	patience time.Duration // without a byte, once it has begun; 0: as usual
 }
 
 // Dial connects within the limit.
@@ -91,7 +94,7 @@
 func (r reader) Read(p []byte) (int, error) {
 	until := r.until
 	if r.begun {
-		until = r.world.Now().Add(stalled)
+		until = r.world.Now().Add(max(stalled, r.patience))
 	}
 	if err := r.nc.SetReadDeadline(until); err != nil {
 		return 0, err
@@ -102,7 +105,6 @@
 // Write sends a whole request. An error means that its last byte was not
 // written, so that the server can't have begun it.
 func (c *Conn) Write(wire []byte, limit time.Duration) error {
-	c.head.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
 	if err := c.nc.SetWriteDeadline(c.world.Now().Add(limit)); err != nil {
 		return err
 	}
@@ -110,12 +112,18 @@
 	return err
 }
 
+// begin is Write for the beginning of a request.
+func (c *Conn) begin(wire []byte, limit time.Duration) error {
+	c.head.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
+	return c.Write(wire, limit)
+}
+
 // Read waits for an answer and skips what comes before the final one. An answer
 // that is cut short or has no clear end is an error: nobody could tell it from
 // a whole one. extra reports bytes behind it, after which the connection is of
 // no use, though the answer is good.
 func (c *Conn) Read(resp *fasthttp.Response) (extra bool, err error) {
-	defer func() { c.begun = false }()
+	defer func() { c.begun = c.patience > 0 }()
 	resp.Header.DisableNormalizing()
 	for interim := 0; ; interim++ {
 		if _, err := c.br.Peek(1); err != nil {
@@ -145,6 +153,12 @@
 	if length == -2 { // up to the connection's end: one that breaks would look whole
 		return false, errSpoilt
 	}
+	if c.streams && (length == -1 || length > Held) {
+		if err = c.long(resp, length); err != nil {
+			return false, spoilt(err)
+		}
+		return !resp.IsBodyStream() && c.br.Buffered() > 0, nil
+	}
 	err = resp.ReadBody(c.br, MaxAnswer)
 	if err == nil && length == -1 {
 		err = resp.Header.ReadTrailer(c.br)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -248,6 +248,8 @@
 	free     seam.Bell // where the pump waits for its buffer
 	rest     []byte
 	deadline time.Time
+	paced    bool        // a body is being read: time counts from the last byte
+	enough   func() bool // reading ends once it is true; nil: never
 
 	// Under list.mu. While busy, a request has begun to come and its answer has
 	// not gone out; while serving, it has come whole. unread says that the pump
@@ -339,20 +341,31 @@
 	}
 }
 
+// World is the one that the connection is in.
+func (c *ClientConn) World() seam.Seam { return c.list.world }
+
 // Bell is where the goroutine that serves the connection waits.
 func (c *ClientConn) Bell() seam.Bell { return c.bell }
 
 // Await waits until done, which is asked whenever the bell rings, and reports false
 // if the connection ends before.
-func (c *ClientConn) Await(done func() bool) bool {
+func (c *ClientConn) Await(done func() bool) bool { return c.AwaitFor(-1, done) }
+
+// AwaitFor is Await for no longer than limit, if that is not below 0.
+func (c *ClientConn) AwaitFor(limit time.Duration, done func() bool) bool {
+	end := c.list.world.Now().Add(limit)
 	for !done() {
 		c.list.mu.Lock()
 		gone := c.err != nil
 		c.list.mu.Unlock()
-		if gone {
+		wait := time.Duration(-1)
+		if limit >= 0 {
+			wait = max(0, end.Sub(c.list.world.Now()))
+		}
+		if gone || wait == 0 {
 			return false
 		}
-		c.bell.Wait(-1)
+		c.bell.Wait(wait)
 	}
 	return true
 }
@@ -373,6 +386,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if c.enough != nil && c.enough() {
+			return 0, ErrStopped
+		}
 		wait := time.Duration(-1)
 		if !c.deadline.IsZero() {
 			if wait = c.deadline.Sub(c.list.world.Now()); wait <= 0 {
@@ -384,6 +400,9 @@
 		}
 		c.bell.Wait(wait)
 	}
+	if c.paced {
+		c.deadline = c.list.world.Now().Add(requestTime)
+	}
 	n := copy(p, c.rest)
 	if c.rest = c.rest[n:]; len(c.rest) == 0 { // what it reads next may be the client's end
 		c.list.mu.Lock()
@@ -403,20 +422,63 @@
 	return c.list.world.Now().Add(time.Until(t).Round(time.Second))
 }
 
+// Pace bounds the time between two pieces of a body from now on, in place of the time
+// of the whole request; reading ends once enough is true, which is asked as the bell rings.
+func (c *ClientConn) Pace(enough func() bool) {
+	c.paced, c.enough = true, enough
+	c.deadline = c.list.world.Now().Add(requestTime)
+}
+
+// Write takes piece by piece what the client has time for: a slow one may take long for all.
+func (c *ClientConn) Write(p []byte) (n int, err error) {
+	for first := true; first || len(p) > 0; first = false {
+		now := p[:min(len(p), piece)]
+		if err := c.Conn.SetWriteDeadline(c.list.world.Now().Add(answerTime)); err != nil {
+			return n, err
+		}
+		k, err := c.Conn.Write(now)
+		if n += k; err != nil {
+			return n, err
+		}
+		p = p[k:]
+	}
+	return n, nil
+}
+
+// ReadFrom passes on each piece as soon as it has come.
+func (c *ClientConn) ReadFrom(r io.Reader) (n int64, err error) {
+	buf := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buf)
+	for {
+		k, err := r.Read(buf[:])
+		if k > 0 {
+			if _, err := c.Write(buf[:k]); err != nil {
+				return n, err
+			}
+			n += int64(k)
+		}
+		if err == io.EOF {
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+}
+
+var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
+
 // SetReadDeadline bounds Read; the pump reads on.
 func (c *ClientConn) SetReadDeadline(t time.Time) error {
-	c.deadline = c.at(t)
+	c.deadline, c.paced, c.enough = c.at(t), false, nil
 	return nil
 }
 
-// SetWriteDeadline bounds writing.
-func (c *ClientConn) SetWriteDeadline(t time.Time) error { return c.Conn.SetWriteDeadline(c.at(t)) }
+// SetWriteDeadline does nothing: each piece that is written has a time of its own.
+func (c *ClientConn) SetWriteDeadline(time.Time) error { return nil }
 
-// SetDeadline is SetReadDeadline with the same for writing.
-func (c *ClientConn) SetDeadline(t time.Time) error {
-	c.deadline = c.at(t)
-	return c.SetWriteDeadline(t)
-}
+// SetDeadline is SetReadDeadline.
+func (c *ClientConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
 // Idle tells that the answer has gone out. While the listener drains, that
 // ends the connection.
@@ -474,7 +536,7 @@
 // counted from its first byte, or from connecting if it is the first. A
 // connection without a request is closed after the second.
 const (
-	requestTime = 2 * time.Second
+	requestTime = 3 * time.Second // from then on, between two pieces of a body
 	idleTime    = 2 * time.Second
 	answerTime  = 5 * time.Second // to take an answer
 )
@@ -488,6 +550,7 @@
 		Logger:                        quiet{},
 		MaxRequestBodySize:            maxBody,
 		ReadBufferSize:                8192,
+		StreamRequestBody:             maxBody >= MaxStream,
 		ReadTimeout:                   requestTime,
 		IdleTimeout:                   idleTime,
 		WriteTimeout:                  answerTime,
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"log"
 	"slices"
 	"sync/atomic"
@@ -55,6 +56,8 @@
 	busy    map[K]*link[K]
 	waiting []*order[K] // for a connection, the oldest first
 	dialing int
+	streams int // answers that are being read
+	uploads int // bodies that are being written
 	stopped bool
 	ended   atomic.Bool
 }
@@ -66,12 +69,17 @@
 	idled time.Duration // before the exchange under way
 	wrote time.Time
 	open  bool
+
+	uploads Upload // under way
+	half    bool   // its last request did not go out whole
 }
 
 type order[K comparable] struct {
 	key  K
 	wire []byte
 	note any
+
+	whole atomic.Bool // its last byte has been written, or may have been
 }
 
 type (
@@ -85,6 +93,8 @@
 		resp  *fasthttp.Response
 		extra bool // more than the answer has come
 		err   error
+
+		stream bool // the body is still to be read
 	}
 	stop struct{}
 )
@@ -107,7 +117,9 @@
 func (p *Peer[K]) now() time.Time { return p.opt.World.Now() }
 
 // Send begins an exchange.
-func (p *Peer[K]) Send(key K, wire []byte, note any) { p.box.Put(order[K]{key, wire, note}) }
+func (p *Peer[K]) Send(key K, wire []byte, note any) {
+	p.box.Put(&order[K]{key: key, wire: wire, note: note})
+}
 
 // Cancel gives an exchange up and closes its connection.
 func (p *Peer[K]) Cancel(key K) { p.box.Put(cancel[K]{key}) }
@@ -120,18 +132,22 @@
 
 func (p *Peer[K]) run() {
 	defer p.ended.Store(true)
-	for !p.stopped || len(p.busy) > 0 || len(p.waiting) > 0 || p.dialing > 0 {
+	for !p.stopped || len(p.busy) > 0 || len(p.waiting) > 0 || p.dialing > 0 || p.streams > 0 || p.uploads > 0 {
 		for _, m := range p.box.Take(p.age()) {
 			switch m := m.(type) {
-			case order[K]:
+			case *order[K]:
 				p.opt.Sockets.under.Add(1)
-				p.send(&m)
+				p.send(m)
 			case cancel[K]:
 				p.cancel(m.key)
 			case dialed:
 				p.dialed(m)
 			case heard[K]:
 				p.heard(m)
+			case streamed[K]:
+				p.streamed(m)
+			case uploaded[K]:
+				p.uploaded(m)
 			case stop:
 				p.stopped = true
 			}
@@ -205,12 +221,19 @@
 		return
 	}
 	l := &link[K]{conn: m.conn, open: true}
+	l.conn.streams = true
 	p.opt.World.Go(func() {
 		for {
 			resp := fasthttp.AcquireResponse()
 			extra, err := l.conn.Read(resp)
 			last := extra || err != nil || resp.ConnectionClose()
-			p.box.Put(heard[K]{l, resp, extra, err}) // from here on the answer is somebody else's
+			long, _ := resp.BodyStream().(*body)
+			p.box.Put(heard[K]{l, resp, extra, err, long != nil}) // from here on the answer is somebody else's
+			if long != nil {
+				long.bell.Wait(-1)
+				last = last || long.err != io.EOF || l.conn.br.Buffered() > 0
+				p.box.Put(streamed[K]{l, !last})
+			}
 			if last {
 				return
 			}
@@ -235,7 +258,7 @@
 }
 
 func (p *Peer[K]) write(l *link[K], o *order[K]) {
-	if err := l.conn.Write(o.wire, writeLimit); err != nil {
+	if err := l.conn.begin(o.wire, writeLimit); err != nil {
 		p.close(l)
 		p.done(Result[K]{o.key, o.note, NotSent, nil})
 		return
@@ -245,6 +268,11 @@
 		l.idled = l.wrote.Sub(l.since)
 	}
 	p.busy[o.key] = l
+	if up := uploadOf(o.note); up != nil {
+		p.upload(l, o, up)
+		return
+	}
+	o.whole.Store(true)
 	if p.opt.Wrote != nil {
 		p.opt.Wrote(o.note)
 	}
@@ -253,6 +281,19 @@
 func (p *Peer[K]) heard(m heard[K]) {
 	l, o := m.link, m.link.under
 	l.under = nil
+	if l.uploads != nil { // answered, or broken, before all was sent
+		l.uploads.Stop()
+		l.half, m.extra = true, true
+	}
+	if m.stream {
+		p.streams++
+		if o != nil && o.note != nil {
+			delete(p.busy, o.key)
+			p.done(Result[K]{o.key, o.note, Answered, m.resp})
+			return
+		}
+		m.err = errSpoilt // for a probe, or for nobody
+	}
 	if m.extra || m.err != nil || m.resp.ConnectionClose() || o == nil {
 		p.close(l) // an answer that nobody asked for is no good sign either
 	}
@@ -271,6 +312,8 @@
 	case o == nil:
 	case errors.Is(m.err, errSpoilt):
 		p.done(Result[K]{o.key, o.note, Spoilt, nil})
+	case m.err != nil && !o.whole.Load():
+		p.done(Result[K]{o.key, o.note, NotSent, nil})
 	case m.err != nil:
 		p.done(Result[K]{o.key, o.note, Broken, nil})
 	default:
@@ -286,6 +329,9 @@
 		p.opt.Sockets.under.Add(-1)
 		delete(p.busy, key)
 		l.under = nil
+		if l.uploads != nil {
+			l.uploads.Stop()
+		}
 		p.close(l)
 		return
 	}
