--- a/choice/api.go
+++ b/choice/api.go
@@ -3,7 +3,7 @@
 // again, and what to tell the shared counter.
 //
 // This file is the whole interface: settings, events and actions. All
-// decisions are in choice.go. A host creates one Balancer per gateway with
+// decisions are in choice.go, meter.go and servers.go. A host creates one Balancer per gateway with
 // New, calls a method for each event, and carries out what the Balancer asks
 // of its Actions. A Balancer is not safe for concurrent use; it never blocks
 // and reads no clock.
--- a/choice/books.go
+++ b/choice/books.go
@@ -25,3 +25,10 @@
 		r.tries[try].sent = now
 	}
 }
+
+func (b *Balancer) logOnce(text string) {
+	if !b.logged[text] && len(b.logged) < 50 {
+		b.logged[text] = true
+		b.act.Log(text)
+	}
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"strconv"
@@ -88,11 +89,15 @@
 	if b.left = int64(n); n > 0 {
 		return nil
 	}
-	var dropped fasthttp.ResponseHeader
-	if err := dropped.ReadTrailer(b.conn.br); err != nil {
-		return cut(err)
+	for most := maxHead; ; { // trailers end here
+		line, err := b.conn.br.ReadSlice('\n')
+		if most -= len(line); err != nil || most < 0 {
+			return cut(cmp.Or(err, errSpoilt))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return io.EOF
+		}
 	}
-	return io.EOF
 }
 
 func crlf(br *bufio.Reader) error {
