--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,8 +129,8 @@
 		plans: map[string]*Plan{}, reqs: map[uint32]*request{}, byID: map[uint32]*backend{},
 		customers: map[string]*customer{}, quickest: map[string]float64{}, logged: map[string]bool{},
 		zones: map[string]*health.Zone{}, calls: map[string]func(time.Duration, Counted){}, twins: 1}
-	b.set.MaxTries, b.set.RetryShare = max(set.MaxTries, 1), cmp.Or(set.RetryShare, 0.1)
-	b.set.MaxRetryAfter, b.set.RetryMost = cmp.Or(set.MaxRetryAfter, math.MaxInt64), cmp.Or(set.RetryMost, mostRetries)
+	b.set.MaxTries, b.set.MaxRetryAfter = max(set.MaxTries, 1), cmp.Or(set.MaxRetryAfter, math.MaxInt64)
+	b.set.RetryShare, b.set.RetryMost = cmp.Or(set.RetryShare, 0.1), cmp.Or(set.RetryMost, mostRetries)
 	b.beat = set.Classes[0].Aim
 	for _, c := range set.Classes {
 		b.classes[c.Name] = &class{Class: c, Latency: health.NewLatency(c.Aim)}
