--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"asterwell/internal/bane"
 	"asterwell/internal/bane/world"
 	"asterwell/internal/tell"
@@ -119,17 +121,18 @@
 		return err
 	}
 	recorded := outcomes["ran twice"]
+	strikes := lo.Sum(lo.Values(outcomes))
 	r.Figure["outcomes"] = outcomes
-	r.Figure["strikes"], r.Figure["missed"], r.Figure["others_struck"] = drawnOut, missed, all
-	r.Figure["over_budget"] = max(0, drawnOut-faultBudget)
+	r.Figure["strikes"], r.Figure["missed"], r.Figure["others_struck"] = strikes, missed, all
+	r.Figure["over_budget"] = max(0, strikes-faultBudget)
 	r.Figure["unrecorded"] = max(0, drawnOut-recorded)
 	r.Figure["others_p99_ratio"] = beside.p99.Seconds() / before.p99.Seconds()
 	r.Figure["others_served_ratio"] = beside.served() / before.served()
 	r.Figure["others_p99_ms"] = []float64{before.p99.Seconds() * 1000, beside.p99.Seconds() * 1000}
-	r.Rule(drawnOut == faultBudget, "%d strikes of a budget of %d, with %d drawn", drawnOut, faultBudget, drawn)
+	r.Rule(strikes == faultBudget, "%d strikes of a budget of %d, with %d drawn", strikes, faultBudget, drawn)
 	r.Rule(all == 0 && other == 0, "%d of others' requests ran twice, %d without being drawn", all, other)
 	r.Rule(missed == 0, "%d drawn requests were not struck while there was a budget", missed)
-	r.Rule(recorded >= drawnOut, "%d strikes, %d on record", drawnOut, recorded)
+	r.Rule(recorded >= drawnOut, "%d ran twice, %d on record", drawnOut, recorded)
 	r.Rule(beside.served() > 0.98*before.served(), "others were served %.4f with the rule, %.4f without", beside.served(), before.served())
 	return nil
 }
--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -13,7 +13,7 @@
 	periodGap = 20 * time.Second
 	nameLife  = 2 * periodGap
 	issueGap  = 500 * time.Millisecond // between periods, where holders disagree
-	listenGap = time.Second            // after which a holder knows the levels
+	listenGap = 500 * time.Millisecond // after which a holder knows the levels
 	lapse     = 5 * time.Second        // without any add, what is known of levels is void
 )
 
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -22,7 +22,7 @@
 	companyGap = 300 * time.Millisecond // without adds of others a holder may be cut off
 	settle     = 300 * time.Millisecond // after a change of period, before the old name is reread
 	believe    = time.Minute            // after which gateways that are missing are taken as gone
-	young      = 400 * time.Millisecond // in which a meter may not know all gateways yet
+	young      = 3 * time.Second        // in which one that has met no other gateway may be cut off
 	unknown    = 32                     // gateways, at least, that a young meter reckons with
 	bearable   = 1. / 16                // of the gateways may be missing without a reserve for them
 )
@@ -142,7 +142,7 @@
 
 // even is the number of gateways that shares are made for.
 func (m *Meter) even(now plane.Time) int {
-	if m.gateways == 0 || now-m.bornAt < young {
+	if m.gateways == 0 || m.peak == 1 && now-m.bornAt < young {
 		return max(m.peak, unknown)
 	}
 	return m.peak
