Take answers without a length where their head announces the connection's end

Ruled out: slow servers (no stall among them), chunks, long heads. Taking all such answers: a server that dies looks the same. Change: such a body streams, or is kept whole to 64 KiB, until the end; a reset is a cut as any other.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -69,6 +69,7 @@
 	until time.Time   // for the first byte of an answer; 0: no limit
 	begun bool        // it has come, so that the rest should follow
 
+	last     bool          // the head under way announces the connection's end
 	streams  bool          // long answers are read by whoever they are for
 	patience time.Duration // without a byte, once it has begun; 0: as usual
 }
@@ -150,10 +151,10 @@
 		return c.br.Buffered() > 0, nil
 	}
 	length := resp.Header.ContentLength()
-	if length == -2 { // up to the connection's end: one that breaks would look whole
-		return false, errSpoilt
+	if length == -2 && (!c.streams || !c.last) { // one that breaks would look whole
+		return false, fmt.Errorf("%w: a body without a length", errSpoilt)
 	}
-	if c.streams && (length == -1 || length > Held) {
+	if c.streams && (length < 0 || length > Held) {
 		if err = c.long(resp, length); err != nil {
 			return false, spoilt(err)
 		}
@@ -190,6 +191,7 @@
 			if TwoLengths(seen[:end]) {
 				return errSpoilt
 			}
+			c.last = announces(seen[:end])
 			return nil
 		}
 		if bytes.Contains(seen, []byte("\n\n")) {
@@ -211,6 +213,18 @@
 	return length && transfer
 }
 
+// announces reports whether a head says that the connection ends behind the message.
+func announces(head []byte) bool {
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Connection")) &&
+			bytes.EqualFold(bytes.TrimSpace(value), []byte("close")) {
+			return true
+		}
+	}
+	return false
+}
+
 // Quiet reports whether nothing has come since the last answer, not even the
 // connection's end. What has is no answer to a request that is yet to be sent.
 func (c *Conn) Quiet() bool {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -311,6 +311,7 @@
 	switch {
 	case o == nil:
 	case errors.Is(m.err, errSpoilt):
+		log.Printf("event=spoilt server=%s error=%q", p.addr, m.err)
 		p.done(Result[K]{o.key, o.note, Spoilt, nil})
 	case m.err != nil && !o.whole.Load():
 		p.done(Result[K]{o.key, o.note, NotSent, nil})
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -27,6 +27,7 @@
 	conn  *Conn
 	left  int64 // of the body, or of the chunk
 	chunk bool
+	close bool // it ends with the connection
 	total int64
 	first []byte // read already, while it might have been short
 	err   error  // it has ended
@@ -49,7 +50,7 @@
 	if b.total += int64(n); b.total > MaxStream {
 		err = errTooLong
 	}
-	if err == nil && !b.chunk && b.left == 0 {
+	if err == nil && !b.chunk && !b.close && b.left == 0 {
 		err = io.EOF
 	}
 	if err != nil {
@@ -64,6 +65,9 @@
 			return 0, err
 		}
 	}
+	if b.close {
+		return b.conn.br.Read(p)
+	}
 	n, err := b.conn.br.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
 	if err == io.EOF {
@@ -146,7 +150,8 @@
 		return errSpoilt
 	}
 	if length < 0 {
-		b.left, b.chunk = 0, true
+		b.left, b.chunk, b.close = 0, length == -1, length < -1
+		length = -1
 		for buf := make([]byte, 4096); len(b.first) <= Held; {
 			n, err := b.read(buf)
 			b.first = append(b.first, buf[:n]...)
