--- a/internal/pact/client.go
+++ b/internal/pact/client.go
@@ -7,7 +7,16 @@
 	"asterwell/internal/plane"
 )
 
-const retryEvery = 150 * time.Millisecond
+// A call is repeated when it may be lost, which it isn't while a slow link carries it: the
+// repeats of a large document would fill the link, and nothing would come through.
+const (
+	retryEvery = 150 * time.Millisecond
+	retryByte  = 8 * time.Microsecond // 1 Mbit/s
+)
+
+func (c *call) retry() time.Duration {
+	return retryEvery + time.Duration(len(c.f.Doc.Body))*retryByte
+}
 
 // call is an operator's, made at this process.
 type call struct {
@@ -78,7 +87,7 @@
 			continue
 		}
 		rest = append(rest, c)
-		if m.now-c.sent >= retryEvery {
+		if m.now-c.sent >= c.retry() {
 			c.sent = m.now
 			if p := m.view.primary(); p != "" {
 				m.send(p, c.f)
--- /dev/null
+++ b/internal/yarn/gauge.go
@@ -0,0 +1,223 @@
+package yarn
+
+import (
+	"cmp"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"asterwell/internal/knot"
+	"asterwell/internal/lore"
+)
+
+// gauge measures what processes send and cost, and carries messages through links that
+// have a rate. A world without one is as it was.
+type gauge struct {
+	w     *world
+	since time.Duration
+	kinds map[reflect.Type]int // bytes
+
+	force map[uint32]map[*proc]bool // versions acknowledged, and who lacks them
+	open  map[string]map[*proc]bool // servers that may leave, and who still sends to them
+	turns Times                     // acknowledged to in force, each process
+	alls  Times                     // the same, the last process
+	drain Times                     // may leave to unused, the last process
+}
+
+// load is one process's.
+type load struct {
+	out, in, sent int
+	cpu           time.Duration // of its steps and of cbor, as the real clock has it
+	outFree       time.Duration // until when its link is taken
+	inFree        time.Duration
+}
+
+// framing is what a message costs on the wire above its cbor: the frame's head, and
+// its part of packets' heads.
+const framing = 40
+
+// Links of the grown sites, in bytes a second.
+const (
+	coreLink = 100e6 / 8
+	edgeLink = 2e6 / 8
+)
+
+func newGauge(w *world) *gauge {
+	g := &gauge{w: w, force: map[uint32]map[*proc]bool{}, open: map[string]map[*proc]bool{}}
+	for _, p := range w.procs {
+		p.load = &load{}
+	}
+	w.gauge = g
+	g.begin()
+	return g
+}
+
+// begin begins a measured time.
+func (g *gauge) begin() {
+	g.since, g.kinds = g.w.now, map[reflect.Type]int{}
+	for _, p := range g.w.procs {
+		p.load.out, p.load.in, p.load.sent, p.load.cpu = 0, 0, 0, 0
+	}
+}
+
+// step measures a process's step.
+func (g *gauge) step(p *proc, do func() knot.Out) knot.Out {
+	if g == nil {
+		return do()
+	}
+	began := time.Now()
+	out := do()
+	p.load.cpu += time.Since(began)
+	return out
+}
+
+// pass puts a message on its way: it returns what arrives, and what the links add.
+func (g *gauge) pass(from, to *proc, msg any) (any, time.Duration) {
+	began := time.Now()
+	data, err := cbor.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	packed := time.Now()
+	got := reflect.New(reflect.TypeOf(msg))
+	if err := cbor.Unmarshal(data, got.Interface()); err != nil {
+		panic(err)
+	}
+	from.load.cpu += packed.Sub(began)
+	to.load.cpu += time.Since(packed)
+	size := len(data) + framing
+	from.load.out += size
+	from.load.sent++
+	to.load.in += size
+	g.kinds[reflect.TypeOf(msg)] += size
+	at := through(&from.load.outFree, g.w.now, size, from)
+	at = through(&to.load.inFree, at, size, to)
+	return got.Elem().Interface(), at - g.w.now
+}
+
+// through is when the last byte is through a machine's link.
+func through(free *time.Duration, now time.Duration, size int, p *proc) time.Duration {
+	rate := edgeLink
+	if p.core {
+		rate = coreLink
+	}
+	*free = max(*free, now) + time.Duration(float64(size)/rate*float64(time.Second))
+	return *free
+}
+
+// acked: whoever lacks the version has from now on.
+func (g *gauge) acked(o *order) {
+	if g == nil {
+		return
+	}
+	lack := map[*proc]bool{}
+	for _, p := range g.w.procs {
+		if p.version >= o.version {
+			g.turns.add(0)
+		} else {
+			lack[p] = true
+		}
+	}
+	g.force[o.version] = lack
+	g.whole(o.version)
+}
+
+func (g *gauge) adopted(p *proc) {
+	if g == nil {
+		return
+	}
+	for _, v := range slices.Sorted(maps.Keys(g.force)) {
+		if v <= p.version && g.force[v][p] {
+			delete(g.force[v], p)
+			g.turns.add(g.w.now - g.w.orders[v].at)
+			g.whole(v)
+		}
+	}
+}
+
+func (g *gauge) whole(v uint32) {
+	if len(g.force[v]) == 0 {
+		g.alls.add(g.w.now - g.w.orders[v].at)
+		delete(g.force, v)
+	}
+}
+
+// leaves: a server has been let go.
+func (g *gauge) leaves(s *server) {
+	if g == nil {
+		return
+	}
+	use := map[*proc]bool{}
+	for _, p := range g.w.procs {
+		if p.uses(s.id) {
+			use[p] = true
+		}
+	}
+	g.open[s.id] = use
+	g.unused(s)
+}
+
+// listed: a process has another list.
+func (g *gauge) listed(p *proc) {
+	if g == nil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(g.open)) {
+		if g.open[id][p] && !p.uses(id) {
+			delete(g.open[id], p)
+			g.unused(g.w.byID[id])
+		}
+	}
+}
+
+func (g *gauge) unused(s *server) {
+	if len(g.open[s.id]) == 0 {
+		g.drain.add(g.w.now - s.ackedAt)
+		delete(g.open, s.id)
+	}
+}
+
+// uses tells whether a process may send to a server. Its list is in the ids' order.
+func (p *proc) uses(id string) bool {
+	i, ok := slices.BinarySearchFunc(p.list, id, func(s lore.Server, id string) int { return cmp.Compare(s.ID, id) })
+	return ok && p.list[i].Phase == lore.Serving
+}
+
+// Rates are what one process sends and costs, a second.
+type Rates struct {
+	Out, OutMost, EdgeMost, InMost float64 // bytes: mean, most, most of those without a disk; that come in there
+	Sent                           float64 // messages, mean
+	CPU, CPUMost                   float64 // share of a core
+	Kinds                          string  // the messages that most of the bytes are
+}
+
+// rates are those since begin.
+func (g *gauge) rates() Rates {
+	var r Rates
+	span, all := (g.w.now - g.since).Seconds(), 0.0
+	for _, p := range g.w.procs {
+		out, in, cpu := float64(p.load.out)/span, float64(p.load.in)/span, p.load.cpu.Seconds()/span
+		all += out
+		r.Sent += float64(p.load.sent) / span
+		r.CPU += cpu
+		r.OutMost, r.CPUMost = max(r.OutMost, out), max(r.CPUMost, cpu)
+		if !p.core {
+			r.EdgeMost, r.InMost = max(r.EdgeMost, out), max(r.InMost, in)
+		}
+	}
+	n := float64(len(g.w.procs))
+	r.Out, r.Sent, r.CPU = all/n, r.Sent/n, r.CPU/n
+	kinds := slices.SortedFunc(maps.Keys(g.kinds), func(a, b reflect.Type) int {
+		return cmp.Or(cmp.Compare(g.kinds[b], g.kinds[a]), cmp.Compare(a.String(), b.String()))
+	})
+	var words []string
+	for _, k := range kinds[:min(3, len(kinds))] {
+		words = append(words, k.String()+" "+percent(float64(g.kinds[k])/span/max(all, 1)))
+	}
+	r.Kinds = strings.Join(words, ", ")
+	return r
+}
--- a/internal/yarn/net.go
+++ b/internal/yarn/net.go
@@ -35,6 +35,11 @@
 			continue
 		}
 		d := 100*time.Microsecond + w.upTo(200*time.Microsecond)
+		if w.gauge != nil {
+			var more time.Duration
+			msg, more = w.gauge.pass(p, to, msg)
+			d += more
+		}
 		if to.zone != p.zone {
 			d += 800 * time.Microsecond
 		}
--- a/internal/yarn/operator.go
+++ b/internal/yarn/operator.go
@@ -44,6 +44,7 @@
 		host.Policy = append(host.Policy, r)
 		c.Pools = append(c.Pools, creed.Pool{Name: s, ProbePath: "/probe", MaxConns: 100, Protocol: "h1"})
 	}
+	w.padded(&host, w.services())
 	c.Sockets = []creed.Socket{host}
 	o.body, _ = json.Marshal(c)
 	w.orders[version] = o
@@ -93,6 +94,7 @@
 	if !o.acked {
 		o.acked, o.at = true, w.now
 		w.stats.Acks.add(w.now - o.sent)
+		w.gauge.acked(o)
 	}
 	w.acked = max(w.acked, o.version)
 	if hook := w.hook; hook != "" {
@@ -146,4 +148,5 @@
 		w.breaks("CONFIG", "%s has version %d in force, and it is not what was sent", p.name, doc.Version)
 	}
 	p.table, p.version = t, doc.Version
+	w.gauge.adopted(p)
 }
--- a/internal/yarn/proc.go
+++ b/internal/yarn/proc.go
@@ -39,6 +39,7 @@
 	table   *creed.Table
 	version uint32
 	list    []lore.Server
+	load    *load
 }
 
 const tick = 50 * ms
@@ -113,9 +114,9 @@
 	switch {
 	case !p.up:
 	case p.frozen():
-		p.ice = append(p.ice, func() { p.carry(do()) })
+		p.ice = append(p.ice, func() { p.carry(p.w.gauge.step(p, do)) })
 	default:
-		p.carry(do())
+		p.carry(p.w.gauge.step(p, do))
 	}
 }
 
@@ -145,6 +146,7 @@
 	}
 	if out.Serve {
 		p.list = p.k.Servers()
+		w.gauge.listed(p)
 	}
 	for _, s := range out.Send {
 		w.carry(p, s)
--- a/internal/yarn/server.go
+++ b/internal/yarn/server.go
@@ -115,6 +115,7 @@
 		}
 		s.acked, s.ackedAt, s.touched = true, w.now, w.inTouch(by)
 		w.note("%s may leave, says %s", s.id, by.name)
+		w.gauge.leaves(s)
 		w.stats.Leaves.add(w.now - s.leaves)
 		w.after(drainTime+300*ms, func() {
 			s.ask(5, func(p *proc, id uint64) knot.Out { return p.k.Delete(p.clock(), id, s.id) }, func(*proc) { s.end() })
--- a/internal/yarn/traffic.go
+++ b/internal/yarn/traffic.go
@@ -29,7 +29,7 @@
 
 // offers goes on for the day.
 func (w *world) offers(t *tenant) {
-	if w.acked > 0 {
+	if w.acked > 0 && !w.still {
 		w.request(t)
 	}
 	gap := w.rng.ExpFloat64() / (t.offer * t.hot)
--- a/internal/yarn/world.go
+++ b/internal/yarn/world.go
@@ -21,6 +21,9 @@
 	bug   Bug
 	wire  bool // messages are encoded and decoded on their way
 	trace func(string)
+	gauge *gauge // nil: nothing is measured
+	pad   int    // bytes that configurations are made up to
+	still bool   // clients send nothing
 	sum   *xxhash.Digest
 
 	procs  []*proc // in order of their first start
