--- a/internal/accord/world/world.go
+++ b/internal/accord/world/world.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"asterwell/internal/accord"
+	"asterwell/internal/plane"
 )
 
 const ms = time.Millisecond
@@ -59,7 +60,7 @@
 	opt    Options
 	rng    *rand.Rand
 	now    time.Duration
-	queue  events
+	queue  plane.Events
 	order  uint64
 	nodes  []*Proc
 	byAddr map[string]*Proc
@@ -82,26 +83,6 @@
 	quiet   bool // no clients
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // New makes processes in three zones, and starts them.
 func New(o Options) *World {
 	o.Nodes, o.Every = cmp.Or(o.Nodes, 11), cmp.Or(o.Every, 6*ms)
@@ -122,16 +103,16 @@
 
 func (w *World) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, event{w.now + d, w.order, do})
+	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 // Run lets time pass; it ends early once a rule broke.
 func (w *World) Run(d time.Duration) {
 	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end && len(w.res.Broken) == 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for len(w.queue) > 0 && w.queue[0].At <= end && len(w.res.Broken) == 0 {
+		e := heap.Pop(&w.queue).(plane.Event)
+		w.now = e.At
+		e.Do()
 	}
 	w.now = end
 }
--- a/internal/bane/world/world.go
+++ b/internal/bane/world/world.go
@@ -5,7 +5,6 @@
 package world
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -29,7 +28,7 @@
 type World struct {
 	rng   *rand.Rand
 	now   time.Duration
-	queue events
+	queue plane.Events
 	order uint64
 	bug   bane.Bug
 
@@ -45,26 +44,6 @@
 	Rules
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // Proc is a machine and the process on it.
 type Proc struct {
 	w       *World
@@ -110,7 +89,7 @@
 
 func (w *World) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, event{w.now + d, w.order, do})
+	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 func (w *World) every(d time.Duration, do func()) {
@@ -120,10 +99,10 @@
 // Run lets time pass, unless a rule is broken.
 func (w *World) Run(d time.Duration) {
 	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end && w.Broken == "" {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for len(w.queue) > 0 && w.queue[0].At <= end && w.Broken == "" {
+		e := heap.Pop(&w.queue).(plane.Event)
+		w.now = e.At
+		e.Do()
 	}
 	w.now = end
 }
--- a/internal/pact/world_test.go
+++ b/internal/pact/world_test.go
@@ -1,7 +1,6 @@
 package pact
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -17,7 +16,7 @@
 type world struct {
 	rng     *rand.Rand
 	now     time.Duration
-	queue   events
+	queue   plane.Events
 	order   uint64
 	nodes   []*node
 	byAddr  map[string]*node
@@ -67,26 +66,6 @@
 	adopted uint32
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func newWorld(seed uint64, members, followers, losses int) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), byAddr: map[string]*node{}, cut: map[[2]string]bool{},
 		losses: losses, bodies: map[uint32]string{}, calls: map[uint64]*op{}, jitter: 4 * ms,
@@ -111,18 +90,18 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, event{w.now + d, w.order, do})
+	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 func (w *world) run(d time.Duration) {
 	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end && w.broken == nil {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
+	for len(w.queue) > 0 && w.queue[0].At <= end && w.broken == nil {
+		e := heap.Pop(&w.queue).(plane.Event)
+		w.now = e.At
 		if w.moment--; w.moment == 0 {
 			w.fault()
 		}
-		e.do()
+		e.Do()
 	}
 	w.now = end
 }
--- a/internal/yarn/world.go
+++ b/internal/yarn/world.go
@@ -1,7 +1,6 @@
 package yarn
 
 import (
-	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"fmt"
@@ -10,13 +9,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"asterwell/internal/plane"
 )
 
 // world is one day.
 type world struct {
 	rng   *rand.Rand
 	now   time.Duration
-	queue events
+	queue plane.Events
 	order uint64
 	bug   Bug
 	wire  bool // messages are encoded and decoded on their way
@@ -52,26 +53,6 @@
 	lastWindow window
 }
 
-type event struct {
-	at    time.Duration
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].order, e[j].order)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func newWorld(seed uint64, bug Bug, trace func(string)) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 0x7a21)), bug: bug, wire: seed%8 == 0, trace: trace, sum: xxhash.New(),
 		byAddr: map[string]*proc{}, byName: map[string]*proc{}, cuts: map[[2]string]time.Duration{},
@@ -83,7 +64,7 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, event{w.now + d, w.order, do})
+	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 func (w *world) every(d time.Duration, do func()) {
@@ -93,11 +74,11 @@
 // run lets time pass, unless a rule is broken.
 func (w *world) run(d time.Duration) {
 	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end && w.stats.Broken == "" {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
+	for len(w.queue) > 0 && w.queue[0].At <= end && w.stats.Broken == "" {
+		e := heap.Pop(&w.queue).(plane.Event)
+		w.now = e.At
 		w.stats.Events++
-		e.do()
+		e.Do()
 	}
 	w.now = end
 }
