--- a/internal/sim/plan.go
+++ b/internal/sim/plan.go
@@ -58,6 +58,7 @@
 	"answer 0", "answer 200", "answer 429", "answer 502", "answer 503", "answer 504", "turned away", "attempt after another",
 	"work for a cold node", "work within the hold of a drain", "a customer of pro near its ceiling", "counter busy",
 	"answer 500", "answer 503 without proof", "answer cut short", "answer with two lengths", "answer without a length",
+	"answer that ends with its connection", "answer without a length, reset half way",
 	"answer is no HTTP", "answer reset half way", "answer never comes", "answer with another behind it",
 	"client resets at once", "client resets while it waits", "client sends half", "client sends two lengths", "client drips",
 	"client: closing crossed the request", "client: gateway died", "client: no connection",
