Let busy servers' refused connections cost no repeat, and limits allow for chance

Change: Settings.Shuts, on in the system: an attempt that got no connection reached nobody, so the next is no repeat (BUDGET counts arrivals); refused at once, it says nothing of the zone. Settings.Spare: the limit's share of the servers has two standard deviations more, which matters where a gateway's share is two attempts.

--- a/choice/api.go
+++ b/choice/api.go
@@ -72,8 +72,10 @@
 	MaxTries       int
 	Turns          float64 // how much the turns of servers count against expected delay; 0: as much as for many gateways
 	Slots          float64 // requests that a server works on at once; 0: not known
+	Spare          float64 // standard deviations of chance that the limit on attempts allows for
 	RetryShare     float64 // of a repeat that each request adds to the budget; 0: a tenth
 	RetryMost      float64 // repeats in the budget; 0: ten
+	Shuts          bool    // servers refuse connections while they are busy: such an attempt reached nobody
 	SecondCopies   bool    // two attempts of one request may be out at once
 	Cancels        bool
 	Probes         bool
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -278,7 +278,7 @@
 
 // maySend is rule 2, with the limits on attempts.
 func (b *Balancer) maySend(now time.Duration, r *request, be *backend) bool {
-	if r.done || r.stream || len(r.tries) >= r.most || r.out > 0 && !b.set.SecondCopies {
+	if r.done || r.stream || b.reached(r) >= r.most || r.out > 0 && !b.set.SecondCopies {
 		return false
 	}
 	first := r.bound()
@@ -370,10 +370,10 @@
 // again sends a request that has no attempt out once more, where rules, time and budget allow.
 func (b *Balancer) again(now time.Duration, r *request) bool {
 	to, delay := b.pick(now, r)
-	if to == nil || now+delay > r.NotAfter || b.retries < 1 || now >= min(r.aimAt, r.NotAfter) {
+	if to == nil || now+delay > r.NotAfter || b.retries < b.price(r) || now >= min(r.aimAt, r.NotAfter) {
 		return false
 	}
-	b.retries--
+	b.retries -= b.price(r)
 	b.send(now, r, to)
 	return true
 }
--- /dev/null
+++ b/choice/room.go
@@ -0,0 +1,11 @@
+package choice
+
+import "math"
+
+// share is what of the servers is this gateway's, as the limit on attempts counts it. Where
+// there is little of it, chance alone passes it again and again while servers stand idle:
+// Settings.Spare allows for that.
+func (b *Balancer) share(servers float64) float64 {
+	even := servers / float64(b.set.Doors*b.twins) * max(1, b.set.Slots/2)
+	return even + b.set.Spare*math.Sqrt(even/2)
+}
--- a/choice/servers.go
+++ b/choice/servers.go
@@ -69,7 +69,7 @@
 			b.weight += (be.Weight - b.weight) / n
 		}
 	}
-	b.limit.Share = n / float64(b.set.Doors*b.twins) * max(1, b.set.Slots/2)
+	b.limit.Share = b.share(n)
 	b.ring = aperture.Ring(b.fleet, func(be *backend) aperture.Node {
 		return aperture.Node{Key: cmp.Or(be.Key, uint64(be.ID)*0x9e3779b97f4a7c15), Zone: be.Member.Zone}
 	})
@@ -246,7 +246,7 @@
 		b.faults += (1 - b.faults) * 0.02
 		b.limit.Steer(now, b.active(), o.Status == Full && b.faults > 0.1) // they look idle; few drain
 	case ConnectFailed, Reset:
-		b.eject(now, be)
+		b.broke(now, be, o)
 	case Timeout, Cancelled:
 		if be.heard < a.sent && cl.Gone(o.Elapsed*3/2) {
 			b.eject(now, be)
--- a/internal/shuttle/lane.go
+++ b/internal/shuttle/lane.go
@@ -97,7 +97,7 @@
 // settings are a service's by the configuration: a class for each route that leads
 // to it and each rank that its requests may have.
 func (p *Plane) settings(t *creed.Table, service string) choice.Settings {
-	set := choice.Settings{Doors: p.gates, Index: p.index, Zone: p.opt.Zone, MaxTries: 1, SecondCopies: true, Cancels: true,
+	set := choice.Settings{Doors: p.gates, Index: p.index, Zone: p.opt.Zone, MaxTries: 1, Shuts: true, Spare: spare, SecondCopies: true, Cancels: true,
 		RetryAfter: true, ConnectTimeout: connectWithin, Weighted: true, Turns: turns, ColdFrom: 0.5, ColdFor: p.opt.ColdFor,
 		CrossZone: crossZone, RetryShare: p.opt.RetryRatio * budgetUsed, RetryMost: max(1, p.opt.RetrySlack*budgetUsed/float64(p.gates)),
 		Plans: []choice.Plan{{Name: plan, ValueFactor: 1, OverrunCost: 1}}}
@@ -123,6 +123,7 @@
 
 const (
 	turns      = 0.03 // servers differ in speed by more than turns even out
+	spare      = 2    // standard deviations
 	budgetUsed = 0.6  // of the budget of repeats, which gateways that come and go share
 	crossZone  = 0.1  // of the aim, that another zone's server should be quicker by
 )
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -337,7 +337,7 @@
 	}
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	p.say.WithFields(log.Fields{"limited": p.plane.Limited(), "heap_kb": mem.HeapInuse >> 10, "idle_kb": (mem.HeapIdle - mem.HeapReleased) >> 10,
+	p.say.WithFields(log.Fields{"limited": p.plane.Limited(), "mesh_in_kb": p.mesh.Counts.BytesIn.Load() >> 10, "mesh_out_kb": p.mesh.Counts.BytesOut.Load() >> 10, "heap_kb": mem.HeapInuse >> 10, "idle_kb": (mem.HeapIdle - mem.HeapReleased) >> 10,
 		"stack_kb": mem.StackInuse >> 10, "other_kb": (mem.MSpanSys + mem.MCacheSys + mem.BuckHashSys + mem.GCSys + mem.OtherSys) >> 10,
 		"next_kb": mem.NextGC >> 10, "collections": mem.NumGC, "goroutines": runtime.NumGoroutine()}).Info("totals")
 }
