--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -107,7 +107,7 @@
 // New puts a process together, and begins to listen.
 func New(path string, set *creed.Settings) (*Process, error) {
 	runtime.GOMAXPROCS(max(1, int(set.BoundsReq.CpuCount)))
-	debug.SetGCPercent(50)
+	debug.SetGCPercent(25)
 	debug.SetMemoryLimit(int64(set.BoundsReq.MemMb) << 20 * 6 / 10)
 	p := &Process{path: path, set: set, start: time.Now(), box: actor.NewBox[any](nil), disk: actor.NewBox[*pact.Write](nil), rows: actor.NewBox[[]lore.Row](nil),
 		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(),
