--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -30,7 +30,8 @@
 	root := &cobra.Command{Use: "asterlab", Short: "Stand-ins and measurements for asterwell, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(standins(), measures(), fieldCommand(), clusterSeeds(), seeds(), replay(), shrink(), days())
-	if err := root.Execute(); err != nil {
+	end := profiles(root)
+	if err := errors.Join(root.Execute(), end()); err != nil {
 		fmt.Fprintln(os.Stderr, "asterlab:", err)
 		os.Exit(1)
 	}
