Tell who holds which version to watchers at once, and to all seldom

Only who is behind needs it, to know whom to ask.

The version is now part of the beat, and the tick after it is taken up beats at once. All are told once it has been held for a second, or where nothing was told for five. A rumour of what is held alone no longer makes everything that hangs on membership look again: agreement is told the one address (pact.Holds). Ruled out: dropping it from the rumours, as operators read it there; only once a second, which saves half.

--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -23,8 +23,10 @@
 	swapEvery  = 100 * time.Millisecond
 	mostKnown  = 256
 	mostTries  = 16
-	mostSwift  = 8 // rumours passed on at once between two ticks; the rest go together
-	others     = 2 // random ones beside the watchers that a rumour goes to
+	mostSwift  = 8               // rumours passed on at once between two ticks; the rest go together
+	others     = 2               // random ones beside the watchers that a rumour goes to
+	heldFor    = time.Second     // a version held so long is told to all,
+	heldLate   = 5 * time.Second // and one where nothing was told for so long
 )
 
 // entry is a node with what is known of it here alone.
@@ -35,6 +37,7 @@
 	asked int        // times since then
 	via   string     // who last reached it when we couldn't
 	ended plane.Time // since when it is gone
+	held  uint32     // the newest version that it has said it holds, in this life
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -68,6 +71,8 @@
 	told    map[string]plane.Time // when it was last told that it is held for gone
 	swift   int
 	late    map[string]bool // addresses whose news waits for the tick
+	heldAt  plane.Time      // since when our version is held
+	saidAt  plane.Time      // when all were last told of our entry
 	out     Out
 }
 
@@ -117,11 +122,19 @@
 	return m.take()
 }
 
-// SetHeld notes the configuration's version held here; the next tick spreads it.
+// SetHeld notes the configuration's version held here. The watchers hear it with the
+// next tick's beat, so that one who lacks it has whom to ask; all others only need it
+// for people, and are told seldom: else each version costs each node a rumour of each.
 func (m *Machine) SetHeld(v uint32) {
-	if m.self.Held != v {
-		m.self.Held = v
-		m.renew()
+	if me := m.nodes[m.self.Addr]; me.held != v {
+		me.held, m.heldAt, m.beat = v, m.now, m.now
+	}
+}
+
+// lag tells all what is held here, once it has been for a while.
+func (m *Machine) lag() {
+	if m.nodes[m.self.Addr].held != m.self.Held && (m.now-m.heldAt >= heldFor || m.now-m.saidAt >= heldLate) {
+		m.say()
 	}
 }
 
@@ -133,20 +146,28 @@
 	}
 }
 
-// renew gives our own entry its next version, and leaves it to be told.
+// renew is for when our entry is another.
 func (m *Machine) renew() {
-	m.self.Seq++
-	m.nodes[m.self.Addr].node = m.self
-	m.late[m.self.Addr] = true
+	m.say()
 	m.out.Changed = true
 	m.stale = true
 }
 
+// say gives our own entry its next version, and leaves it to be told.
+func (m *Machine) say() {
+	m.self.Seq++
+	me := m.nodes[m.self.Addr]
+	m.self.Held, m.saidAt = me.held, m.now
+	me.node = m.self
+	m.late[m.self.Addr] = true
+}
+
 // View is every node, the gone ones too until they are forgotten, sorted by address.
 func (m *Machine) View() []Node {
 	v := make([]Node, 0, len(m.nodes))
 	for _, e := range m.nodes {
 		n := e.node
+		n.Held = max(n.Held, e.held)
 		if e.lost {
 			n.State = Gone
 		}
@@ -185,6 +206,7 @@
 	m.settle()
 	m.watch()
 	m.resolve()
+	m.lag()
 	m.tell()
 	if now >= m.beat {
 		m.beat = now + beatEvery
@@ -210,7 +232,9 @@
 	m.beat, m.hello, m.try = m.now, m.now, m.now
 }
 
-func (m *Machine) sign() Beat { return Beat{m.self.Life, m.self.Seq, m.hash()} }
+func (m *Machine) sign() Beat {
+	return Beat{m.self.Life, m.self.Seq, m.hash(), m.nodes[m.self.Addr].held}
+}
 
 // hash covers all nodes not gone. What is lost to us alone counts as it was.
 func (m *Machine) hash() uint64 {
--- a/internal/bond/machine_test.go
+++ b/internal/bond/machine_test.go
@@ -169,3 +169,54 @@
 		}
 	}
 }
+
+// Versions that follow fast are said to the watchers at once, and to all seldom.
+func TestHeld(t *testing.T) {
+	m := amid(8)
+	var v uint32
+	rumours, last := 0, uint32(0)
+	tick := func(now plane.Time) (beats []Beat) {
+		for i := 1; i <= 8; i++ {
+			m.Take(now, node(i).Addr, Beat{Life: 1, Seq: 1})
+		}
+		o := m.Tick(now)
+		for _, r := range sent[Rumour](o) {
+			for _, n := range r.Nodes {
+				if n.Addr == node(0).Addr {
+					rumours, last = rumours+1, n.Held
+				}
+			}
+		}
+		return sent[Beat](o)
+	}
+	now := 10 * time.Second
+	for range 40 {
+		v++
+		m.SetHeld(v)
+		for range 5 {
+			now += 50 * ms
+			if b := tick(now); v != m.View()[0].Held || len(b) > 0 && b[0].Held != v {
+				t.Fatalf("%d is held, and said is %+v", v, b)
+			} else if now%(250*ms) == 50*ms && len(b) != 3 {
+				t.Fatalf("%d beats when another version is held", len(b))
+			}
+		}
+	}
+	if rumours > 3*5 || last >= v {
+		t.Errorf("%d rumours within ten seconds, the last of %d", rumours, last)
+	}
+	for range 21 {
+		now += 50 * ms
+		tick(now)
+	}
+	if last != v {
+		t.Errorf("all were told of %d, %d is held", last, v)
+	}
+	o := m.Take(now, node(3).Addr, Beat{Life: 1, Seq: 1, Held: 9})
+	if len(o.Holds) != 1 || o.Holds[0].Held != 9 || o.Changed {
+		t.Errorf("%+v", o)
+	}
+	if o = m.Take(now, node(3).Addr, Beat{Life: 1, Seq: 1, Held: 8}); len(o.Holds) != 0 {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/bond/node.go
+++ b/internal/bond/node.go
@@ -38,6 +38,12 @@
 	Held    uint32 `cbor:"10,keyasint,omitempty"`
 }
 
+// Hold is a configuration's version that a node holds.
+type Hold struct {
+	Addr string
+	Held uint32
+}
+
 // newer is the order in which words about a node override each other: "gone" beats
 // what it was said of, and the node's next word beats "gone".
 func (n Node) newer(o Node) bool {
@@ -50,6 +56,12 @@
 	return n.State == Gone && o.State != Gone
 }
 
+// like: it differs from another word of the same life in what it holds at most.
+func (n Node) like(o Node) bool {
+	n.Seq, n.Held = o.Seq, o.Held
+	return n == o
+}
+
 // mark is a hash of the entry's version.
 func (n Node) mark() uint64 {
 	b := make([]byte, 0, 64)
@@ -62,12 +74,13 @@
 
 // The messages.
 type (
-	// Beat says that its sender lives, which version of itself it stands at, and what
-	// its table hashes to. It answers a Hello and a Ping too.
+	// Beat says that its sender lives, which version of itself it stands at, what its
+	// table hashes to, and which configuration it holds. It answers a Hello and a Ping too.
 	Beat struct {
 		Life uint64 `cbor:"1,keyasint"`
 		Seq  uint64 `cbor:"2,keyasint"`
 		Hash uint64 `cbor:"3,keyasint"`
+		Held uint32 `cbor:"4,keyasint,omitempty"`
 	}
 	// Hello is a beat to a process that may not know the sender.
 	Hello struct {
@@ -118,6 +131,7 @@
 // Out is what follows from an input.
 type Out struct {
 	Send    []plane.Send
-	Changed bool     // View is another
+	Changed bool     // View is another, in more than what nodes hold
 	Silent  []string // addresses newly gone
+	Holds   []Hold   // which is told apart, as each configuration has all nodes hold another
 }
--- a/internal/bond/word.go
+++ b/internal/bond/word.go
@@ -30,6 +30,7 @@
 	switch x := msg.(type) {
 	case Beat:
 		m.face(from, x.Life, x.Seq)
+		m.holds(from, x.Life, x.Held)
 		m.compare(from, x.Hash)
 	case Hello:
 		if x.Node.Addr == from {
@@ -88,6 +89,14 @@
 	}
 }
 
+// holds takes a node's word of what it holds.
+func (m *Machine) holds(addr string, life uint64, held uint32) {
+	if e := m.nodes[addr]; e != nil && e.node.Life == life && held > max(e.held, e.node.Held) {
+		e.held = held
+		m.out.Holds = append(m.out.Holds, Hold{addr, held})
+	}
+}
+
 // learn takes an entry from anyone; what is news is passed on.
 func (m *Machine) learn(n Node) {
 	if n.Addr == m.self.Addr {
@@ -138,10 +147,16 @@
 		n = n2
 		e.ended = m.now
 	}
+	m.holds(n.Addr, n.Life, n.Held)
+	if n.Life != e.node.Life {
+		e.held = 0
+	}
+	if e.lost || !n.like(e.node) {
+		m.stale, m.out.Changed = true, true
+	}
 	e.node, e.lost = n, false
 	e.heard, e.asked = m.now, 0
 	delete(m.doubt, n.Addr)
-	m.stale, m.out.Changed = true, true
 	return true
 }
 
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -230,6 +230,9 @@
 // bonded carries out what membership wants.
 func (k *Knot) bonded(now plane.Time, out bond.Out) {
 	k.send(out.Send)
+	for _, h := range out.Holds {
+		k.pact.Holds(h.Addr, h.Held)
+	}
 	if !out.Changed {
 		return
 	}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -254,6 +254,13 @@
 	m.now, m.peers = max(m.now, now), slices.Clone(peers)
 }
 
+// Holds notes which version a process has.
+func (m *Machine) Holds(addr string, version uint32) {
+	if i := slices.IndexFunc(m.peers, func(p Peer) bool { return p.Addr == addr }); i >= 0 {
+		m.peers[i].Held = max(m.peers[i].Held, version)
+	}
+}
+
 // Seeds replaces the addresses to turn to.
 func (m *Machine) Seeds(now plane.Time, seeds []string) {
 	m.now, m.seeds = max(m.now, now), slices.Clone(seeds)
