Keep tables of nodes and servers in order, and their hashes as they change

At 91 machines a process spent most of its time on looking at all it knows: each beat hashed every node, each tick and each change of membership sorted all of them anew and copied them, up to five times over, and each look at the servers hashed the whole table and found every home again.

bond and lore now hold their entries sorted, and XOR marks in and out as an entry changes; the watched and the watchers are found once for each change of the ring; a server remembers its home until homes change; membership that changes nothing for the list builds nothing; agreement keeps the peers that it is given, and looks whether one has more without a copy. A heap of due times was not taken: a look at a slice of 316 costs less than its upkeep.

--- a/cmd/asterlab/days.go
+++ b/cmd/asterlab/days.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/bits"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -86,6 +87,7 @@
 	broken := map[string]int{}
 	for _, s := range all {
 		sum.Length += s.Length
+		sum.Hash = bits.RotateLeft64(sum.Hash, 1) ^ s.Hash
 		sum.Requests += s.Requests
 		sum.Served += s.Served
 		sum.Messages += s.Messages
@@ -104,7 +106,7 @@
 	}
 	figures := map[string]any{"days": len(all), "failing": failing, "broken": broken, "simulated_s": int(sum.Length.Seconds()),
 		"took_s": took.Seconds(), "requests": sum.Requests, "served": sum.Served, "messages": sum.Messages,
-		"quota_fill": sum.Fill, "spared": sum.Spared, "reads": sum.Reads}
+		"hash": fmt.Sprintf("%016x", sum.Hash), "quota_fill": sum.Fill, "spared": sum.Spared, "reads": sum.Reads}
 	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "ms\ttimes\thalf\t99 of 100\tmost")
 	for _, row := range []struct {
--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"asterwell/internal/plane"
 )
 
@@ -38,6 +40,8 @@
 	via   string     // who last reached it when we couldn't
 	ended plane.Time // since when it is gone
 	held  uint32     // the newest version that it has said it holds, in this life
+	mark  uint64     // of node
+	spot  uint64     // its place on the ring
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -54,11 +58,14 @@
 	seeds []string
 	known map[string]bool // addresses from disk, and of forgotten nodes
 	nodes map[string]*entry
+	all   []*entry // the same by address
+	sum   uint64   // the marks of those not gone
 	doubt map[string]doubt
 
 	ring    []string // live ones by their hash, self among them
 	stale   bool
-	watched map[string]bool
+	watched []string // by the ring
+	after   []string // our watchers
 
 	born    plane.Time
 	now     plane.Time
@@ -83,11 +90,11 @@
 	m := &Machine{
 		self: self, rand: rand.New(rand.NewPCG(seed, 0xb0d)),
 		known: map[string]bool{}, nodes: map[string]*entry{}, doubt: map[string]doubt{},
-		watched: map[string]bool{}, told: map[string]plane.Time{}, late: map[string]bool{},
+		told: map[string]plane.Time{}, late: map[string]bool{},
 		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
 	}
 	m.beat, m.hello, m.try = now, now, now
-	m.nodes[self.Addr] = &entry{node: self}
+	m.put(m.enter(self.Addr), self)
 	m.Seeds(now, seeds)
 	return m
 }
@@ -158,14 +165,45 @@
 	m.self.Seq++
 	me := m.nodes[m.self.Addr]
 	m.self.Held, m.saidAt = me.held, m.now
-	me.node = m.self
+	m.put(me, m.self)
 	m.late[m.self.Addr] = true
 }
 
+// enter makes an entry for an address that has none.
+func (m *Machine) enter(addr string) *entry {
+	e := &entry{node: Node{Addr: addr, State: Gone}, spot: xxhash.Sum64String(addr)}
+	i, _ := slices.BinarySearchFunc(m.all, addr, byAddr)
+	m.nodes[addr], m.all = e, slices.Insert(m.all, i, e)
+	return e
+}
+
+// put takes a word into an entry.
+func (m *Machine) put(e *entry, n Node) {
+	if e.node.State != Gone {
+		m.sum ^= e.mark
+	}
+	e.node, e.mark = n, n.mark()
+	if n.State != Gone {
+		m.sum ^= e.mark
+	}
+}
+
+// remove forgets an entry that is gone or lost.
+func (m *Machine) remove(e *entry) {
+	if e.node.State != Gone {
+		m.sum ^= e.mark
+	}
+	i, _ := slices.BinarySearchFunc(m.all, e.node.Addr, byAddr)
+	m.all = slices.Delete(m.all, i, i+1)
+	delete(m.nodes, e.node.Addr)
+}
+
+func byAddr(e *entry, addr string) int { return strings.Compare(e.node.Addr, addr) }
+
 // View is every node, the gone ones too until they are forgotten, sorted by address.
 func (m *Machine) View() []Node {
-	v := make([]Node, 0, len(m.nodes))
-	for _, e := range m.nodes {
+	v := make([]Node, 0, len(m.all))
+	for _, e := range m.all {
 		n := e.node
 		n.Held = max(n.Held, e.held)
 		if e.lost {
@@ -173,7 +211,6 @@
 		}
 		v = append(v, n)
 	}
-	slices.SortFunc(v, func(a, b Node) int { return strings.Compare(a.Addr, b.Addr) })
 	return v
 }
 
@@ -222,7 +259,7 @@
 // thaw: the silence was ours, so every wait begins again.
 func (m *Machine) thaw() {
 	m.heard = m.now
-	for _, e := range m.nodes {
+	for _, e := range m.all {
 		e.heard, e.asked = m.now, 0
 	}
 	for a, d := range m.doubt {
@@ -237,12 +274,4 @@
 }
 
 // hash covers all nodes not gone. What is lost to us alone counts as it was.
-func (m *Machine) hash() uint64 {
-	var h uint64
-	for _, e := range m.nodes {
-		if e.node.State != Gone {
-			h ^= e.node.mark()
-		}
-	}
-	return h
-}
+func (m *Machine) hash() uint64 { return m.sum }
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // offsets on the ring at which a node's watchers stand.
@@ -17,28 +15,22 @@
 		return
 	}
 	m.stale = false
-	type spot struct {
-		hash uint64
-		addr string
-	}
-	var spots []spot
-	for a, e := range m.nodes {
+	var live []*entry
+	for _, e := range m.all {
 		if e.live() {
-			spots = append(spots, spot{xxhash.Sum64String(a), a})
+			live = append(live, e)
 		}
 	}
-	slices.SortFunc(spots, func(a, b spot) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.addr, b.addr))
-	})
+	slices.SortStableFunc(live, func(a, b *entry) int { return cmp.Compare(a.spot, b.spot) })
 	m.ring = m.ring[:0]
-	for _, s := range spots {
-		m.ring = append(m.ring, s.addr)
+	for _, e := range live {
+		m.ring = append(m.ring, e.node.Addr)
 	}
 	before := m.watched
-	m.watched = map[string]bool{}
-	for _, a := range m.around(-1) {
-		m.watched[a] = true
-		if !before[a] {
+	m.after, m.watched = m.around(1), m.around(-1)
+	slices.SortFunc(m.watched, func(a, b string) int { return cmp.Compare(m.nodes[a].spot, m.nodes[b].spot) })
+	for _, a := range m.watched {
+		if !slices.Contains(before, a) {
 			e := m.nodes[a] // others may have missed it already: it is asked soon
 			e.heard, e.asked = max(e.heard, m.now-askAfter), 0
 		}
@@ -61,7 +53,7 @@
 
 func (m *Machine) watchers() []string {
 	m.settle()
-	return m.around(1)
+	return slices.Clip(m.after)
 }
 
 // some picks up to n random live others that are not in but.
@@ -89,11 +81,8 @@
 		}
 		return
 	}
-	for _, a := range m.ring {
+	for _, a := range m.watched {
 		e := m.nodes[a]
-		if !m.watched[a] || e == nil {
-			continue
-		}
 		switch silent := m.now - e.heard; {
 		case silent > goneAfter && m.now-m.heard < askAfter:
 			n := e.node
@@ -179,12 +168,11 @@
 
 func (m *Machine) gone() []string {
 	var found []string
-	for a, e := range m.nodes {
+	for _, e := range m.all {
 		if !e.live() {
-			found = append(found, a)
+			found = append(found, e.node.Addr)
 		}
 	}
-	slices.Sort(found)
 	return found
 }
 
@@ -213,7 +201,7 @@
 func (m *Machine) expire() {
 	for _, a := range m.gone() {
 		if m.now-m.nodes[a].ended > forget {
-			delete(m.nodes, a)
+			m.remove(m.nodes[a])
 			m.remember(a)
 			m.out.Changed = true
 		}
--- a/internal/bond/word.go
+++ b/internal/bond/word.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"asterwell/internal/plane"
 )
 
@@ -128,7 +126,9 @@
 		if n.State == Gone {
 			return false
 		}
-		m.nodes[n.Addr] = &entry{node: n, heard: m.now}
+		e = m.enter(n.Addr)
+		e.heard = m.now
+		m.put(e, n)
 		m.stale, m.out.Changed = true, true
 		return true
 	}
@@ -154,7 +154,8 @@
 	if e.lost || !n.like(e.node) {
 		m.stale, m.out.Changed = true, true
 	}
-	e.node, e.lost = n, false
+	m.put(e, n)
+	e.lost = false
 	e.heard, e.asked = m.now, 0
 	delete(m.doubt, n.Addr)
 	return true
@@ -184,8 +185,8 @@
 // differ too, so it is not done at each word.
 func (m *Machine) compare(from string, hash uint64) {
 	if hash == m.hash() {
-		for _, a := range m.gone() {
-			if e := m.nodes[a]; e.lost {
+		for _, e := range m.all {
+			if e.lost {
 				m.found(e)
 			}
 		}
@@ -198,21 +199,21 @@
 	m.send(from, Index{Rows: m.index()})
 }
 
-func short(addr string) uint32 { return uint32(xxhash.Sum64String(addr)) }
+func (e *entry) short() uint32 { return uint32(e.spot) }
 
 // version of an entry in an index; 0 asks for whatever the other has.
 func (e *entry) version() uint32 {
 	if e.lost {
 		return 0
 	}
-	return uint32(e.node.mark()) | 1
+	return uint32(e.mark) | 1
 }
 
 func (m *Machine) index() []byte {
-	b := make([]byte, 0, 8*len(m.nodes))
-	for _, n := range m.View() {
-		b = binary.BigEndian.AppendUint32(b, short(n.Addr))
-		b = binary.BigEndian.AppendUint32(b, m.nodes[n.Addr].version())
+	b := make([]byte, 0, 8*len(m.all))
+	for _, e := range m.all {
+		b = binary.BigEndian.AppendUint32(b, e.short())
+		b = binary.BigEndian.AppendUint32(b, e.version())
 	}
 	return b
 }
@@ -224,14 +225,14 @@
 		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint32(rows[4:])
 	}
 	var d Diff
-	for _, n := range m.View() {
-		e, key := m.nodes[n.Addr], short(n.Addr)
+	for _, e := range m.all {
+		key := e.short()
 		v, has := theirs[key]
 		delete(theirs, key)
 		if has && v == e.version() {
 			continue
 		}
-		if !e.lost && (has || n.State != Gone) {
+		if !e.lost && (has || e.node.State != Gone) {
 			d.Nodes = append(d.Nodes, e.node)
 		}
 		if has && v != 0 {
@@ -273,9 +274,9 @@
 		return
 	}
 	var give []Node
-	for _, n := range m.View() {
-		if _, ok := slices.BinarySearch(d.Want, short(n.Addr)); ok {
-			give = append(give, m.nodes[n.Addr].node)
+	for _, e := range m.all {
+		if _, ok := slices.BinarySearch(d.Want, e.short()); ok {
+			give = append(give, e.node)
 		}
 	}
 	if len(give) > 0 {
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -4,7 +4,6 @@
 package knot
 
 import (
-	"cmp"
 	"reflect"
 	"slices"
 	"time"
@@ -236,7 +235,8 @@
 	if !out.Changed {
 		return
 	}
-	view, up := k.bond.View(), k.bond.Up()
+	view := k.bond.View()
+	up := lo.Filter(view, func(n bond.Node, _ int) bool { return n.State == bond.Up })
 	k.learnt(k.lore.Nodes(now, view)) // who leaves still serves, and must hear of servers
 	k.pact.Peers(now, lo.Map(view, func(n bond.Node, _ int) pact.Peer {
 		return pact.Peer{Addr: n.Addr, Name: n.Name, Zone: n.Zone, Member: n.Member, Up: n.State == bond.Up, Held: n.Held}
@@ -249,18 +249,24 @@
 		return bane.Node{Addr: n.Addr, Life: n.Life}, n.State != bond.Gone
 	}))
 	k.out.Shares = Gateways{len(up), slices.IndexFunc(up, func(n bond.Node) bool { return n.Addr == k.self })}
-	holders := lo.Map(slices.SortedFunc(slices.Values(up), inOrder), func(n bond.Node, _ int) string { return n.Addr })
+	holders := inOrder(up)
 	k.counter.Nodes(now, len(up), holders)
 	k.meter.Nodes(now, len(up), holders)
 }
 
-// inOrder is the agreed order for duties that one process does: those with a disk
-// first, since they have more of a processor and are the last to be taken away.
-func inOrder(a, b bond.Node) int {
-	if a.Member != b.Member {
-		return lo.Ternary(a.Member, -1, 1)
+// inOrder is the agreed order for duties that one process does, of processes by their
+// addresses: those with a disk first, since they have more of a processor and are the
+// last to be taken away.
+func inOrder(up []bond.Node) []string {
+	all := make([]string, 0, len(up))
+	for _, members := range []bool{true, false} {
+		for i := range up {
+			if up[i].Member == members {
+				all = append(all, up[i].Addr)
+			}
+		}
 	}
-	return cmp.Compare(a.Addr, b.Addr)
+	return all
 }
 
 // agreed carries out what agreement wants.
--- a/internal/lore/home.go
+++ b/internal/lore/home.go
@@ -50,39 +50,41 @@
 
 // Nodes takes the membership as it is now.
 func (m *Machine) Nodes(now plane.Time, all []bond.Node) Out {
-	m.enter(now)
-	nodes := map[string]bond.Node{}
-	as := true        // as it was, as far as homes and news depend on it
-	var came []string // up again, or new, or another life
+	m.begins(now)
+	as, others := true, 0 // as it was, as far as homes and news depend on it
 	for _, n := range all {
 		switch {
 		case n.Addr == m.self:
 			as = as && alike(m.me, n)
 			m.me = n
 		case n.State != bond.Gone:
-			nodes[n.Addr] = n
 			o, ok := m.nodes[n.Addr]
-			as = as && ok && alike(o, n)
-			if !ok || o.Life != n.Life {
-				came = append(came, n.Addr)
-			}
+			as, others = as && ok && alike(o, n), others+1
 		}
 	}
 	away := m.alone
-	if len(nodes) > 0 {
+	if others > 0 {
 		m.alone = -1
 	} else if away < 0 {
 		m.alone = now
 	}
-	as = as && len(nodes) == len(m.nodes)
-	m.nodes = nodes
-	if as {
-		return m.take() // each version that is put has every node say that it holds it
+	if as && others == len(m.nodes) {
+		return m.take()
 	}
+	nodes := make(map[string]bond.Node, others)
+	var came []string // up again, or new, or another life
 	m.peers = m.peers[:0]
-	for a := range nodes {
-		m.peers = append(m.peers, a)
+	for _, n := range all {
+		if n.State == bond.Gone || n.Addr == m.self {
+			continue
+		}
+		if o, ok := m.nodes[n.Addr]; !ok || o.Life != n.Life {
+			came = append(came, n.Addr)
+		}
+		nodes[n.Addr] = n
+		m.peers = append(m.peers, n.Addr)
 	}
+	m.nodes = nodes
 	slices.Sort(m.peers)
 	m.rehome()
 	m.drop()
@@ -98,11 +100,12 @@
 func (m *Machine) rehome() {
 	before := m.homes
 	m.homes = map[place]string{}
-	for _, it := range m.items {
+	m.homed++
+	for _, it := range m.all {
 		if it.Phase == Ended {
 			continue
 		}
-		if m.home(it.Server) == m.self && before[place{it.Zone, it.Service}] != m.self {
+		if m.mine(it) && before[place{it.Zone, it.Service}] != m.self {
 			it.beat = m.now
 		}
 	}
@@ -124,7 +127,7 @@
 	}
 	for _, a := range came {
 		if m.filled && m.rand.Float64()*float64(len(m.peers)) < 3 {
-			m.send(a, Sum{Hash: m.hash()})
+			m.send(a, Sum{Hash: m.sum})
 		}
 	}
 }
@@ -132,7 +135,7 @@
 // age: after a long absence our table is asked for anew, and what the others no
 // longer know is dropped: it may have ended, and its address be another's.
 func (m *Machine) age() {
-	for _, it := range m.items {
+	for _, it := range m.all {
 		it.old = it.Phase != Ended && !(it.heard && m.now-it.beat < m.wait)
 	}
 	m.filled, m.partly, m.began, m.fetch = false, false, m.now, m.now
--- a/internal/lore/keep.go
+++ b/internal/lore/keep.go
@@ -5,8 +5,8 @@
 // Keep is the table as it is worth keeping on disk: for a start at which nobody
 // remembers, since the servers' next beats fill it only over their whole pace.
 func (m *Machine) Keep() (rows []Row) {
-	for _, id := range m.ids() {
-		if it := m.items[id]; it.Phase != Ended {
+	for _, it := range m.all {
+		if it.Phase != Ended {
 			rows = append(rows, m.brief(it.Server))
 		}
 	}
@@ -17,7 +17,7 @@
 // that it has no table either; then it is better than none: a server that has gone
 // meanwhile fails, and one at its address says that it is another.
 func (m *Machine) Restore(now plane.Time, rows []Row) Out {
-	m.enter(now)
+	m.begins(now)
 	for _, r := range rows {
 		if m.items[r.ID] == nil {
 			m.put(r.server(now))
@@ -31,7 +31,7 @@
 // recall makes what was kept count.
 func (m *Machine) recall() {
 	m.filled = true
-	for _, it := range m.items {
+	for _, it := range m.all {
 		it.old = false
 	}
 }
--- a/internal/lore/machine.go
+++ b/internal/lore/machine.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"asterwell/internal/bond"
@@ -31,6 +32,10 @@
 	heard bool       // a beat came here at all
 	ended plane.Time // since when it is ended or silent
 	old   bool       // from before a long absence, and not seen by others since
+
+	mark  uint64 // of Server
+	at    string // its home, as of
+	homed int
 }
 
 // Machine is one process's part.
@@ -40,10 +45,13 @@
 	rand       *rand.Rand
 
 	items map[string]*item
+	all   []*item              // the same by ID
+	sum   uint64               // the marks of those not ended: tombstones go at each process's own time
 	nodes map[string]bond.Node // not gone, without self
 	peers []string             // their addresses, sorted
 	me    bond.Node
 	homes map[place]string
+	homed int // counts times that they were found
 
 	spreads map[string]*spread
 	posts   map[uint64]*post
@@ -67,7 +75,7 @@
 		self: self, zone: zone, wait: heartbeat * 7 / 2, rand: rand.New(rand.NewPCG(seed, 0x1076)),
 		items: map[string]*item{}, nodes: map[string]bond.Node{}, homes: map[place]string{},
 		spreads: map[string]*spread{}, posts: map[uint64]*post{}, queue: map[string]bool{},
-		me:  bond.Node{Addr: self, Zone: zone},
+		me: bond.Node{Addr: self, Zone: zone}, homed: 1,
 		now: now, ticked: now, began: now, fetch: now, alone: now,
 	}
 	m.no = m.rand.Uint64() >> 32 // late confirmations for an earlier life mean nothing
@@ -76,7 +84,7 @@
 
 // Beat takes a server's call.
 func (m *Machine) Beat(now plane.Time, call uint64, b Beat) Out {
-	m.enter(now)
+	m.begins(now)
 	s := b.server(now)
 	it := m.items[b.ID]
 	if it != nil && it.Phase == Ended || it != nil && b.Seq <= it.stand() && !m.repeats(it, s) {
@@ -127,15 +135,14 @@
 	}
 	it := m.items[s.ID]
 	var out []string
-	for id, o := range m.items {
-		if o.Addr != s.Addr || id == s.ID || o.Phase == Ended {
+	for _, o := range m.all {
+		if o.Phase == Ended || o.Addr != s.Addr || o.ID == s.ID {
 			continue
 		}
 		if it == nil || !o.heard || m.now-o.beat >= m.wait {
-			out = append(out, id)
+			out = append(out, o.ID)
 		}
 	}
-	slices.Sort(out)
 	for _, id := range out {
 		end := m.items[id].Server
 		end.Phase = Ended
@@ -146,7 +153,7 @@
 
 // Delete takes a server's last call.
 func (m *Machine) Delete(now plane.Time, call uint64, id string) Out {
-	m.enter(now)
+	m.begins(now)
 	it := m.items[id]
 	if it == nil || it.Phase != Ended {
 		s := Server{ID: id, Phase: Ended}
@@ -165,8 +172,7 @@
 func (m *Machine) put(s Server) {
 	it := m.items[s.ID]
 	if it == nil {
-		it = &item{beat: m.now}
-		m.items[s.ID] = it
+		it = m.enter(s.ID)
 	}
 	if s.Phase == Ended && s.Service == "" {
 		id, seq := s.ID, s.Seq
@@ -179,10 +185,52 @@
 	if it.Phase == Silent && s.Phase == Serving {
 		it.beat = m.now
 	}
-	it.Server, it.old = s, false
+	m.set(it, s)
+	it.old = false
 	m.out.Changes = append(m.out.Changes, s)
 }
 
+// enter makes an item for a server that has none.
+func (m *Machine) enter(id string) *item {
+	it := &item{Server: Server{ID: id}, beat: m.now}
+	i, _ := slices.BinarySearchFunc(m.all, id, byID)
+	m.items[id], m.all = it, slices.Insert(m.all, i, it)
+	return it
+}
+
+// set takes a word into an item.
+func (m *Machine) set(it *item, s Server) {
+	if it.Phase != Ended {
+		m.sum ^= it.mark
+	}
+	if s.Zone != it.Zone || s.Service != it.Service {
+		it.homed = 0
+	}
+	it.Server, it.mark = s, s.mark()
+	if s.Phase != Ended {
+		m.sum ^= it.mark
+	}
+}
+
+func (m *Machine) remove(it *item) {
+	if it.Phase != Ended {
+		m.sum ^= it.mark
+	}
+	i, _ := slices.BinarySearchFunc(m.all, it.ID, byID)
+	delete(m.items, it.ID)
+	m.all = slices.Delete(m.all, i, i+1)
+}
+
+func byID(it *item, id string) int { return strings.Compare(it.ID, id) }
+
+// mine tells whether a server is at home here.
+func (m *Machine) mine(it *item) bool {
+	if it.homed != m.homed {
+		it.at, it.homed = m.home(it.Server), m.homed
+	}
+	return it.at == m.self
+}
+
 // merge takes a row from another process, and says whether it was news.
 func (m *Machine) merge(r Row) bool {
 	s := r.server(m.now)
@@ -194,13 +242,16 @@
 	it.old = false
 	if !s.newer(it.Server) {
 		if !m.filled && s.Phase == Serving && it.same(s) {
-			it.Seq = s.Seq // it was no news
+			s.Warm = it.Warm
+			m.set(it, s) // it was no news
 			delete(m.queue, r.ID)
 		}
 		return false
 	}
 	if s.Phase == Silent && it.heard && it.last > s.Seq && m.now-it.beat < m.wait && it.Phase < Quiescing {
-		it.Seq = it.last // it was the teller who didn't hear it
+		heard := it.Server
+		heard.Seq = it.last
+		m.set(it, heard) // it was the teller who didn't hear it
 		m.out.Changes = append(m.out.Changes, it.Server)
 		m.tell(r.ID)
 		return false
@@ -224,7 +275,7 @@
 
 // Tick watches servers, sends what waits, and repairs.
 func (m *Machine) Tick(now plane.Time) Out {
-	m.enter(now)
+	m.begins(now)
 	m.ticked, m.swift = now, 0
 	if now >= m.look {
 		m.look = now + lookIn
@@ -241,8 +292,8 @@
 	return m.take()
 }
 
-// enter begins an input, and notices our own freeze.
-func (m *Machine) enter(now plane.Time) {
+// begins begins an input, and notices our own freeze.
+func (m *Machine) begins(now plane.Time) {
 	m.now = now
 	gap := now - m.ticked
 	if gap <= ownGap {
@@ -252,7 +303,7 @@
 	if gap > longGap {
 		m.age()
 	}
-	for _, it := range m.items {
+	for _, it := range m.all {
 		it.beat = now
 	}
 	m.mend(2)
@@ -260,15 +311,13 @@
 
 // watch marks the servers at home here that have been silent too long.
 func (m *Machine) watch() {
-	var due []string
-	for id, it := range m.items {
-		if it.Phase != Ended && m.now-it.beat > m.wait && m.home(it.Server) == m.self {
-			due = append(due, id)
+	var due []*item
+	for _, it := range m.all {
+		if it.Phase != Ended && m.now-it.beat > m.wait && m.mine(it) {
+			due = append(due, it)
 		}
 	}
-	slices.Sort(due)
-	for _, id := range due {
-		it := m.items[id]
+	for _, it := range due {
 		s := it.Server
 		switch {
 		case it.Phase == Serving:
@@ -280,25 +329,27 @@
 		}
 		s.Seq = max(s.Seq, it.last)
 		m.put(s)
-		m.tell(id)
+		m.tell(s.ID)
 	}
 }
 
 // bury forgets the long ended.
 func (m *Machine) bury() {
-	for id, it := range m.items {
-		if it.Phase == Ended && m.now-it.ended > buried {
-			delete(m.items, id)
-			delete(m.spreads, id)
+	over := func(it *item) bool { return it.Phase == Ended && m.now-it.ended > buried }
+	for _, it := range m.all {
+		if over(it) {
+			delete(m.items, it.ID)
+			delete(m.spreads, it.ID)
 		}
 	}
+	m.all = slices.DeleteFunc(m.all, over)
 }
 
 // Servers is all that are known, the ended ones too for a while, sorted by ID.
 func (m *Machine) Servers() []Server {
-	v := make([]Server, 0, len(m.items))
-	for _, id := range m.ids() {
-		v = append(v, m.items[id].Server)
+	v := make([]Server, 0, len(m.all))
+	for _, it := range m.all {
+		v = append(v, it.Server)
 	}
 	return v
 }
@@ -314,22 +365,13 @@
 
 // Status counts.
 func (m *Machine) Status() Status {
-	st := Status{Unconfirmed: len(m.posts), Filled: m.filled, Hash: m.hash()}
-	for _, it := range m.items {
+	st := Status{Unconfirmed: len(m.posts), Filled: m.filled, Hash: m.sum}
+	for _, it := range m.all {
 		*[]*int{&st.Serving, &st.Silent, &st.Quiescing, &st.Ended}[it.Phase]++
 	}
 	return st
 }
 
-func (m *Machine) ids() []string {
-	ids := make([]string, 0, len(m.items))
-	for id := range m.items {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func (m *Machine) send(to string, msg any) {
 	if to != m.self && to != "" {
 		m.out.Send = append(m.out.Send, plane.Send{To: to, Msg: msg})
--- a/internal/lore/mend.go
+++ b/internal/lore/mend.go
@@ -63,13 +63,13 @@
 		return // the whole table is under way
 	}
 	for _, a := range m.some(n) {
-		m.send(a, Sum{Hash: m.hash()})
+		m.send(a, Sum{Hash: m.sum})
 	}
 }
 
 // Take hears a message.
 func (m *Machine) Take(now plane.Time, from string, msg any) Out {
-	m.enter(now)
+	m.begins(now)
 	if m.stale() && exchange(msg) {
 		return m.take()
 	}
@@ -91,7 +91,7 @@
 			}
 		}
 	case Sum:
-		if x.Hash != m.hash() && m.filled {
+		if x.Hash != m.sum && m.filled {
 			m.send(from, Parts{Rows: m.parts()})
 		}
 	case Parts:
@@ -104,8 +104,8 @@
 		m.patch(from, x)
 	case Fetch:
 		w := Whole{Filled: m.filled && !m.stale()}
-		for _, id := range m.ids() {
-			if it := m.items[id]; !it.old && !m.stale() && (m.filled || !m.queue[id]) {
+		for _, it := range m.all {
+			if !it.old && !m.stale() && (m.filled || !m.queue[it.ID]) {
 				w.Rows = append(w.Rows, m.brief(it.Server))
 			}
 		}
@@ -140,34 +140,23 @@
 		return
 	}
 	m.filled = true
-	for _, id := range m.ids() {
-		if it := m.items[id]; it.old {
+	for _, it := range slices.Clone(m.all) {
+		if it.old {
 			s := it.Server
 			s.Phase = Ended
 			m.out.Changes = append(m.out.Changes, s)
-			delete(m.items, id)
+			m.remove(it)
 		}
 	}
 }
 
-// hash covers what isn't ended: tombstones go at each process's own time.
-func (m *Machine) hash() uint64 {
-	var h uint64
-	for _, it := range m.items {
-		if it.Phase != Ended {
-			h ^= it.mark()
-		}
-	}
-	return h
-}
-
 func short(s string) uint32 { return uint32(xxhash.Sum64String(s)) }
 
 func (m *Machine) services() map[uint32]uint64 {
 	sums := map[uint32]uint64{}
-	for _, it := range m.items {
+	for _, it := range m.all {
 		if it.Phase != Ended {
-			sums[short(it.Service)] ^= it.mark()
+			sums[short(it.Service)] ^= it.mark
 		}
 	}
 	return sums
@@ -207,11 +196,10 @@
 		}
 	}
 	x := Index{Services: keys(ours)}
-	for _, id := range m.ids() {
-		it := m.items[id]
+	for _, it := range m.all {
 		if _, ok := slices.BinarySearch(x.Services, short(it.Service)); ok {
-			x.Rows = binary.BigEndian.AppendUint32(x.Rows, short(id))
-			x.Rows = binary.BigEndian.AppendUint32(x.Rows, uint32(it.mark()))
+			x.Rows = binary.BigEndian.AppendUint32(x.Rows, short(it.ID))
+			x.Rows = binary.BigEndian.AppendUint32(x.Rows, uint32(it.mark))
 		}
 	}
 	return x
@@ -225,11 +213,11 @@
 	}
 	slices.Sort(x.Services)
 	var d Diff
-	for _, id := range m.ids() {
-		it, key := m.items[id], short(id)
+	for _, it := range m.all {
+		key := short(it.ID)
 		v, has := theirs[key]
 		delete(theirs, key)
-		if has && v == uint32(it.mark()) {
+		if has && v == uint32(it.mark) {
 			continue
 		}
 		if has {
@@ -264,9 +252,9 @@
 	if news {
 		m.repair = min(m.repair, m.now+soonIn) // others may lack it too
 	}
-	for _, id := range m.ids() {
-		if _, ok := slices.BinarySearch(d.Want, short(id)); ok && !m.items[id].old {
-			back.Rows = append(back.Rows, m.brief(m.items[id].Server))
+	for _, it := range m.all {
+		if _, ok := slices.BinarySearch(d.Want, short(it.ID)); ok && !it.old {
+			back.Rows = append(back.Rows, m.brief(it.Server))
 		}
 	}
 	if len(back.Rows) > 0 {
--- a/internal/lore/script_test.go
+++ b/internal/lore/script_test.go
@@ -493,12 +493,12 @@
 			want, first := uint64(0), true
 			return w.eachUp(func(g *gate) string {
 				if first {
-					want, first = g.lore.hash(), false
+					want, first = g.lore.sum, false
 				}
 				if !g.lore.Filled() {
 					return "isn't filled"
 				}
-				if g.lore.hash() != want {
+				if g.lore.sum != want {
 					return "has another table"
 				}
 				return ""
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -249,9 +249,9 @@
 	return s
 }
 
-// Peers takes the membership's view, which may be wrong.
+// Peers takes the membership's view, which may be wrong, and keeps it.
 func (m *Machine) Peers(now plane.Time, peers []Peer) {
-	m.now, m.peers = max(m.now, now), slices.Clone(peers)
+	m.now, m.peers = max(m.now, now), peers
 }
 
 // Holds notes which version a process has.
