--- a/internal/yarn/gauge.go
+++ b/internal/yarn/gauge.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
 
 	"asterwell/internal/knot"
 	"asterwell/internal/lore"
@@ -31,7 +32,7 @@
 // load is one process's.
 type load struct {
 	out, in, sent int
-	cpu           time.Duration           // of its steps and of cbor, as the real clock has it
+	cpu           time.Duration           // of its steps and of cbor, real
 	outTill       map[*proc]time.Duration // until when its link is taken by what goes to that one
 	inTill        map[*proc]time.Duration
 }
@@ -64,31 +65,41 @@
 	}
 }
 
+// spent is the processor time that this thread has had: other programs on the machine
+// don't count, as they would by the clock.
+func spent() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
 // step measures a process's step.
 func (g *gauge) step(p *proc, do func() knot.Out) knot.Out {
 	if g == nil {
 		return do()
 	}
-	began := time.Now()
+	began := spent()
 	out := do()
-	p.load.cpu += time.Since(began)
+	p.load.cpu += spent() - began
 	return out
 }
 
 // pass puts a message on its way: it returns what arrives, and what the links add.
 func (g *gauge) pass(from, to *proc, msg any) (any, time.Duration) {
-	began := time.Now()
+	began := spent()
 	data, err := cbor.Marshal(msg)
 	if err != nil {
 		panic(err)
 	}
-	packed := time.Now()
+	packed := spent()
 	got := reflect.New(reflect.TypeOf(msg))
 	if err := cbor.Unmarshal(data, got.Interface()); err != nil {
 		panic(err)
 	}
-	from.load.cpu += packed.Sub(began)
-	to.load.cpu += time.Since(packed)
+	from.load.cpu += packed - began
+	to.load.cpu += spent() - packed
 	size := len(data) + framing
 	from.load.out += size
 	from.load.sent++
@@ -191,8 +202,9 @@
 
 // uses tells whether a process may send to a server. Its list is in the ids' order.
 func (p *proc) uses(id string) bool {
-	i, ok := slices.BinarySearchFunc(p.list, id, func(s lore.Server, id string) int { return cmp.Compare(s.ID, id) })
-	return ok && p.list[i].Phase == lore.Serving
+	list := p.servers()
+	i, ok := slices.BinarySearchFunc(list, id, func(s lore.Server, id string) int { return cmp.Compare(s.ID, id) })
+	return ok && list[i].Phase == lore.Serving
 }
 
 // Rates are what one process sends and costs, a second.
--- a/internal/yarn/grown.go
+++ b/internal/yarn/grown.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"time"
 
 	"asterwell/internal/creed"
@@ -62,6 +63,8 @@
 // Grow plays a fleet: at rest, in traffic, in a storm of configurations while half of
 // the servers are replaced, and after the end of all its processes.
 func Grow(f Fleet) Grown {
+	runtime.LockOSThread() // its processor time is measured
+	defer runtime.UnlockOSThread()
 	w := newWorld(f.Seed*8+1, Sound, nil)
 	g := &grower{Grown: Grown{Fleet: f}, w: w, began: time.Now()}
 	g.play()
@@ -119,13 +122,13 @@
 	g.recover()
 }
 
-// pass lets time pass, in seconds, as long as there is some.
+// pass lets time pass, as long as there is real time left.
 func (g *grower) pass(what string, d time.Duration) bool {
 	if g.Progress != nil {
 		g.Progress(fmt.Sprintf("%d nodes: %s", g.Nodes, what))
 	}
-	for ; d > 0 && g.w.stats.Broken == ""; d -= time.Second {
-		g.w.run(min(d, time.Second))
+	for ; d > 0 && g.w.stats.Broken == ""; d -= 20 * ms {
+		g.w.run(min(d, 20*ms))
 		if g.Late = g.Within > 0 && time.Since(g.began) > g.Within; g.Late {
 			return false
 		}
--- a/internal/yarn/net.go
+++ b/internal/yarn/net.go
@@ -46,9 +46,8 @@
 		for w.rng.Float64() < max(p.lossy, to.lossy) { // packets are sent again
 			d += 200*ms + w.upTo(100*ms)
 		}
-		link := [2]string{p.addr, to.addr}
-		d = max(d, w.sent[link]-w.now)
-		w.sent[link] = w.now + d
+		d = max(d, p.sent[to]-w.now)
+		p.sent[to] = w.now + d
 		from, life := p.addr, to.life
 		w.after(d, func() {
 			if to.life == life && !w.severed(from, to.addr) {
@@ -61,6 +60,9 @@
 // severed tells whether nothing gets from one to the other. Where only the way back is
 // cut, what comes is not confirmed, and the connection ends after a while.
 func (w *world) severed(from, to string) bool {
+	if len(w.cuts) == 0 {
+		return false
+	}
 	if _, cut := w.cuts[[2]string{from, to}]; cut {
 		return true
 	}
@@ -70,6 +72,9 @@
 
 // apart tells whether there is no path in both directions.
 func (w *world) apart(a, b *proc) bool {
+	if len(w.cuts) == 0 {
+		return false
+	}
 	_, there := w.cuts[[2]string{a.addr, b.addr}]
 	_, back := w.cuts[[2]string{b.addr, a.addr}]
 	return there || back
--- a/internal/yarn/proc.go
+++ b/internal/yarn/proc.go
@@ -39,14 +39,19 @@
 	table   *creed.Table
 	version uint32
 	list    []lore.Server
+	stale   bool                 // there is another list, which nobody has looked at
+	byName  map[string][]*server // of the list, those it may send to, by service
 	load    *load
+
+	sent       map[*proc]time.Duration // when the last message to it comes
+	hurt, lone time.Duration           // see touch
 }
 
 const tick = 50 * ms
 
 // add makes a machine; nothing runs on it yet.
 func (w *world) add(name, zone string, core, genesis bool) *proc {
-	p := &proc{w: w, name: name, zone: zone, core: core, genesis: genesis}
+	p := &proc{w: w, name: name, zone: zone, core: core, genesis: genesis, sent: map[*proc]time.Duration{}}
 	p.addr = fmt.Sprintf("10.0.0.%d:7000", len(w.procs)+1)
 	if core {
 		p.disk = &disk{p: p, pace: 5 * ms}
@@ -66,7 +71,7 @@
 	p.up, p.leaving, p.thaws, p.ice = true, false, 0, nil
 	p.life++
 	p.start, p.calls, p.due = w.now, map[uint64]func(any){}, false
-	p.table, p.version, p.list = nil, 0, nil
+	p.table, p.version, p.list, p.stale, p.byName = nil, 0, nil, false, nil
 	life := uint64(1e12) + uint64((w.now+p.wall)/ms) + 1e9
 	seed := w.rng.Uint64()
 	var kept *pact.Disk
@@ -145,7 +150,7 @@
 		w.breaks("CONFIG", "%s keeps version %d, which is not valid: %v", p.name, out.Doc.Version, out.Refused)
 	}
 	if out.Serve {
-		p.list = p.k.Servers()
+		p.stale = true
 		w.gauge.listed(p)
 	}
 	for _, s := range out.Send {
@@ -159,6 +164,19 @@
 	}
 }
 
+// servers is the process's list, in the ids' order.
+func (p *proc) servers() []lore.Server {
+	if p.stale {
+		p.list, p.stale, p.byName = p.k.Servers(), false, map[string][]*server{}
+		for _, s := range p.list {
+			if s.Phase == lore.Serving {
+				p.byName[s.Service] = append(p.byName[s.Service], p.w.byID[s.ID])
+			}
+		}
+	}
+	return p.list
+}
+
 // call is one of a server's or an operator's, from a distance. done gets nil when the
 // caller sees a failure; it comes once, after patience at the latest.
 func (w *world) call(p *proc, far time.Duration, do func(id uint64) knot.Out, done func(any)) {
--- a/internal/yarn/rules.go
+++ b/internal/yarn/rules.go
@@ -45,6 +45,7 @@
 			outer = o
 		}
 	}
+	calm := must != nil && w.calm(contact+5*time.Second)
 	for _, p := range w.procs {
 		switch {
 		case must != nil && w.inTouch(p) && p.version < must.version:
@@ -52,7 +53,7 @@
 		case outer != nil && p.up && !p.frozen() && w.now-w.since(p) >= contact && p.version < outer.version:
 			w.breaks("CONFIG", "%s serves version %d %v after %d was acknowledged, the core unsettled", p.name, p.version,
 				w.now-outer.at, outer.version)
-		case must != nil && w.inTouch(p) && w.calm(contact+5*time.Second) && !p.leaving && !p.k.Ready():
+		case calm && w.inTouch(p) && !p.leaving && !p.k.Ready():
 			w.breaks("READY", "%s has all, and does not say that it is ready", p.name)
 		}
 	}
@@ -185,7 +186,7 @@
 			continue
 		}
 		var known []string
-		for _, s := range p.list {
+		for _, s := range p.servers() {
 			if s.Phase == lore.Serving {
 				known = append(known, s.ID)
 			}
--- a/internal/yarn/script.go
+++ b/internal/yarn/script.go
@@ -641,7 +641,7 @@
 	case "unlisted":
 		id := a.next()
 		holds = all(func(p *proc) bool {
-			return !slices.ContainsFunc(p.list, func(s lore.Server) bool { return s.ID == id && s.Phase == lore.Serving })
+			return !slices.ContainsFunc(p.servers(), func(s lore.Server) bool { return s.ID == id && s.Phase == lore.Serving })
 		})
 	default:
 		a.fail("unknown: %q", kind)
@@ -663,7 +663,7 @@
 // serving counts the servers that a process may send to.
 func serving(p *proc) int {
 	n := 0
-	for _, s := range p.list {
+	for _, s := range p.servers() {
 		if s.Phase == lore.Serving {
 			n++
 		}
--- a/internal/yarn/server.go
+++ b/internal/yarn/server.go
@@ -29,7 +29,7 @@
 	zones := w.zones()
 	s := &server{w: w, id: fmt.Sprintf("s%d", n+1), addr: addr, service: service, zone: zones[n%len(zones)],
 		up: true, began: w.now}
-	w.servers, w.byID[s.id] = append(w.servers, s), s
+	w.servers, w.byID[s.id], w.offered = append(w.servers, s), s, nil
 	w.note("%s serves %s at %s", s.id, service, addr)
 	w.after(w.upTo(50*ms), s.beats)
 	return s
@@ -107,7 +107,7 @@
 		return
 	}
 	w := s.w
-	s.leaving, s.leaves = true, w.now
+	s.leaving, s.leaves, w.offered = true, w.now, nil
 	w.note("%s leaves", s.id)
 	s.report(200, func(by *proc) {
 		if s.acked {
@@ -127,7 +127,7 @@
 
 func (s *server) end() {
 	if s.up {
-		s.up, s.ended = false, s.w.now
+		s.up, s.ended, s.w.offered = false, s.w.now, nil
 		s.w.note("%s ends", s.id)
 	}
 }
--- a/internal/yarn/touch.go
+++ b/internal/yarn/touch.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// touch notes when each condition last failed under which the rules bind a machine.
+// touch notes when each condition last failed under which the rules bind a machine. Of
+// one machine: hurt is trouble on it, or on its links; lone is no path to some core
+// machine that counts.
 type touch struct {
-	hurt  map[*proc]time.Duration // trouble on it, or on its links
-	lone  map[*proc]time.Duration // no path to some core machine that counts
-	core  time.Duration           // it was not settled
-	minor time.Duration           // less than most of it ran, connected
-	links time.Duration           // some link was in trouble
+	core  time.Duration // it was not settled
+	minor time.Duration // less than most of it ran, connected
+	links time.Duration // some link was in trouble
 }
 
 // hit notes trouble on a machine.
 func (w *world) hit(p *proc) {
-	w.touch.hurt[p] = w.now
+	p.hurt = w.now
 	if p.core {
 		w.touch.core = w.now
 	}
@@ -22,9 +22,6 @@
 // mark notes what fails now. It is called round each change, and often between them.
 func (w *world) mark() {
 	t := &w.touch
-	if t.hurt == nil {
-		t.hurt, t.lone = map[*proc]time.Duration{}, map[*proc]time.Duration{}
-	}
 	runs := func(p *proc) bool { return p.up && !p.frozen() }
 	var counts []*proc
 	for _, c := range w.core() {
@@ -48,7 +45,7 @@
 		}
 		for _, c := range counts {
 			if w.apart(p, c) {
-				t.lone[p] = w.now
+				p.lone = w.now
 			}
 		}
 	}
@@ -69,7 +66,7 @@
 }
 
 // since is when the machine's own conditions last failed.
-func (w *world) since(p *proc) time.Duration { return max(w.touch.hurt[p], w.touch.lone[p]) }
+func (w *world) since(p *proc) time.Duration { return max(p.hurt, p.lone) }
 
 // inTouch tells whether the rules bind a machine now.
 func (w *world) inTouch(p *proc) bool {
--- a/internal/yarn/traffic.go
+++ b/internal/yarn/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"asterwell/internal/lore"
 	"asterwell/internal/toll"
 )
 
@@ -38,7 +37,10 @@
 
 // request is a client's: the platform brings it to a process that calls itself ready.
 func (w *world) request(t *tenant) {
-	services := w.servicesOf(func(s *server) bool { return s.up && !s.leaving })
+	if w.offered == nil {
+		w.offered = w.servicesOf(func(s *server) bool { return s.up && !s.leaving })
+	}
+	services := w.offered
 	if len(services) == 0 {
 		return
 	}
@@ -74,19 +76,23 @@
 }
 
 func (w *world) front() *proc {
-	var ready, up []*proc
+	ready, up := w.ready[:0], 0
 	for _, p := range w.procs {
 		if p.up && !p.dark {
-			up = append(up, p)
+			up++
 			if p.k.Ready() || p.leaving && w.rng.IntN(2) == 0 {
 				ready = append(ready, p)
 			}
 		}
 	}
-	if len(ready) == 0 {
-		ready = up
+	if len(ready) == 0 && up > 0 {
+		for _, p := range w.procs {
+			if p.up && !p.dark {
+				ready = append(ready, p)
+			}
+		}
 	}
-	if len(ready) == 0 {
+	if w.ready = ready; len(ready) == 0 {
 		return nil
 	}
 	return ready[w.rng.IntN(len(ready))]
@@ -94,15 +100,12 @@
 
 // pick chooses one of the servers that a process may send to.
 func (w *world) pick(p *proc, service string) *server {
-	n, found := 0, ""
-	for _, s := range p.list {
-		if s.Service == service && s.Phase == lore.Serving {
-			if n++; w.rng.IntN(n) == 0 {
-				found = s.ID
-			}
-		}
+	p.servers()
+	all := p.byName[service]
+	if len(all) == 0 {
+		return nil
 	}
-	return w.byID[found]
+	return all[w.rng.IntN(len(all))]
 }
 
 // arrives judges a request at its server.
