Take in membership by what has changed, and watch only one's own servers

Where 300 start together, each word about a node had every process look at all of them: ring sorted, views copied, tables of nodes made anew, homes found; each of 1,000 servers was looked at four times a second by all.

The ring's order is kept as entries come; the list walks the old and the new membership side by side and changes what differs; readiness, which only people look at, no longer counts as a change; between two ticks the knot takes in two changes at once and the rest together, at most 50 ms later. lore keeps the servers that are at home here, and watches those.

The servers of a measured fleet come within four seconds, not in one tick: their first beats were 300,000 messages there.

--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -1,6 +1,7 @@
 package bond
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -58,7 +59,8 @@
 	seeds []string
 	known map[string]bool // addresses from disk, and of forgotten nodes
 	nodes map[string]*entry
-	all   []*entry // the same by address
+	all   []*entry // the same by address,
+	round []*entry // and by their places on the ring
 	sum   uint64   // the marks of those not gone
 	doubt map[string]doubt
 
@@ -149,7 +151,7 @@
 func (m *Machine) SetReady(ready bool) {
 	if m.self.Ready != ready {
 		m.self.Ready = ready
-		m.renew()
+		m.say()
 	}
 }
 
@@ -173,7 +175,8 @@
 func (m *Machine) enter(addr string) *entry {
 	e := &entry{node: Node{Addr: addr, State: Gone}, spot: xxhash.Sum64String(addr)}
 	i, _ := slices.BinarySearchFunc(m.all, addr, byAddr)
-	m.nodes[addr], m.all = e, slices.Insert(m.all, i, e)
+	j, _ := slices.BinarySearchFunc(m.round, e, bySpot)
+	m.nodes[addr], m.all, m.round = e, slices.Insert(m.all, i, e), slices.Insert(m.round, j, e)
 	return e
 }
 
@@ -194,12 +197,17 @@
 		m.sum ^= e.mark
 	}
 	i, _ := slices.BinarySearchFunc(m.all, e.node.Addr, byAddr)
-	m.all = slices.Delete(m.all, i, i+1)
+	j, _ := slices.BinarySearchFunc(m.round, e, bySpot)
+	m.all, m.round = slices.Delete(m.all, i, i+1), slices.Delete(m.round, j, j+1)
 	delete(m.nodes, e.node.Addr)
 }
 
 func byAddr(e *entry, addr string) int { return strings.Compare(e.node.Addr, addr) }
 
+func bySpot(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.spot, b.spot), cmp.Compare(a.node.Addr, b.node.Addr))
+}
+
 // View is every node, the gone ones too until they are forgotten, sorted by address.
 func (m *Machine) View() []Node {
 	v := make([]Node, 0, len(m.all))
--- a/internal/bond/node.go
+++ b/internal/bond/node.go
@@ -56,9 +56,9 @@
 	return n.State == Gone && o.State != Gone
 }
 
-// like: it differs from another word of the same life in what it holds at most.
+// like: it differs from another word of the same life only in what people look at.
 func (n Node) like(o Node) bool {
-	n.Seq, n.Held = o.Seq, o.Held
+	n.Seq, n.Held, n.Ready = o.Seq, o.Held, o.Ready
 	return n == o
 }
 
@@ -131,7 +131,7 @@
 // Out is what follows from an input.
 type Out struct {
 	Send    []plane.Send
-	Changed bool     // View is another, in more than what nodes hold
+	Changed bool     // View is another, in more than what nodes hold and whether they are ready
 	Silent  []string // addresses newly gone
 	Holds   []Hold   // which is told apart, as each configuration has all nodes hold another
 }
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -1,7 +1,6 @@
 package bond
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -15,20 +14,15 @@
 		return
 	}
 	m.stale = false
-	var live []*entry
-	for _, e := range m.all {
+	m.ring = m.ring[:0]
+	for _, e := range m.round {
 		if e.live() {
-			live = append(live, e)
+			m.ring = append(m.ring, e.node.Addr)
 		}
 	}
-	slices.SortStableFunc(live, func(a, b *entry) int { return cmp.Compare(a.spot, b.spot) })
-	m.ring = m.ring[:0]
-	for _, e := range live {
-		m.ring = append(m.ring, e.node.Addr)
-	}
 	before := m.watched
 	m.after, m.watched = m.around(1), m.around(-1)
-	slices.SortFunc(m.watched, func(a, b string) int { return cmp.Compare(m.nodes[a].spot, m.nodes[b].spot) })
+	slices.SortFunc(m.watched, func(a, b string) int { return bySpot(m.nodes[a], m.nodes[b]) })
 	for _, a := range m.watched {
 		if !slices.Contains(before, a) {
 			e := m.nodes[a] // others may have missed it already: it is asked soon
@@ -40,7 +34,7 @@
 // around is the nodes at the offsets after (1) or before (-1) us.
 func (m *Machine) around(way int) []string {
 	n := len(m.ring)
-	at := slices.Index(m.ring, m.self.Addr)
+	at, _ := slices.BinarySearchFunc(m.ring, m.nodes[m.self.Addr], func(a string, e *entry) int { return bySpot(m.nodes[a], e) })
 	var found []string
 	for _, o := range offsets {
 		a := m.ring[((at+way*o)%n+n)%n]
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -83,6 +83,8 @@
 	bane    *bane.Machine
 	round   map[string]detour // to holders
 	turn    int
+	swift   int  // changes of membership taken in since the tick
+	late    bool // there are more
 
 	version uint32
 	leaving bool
@@ -131,7 +133,10 @@
 
 // Tick lets time pass.
 func (k *Knot) Tick(now plane.Time) Out {
-	k.bonded(now, k.bond.Tick(now))
+	k.swift = 0
+	out := k.bond.Tick(now)
+	out.Changed = out.Changed || k.late
+	k.bonded(now, out)
 	k.learnt(k.lore.Tick(now))
 	k.agreed(now, k.pact.Tick(now))
 	k.together(now, k.accord.Tick(now))
@@ -226,6 +231,10 @@
 
 func (k *Knot) send(out []plane.Send) { k.out.Send = append(k.out.Send, out...) }
 
+// mostSwift is how many changes of membership are taken in at once between two ticks;
+// more of them, as where all start, go together. Each is a look at all nodes.
+const mostSwift = 2
+
 // bonded carries out what membership wants.
 func (k *Knot) bonded(now plane.Time, out bond.Out) {
 	k.send(out.Send)
@@ -235,6 +244,11 @@
 	if !out.Changed {
 		return
 	}
+	if k.swift++; k.swift > mostSwift {
+		k.late = true
+		return
+	}
+	k.late = false
 	view := k.bond.View()
 	up := lo.Filter(view, func(n bond.Node, _ int) bool { return n.State == bond.Up })
 	k.learnt(k.lore.Nodes(now, view)) // who leaves still serves, and must hear of servers
--- a/internal/lore/home.go
+++ b/internal/lore/home.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"asterwell/internal/bond"
 	"asterwell/internal/plane"
@@ -43,49 +44,59 @@
 	}
 	try(m.me)
 	for _, a := range m.peers {
-		try(m.nodes[a])
+		try(*m.nodes[a])
 	}
 	return best
 }
 
-// Nodes takes the membership as it is now.
+// Nodes takes the membership as it is now, sorted by address.
 func (m *Machine) Nodes(now plane.Time, all []bond.Node) Out {
 	m.begins(now)
-	as, others := true, 0 // as it was, as far as homes and news depend on it
-	for _, n := range all {
+	as := true        // as it was, as far as homes and news depend on it
+	var came []string // up again, or new, or another life
+	before := m.peers
+	m.peers = make([]string, 0, len(before)+1)
+	for i := range all {
+		n := &all[i]
 		switch {
 		case n.Addr == m.self:
-			as = as && alike(m.me, n)
-			m.me = n
-		case n.State != bond.Gone:
-			o, ok := m.nodes[n.Addr]
-			as, others = as && ok && alike(o, n), others+1
+			as = as && alike(m.me, *n)
+			m.me = *n
+			continue
+		case n.State == bond.Gone:
+			continue
+		}
+		for len(before) > 0 && before[0] < n.Addr {
+			delete(m.nodes, before[0])
+			as, before = false, before[1:]
+		}
+		m.peers = append(m.peers, n.Addr)
+		if len(before) == 0 || before[0] != n.Addr {
+			as, came = false, append(came, n.Addr)
+			m.nodes[n.Addr] = lo.ToPtr(*n)
+			continue
+		}
+		before = before[1:]
+		if o := m.nodes[n.Addr]; !alike(*o, *n) {
+			if as = false; o.Life != n.Life {
+				came = append(came, n.Addr)
+			}
+			m.nodes[n.Addr] = lo.ToPtr(*n)
 		}
 	}
+	for _, a := range before {
+		as = false
+		delete(m.nodes, a)
+	}
 	away := m.alone
-	if others > 0 {
+	if len(m.peers) > 0 {
 		m.alone = -1
 	} else if away < 0 {
 		m.alone = now
 	}
-	if as && others == len(m.nodes) {
+	if as {
 		return m.take()
 	}
-	nodes := make(map[string]bond.Node, others)
-	var came []string // up again, or new, or another life
-	m.peers = m.peers[:0]
-	for _, n := range all {
-		if n.State == bond.Gone || n.Addr == m.self {
-			continue
-		}
-		if o, ok := m.nodes[n.Addr]; !ok || o.Life != n.Life {
-			came = append(came, n.Addr)
-		}
-		nodes[n.Addr] = n
-		m.peers = append(m.peers, n.Addr)
-	}
-	m.nodes = nodes
-	slices.Sort(m.peers)
 	m.rehome()
 	m.drop()
 	m.greet(came, away)
@@ -100,7 +111,7 @@
 func (m *Machine) rehome() {
 	before := m.homes
 	m.homes = map[place]string{}
-	m.homed++
+	m.homed, m.moved = m.homed+1, true
 	for _, it := range m.all {
 		if it.Phase == Ended {
 			continue
--- a/internal/lore/machine.go
+++ b/internal/lore/machine.go
@@ -45,13 +45,15 @@
 	rand       *rand.Rand
 
 	items map[string]*item
-	all   []*item              // the same by ID
-	sum   uint64               // the marks of those not ended: tombstones go at each process's own time
-	nodes map[string]bond.Node // not gone, without self
-	peers []string             // their addresses, sorted
+	all   []*item               // the same by ID
+	sum   uint64                // the marks of those not ended: tombstones go at each process's own time
+	nodes map[string]*bond.Node // not gone, without self
+	peers []string              // their addresses, sorted
 	me    bond.Node
 	homes map[place]string
 	homed int // counts times that they were found
+	own   []*item
+	moved bool // own is to be found: those not ended that are at home here
 
 	spreads map[string]*spread
 	posts   map[uint64]*post
@@ -73,7 +75,7 @@
 func New(self, zone string, heartbeat time.Duration, seed uint64, now plane.Time) *Machine {
 	m := &Machine{
 		self: self, zone: zone, wait: heartbeat * 7 / 2, rand: rand.New(rand.NewPCG(seed, 0x1076)),
-		items: map[string]*item{}, nodes: map[string]bond.Node{}, homes: map[place]string{},
+		items: map[string]*item{}, nodes: map[string]*bond.Node{}, homes: map[place]string{},
 		spreads: map[string]*spread{}, posts: map[uint64]*post{}, queue: map[string]bool{},
 		me: bond.Node{Addr: self, Zone: zone}, homed: 1,
 		now: now, ticked: now, began: now, fetch: now, alone: now,
@@ -206,6 +208,7 @@
 	if s.Zone != it.Zone || s.Service != it.Service {
 		it.homed = 0
 	}
+	m.moved = m.moved || it.homed == 0 || (s.Phase == Ended) != (it.Phase == Ended)
 	it.Server, it.mark = s, s.mark()
 	if s.Phase != Ended {
 		m.sum ^= it.mark
@@ -218,7 +221,7 @@
 	}
 	i, _ := slices.BinarySearchFunc(m.all, it.ID, byID)
 	delete(m.items, it.ID)
-	m.all = slices.Delete(m.all, i, i+1)
+	m.all, m.moved = slices.Delete(m.all, i, i+1), true
 }
 
 func byID(it *item, id string) int { return strings.Compare(it.ID, id) }
@@ -311,9 +314,17 @@
 
 // watch marks the servers at home here that have been silent too long.
 func (m *Machine) watch() {
+	if m.moved {
+		m.own, m.moved = m.own[:0], false
+		for _, it := range m.all {
+			if it.Phase != Ended && m.mine(it) {
+				m.own = append(m.own, it)
+			}
+		}
+	}
 	var due []*item
-	for _, it := range m.all {
-		if it.Phase != Ended && m.now-it.beat > m.wait && m.mine(it) {
+	for _, it := range m.own {
+		if m.now-it.beat > m.wait {
 			due = append(due, it)
 		}
 	}
--- a/internal/yarn/grown.go
+++ b/internal/yarn/grown.go
@@ -28,9 +28,6 @@
 	case nodes <= 60:
 		f.Core = 6
 	}
-	if nodes > 60 {
-		f.Storm = 6 * time.Second // at the same pace; each second takes three real ones
-	}
 	switch nodes {
 	case 11:
 		f.Servers = 29
@@ -54,6 +51,7 @@
 
 // The storm's and the traffic's measures.
 const (
+	joinSpan  = 4 * time.Second // within it the servers come; what is measured begins later
 	stormBody = 40 << 10
 	stormPace = 500 * ms
 	stormSpan = 30 * time.Second // half of all servers are replaced within it
@@ -89,9 +87,6 @@
 	w.losses = f.Losses
 	newGauge(w)
 	services := min(8, max(3, f.Nodes/8))
-	for i := range f.Servers {
-		w.serve(fmt.Sprintf("svc%d", i%services+1), "")
-	}
 	tenants := min(85, max(3, f.Nodes))
 	offer := each * float64(f.Nodes) / float64(tenants)
 	for i := range tenants {
@@ -99,6 +94,12 @@
 	}
 	w.still = true
 	w.run(time.Second)
+	for i := range f.Servers {
+		w.after(time.Duration(i)*joinSpan/time.Duration(f.Servers), func() { w.serve(fmt.Sprintf("svc%d", i%services+1), "") })
+	}
+	if !g.pass("servers come", joinSpan) {
+		return
+	}
 	g.put()
 	if !g.pass("start", 9*time.Second) || !g.measure("rest", f.Rest, &g.AtRest) {
 		return
@@ -124,18 +125,24 @@
 
 // pass lets time pass, as long as there is real time left.
 func (g *grower) pass(what string, d time.Duration) bool {
-	if g.Progress != nil {
-		g.Progress(fmt.Sprintf("%d nodes: %s", g.Nodes, what))
-	}
+	g.tell(what)
 	for ; d > 0 && g.w.stats.Broken == ""; d -= 20 * ms {
 		g.w.run(min(d, 20*ms))
 		if g.Late = g.Within > 0 && time.Since(g.began) > g.Within; g.Late {
+			g.tell("left out in " + what)
 			return false
 		}
 	}
 	return g.w.stats.Broken == ""
 }
 
+func (g *grower) tell(what string) {
+	if g.Progress != nil {
+		g.Progress(fmt.Sprintf("%d nodes: %s, at %v, %d messages, %v", g.Nodes, what, g.w.now.Round(ms), g.w.stats.Messages,
+			time.Since(g.began).Round(time.Second)))
+	}
+}
+
 func (g *grower) measure(what string, d time.Duration, to *Rates) bool {
 	g.w.gauge.begin()
 	ok := g.pass(what, d)
