Look at what is gone once a second, and keep played events off the heap

Of what is left at rest, a process looked twenty times a second for nodes to forget, over all peers for a version ahead, and every second over all servers for tombstones; it copied and shuffled all peers to draw one.

--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -22,6 +22,7 @@
 	helloAlone = 300 * time.Millisecond
 	helloLost  = 500 * time.Millisecond
 	forget     = 30 * time.Second
+	wipeEvery  = time.Second
 	doubtFor   = 500 * time.Millisecond
 	swapEvery  = 100 * time.Millisecond
 	mostKnown  = 256
@@ -77,6 +78,7 @@
 	hello   plane.Time
 	try     plane.Time
 	swapped plane.Time
+	wipe    plane.Time
 	told    map[string]plane.Time // when it was last told that it is held for gone
 	swift   int
 	late    map[string]bool // addresses whose news waits for the tick
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -193,6 +193,10 @@
 
 // expire forgets the gone.
 func (m *Machine) expire() {
+	if m.now < m.wipe {
+		return
+	}
+	m.wipe = m.now + wipeEvery
 	for _, a := range m.gone() {
 		if m.now-m.nodes[a].ended > forget {
 			m.remove(m.nodes[a])
--- a/internal/lore/machine.go
+++ b/internal/lore/machine.go
@@ -63,6 +63,7 @@
 
 	now, ticked, began plane.Time
 	repair, look       plane.Time
+	grave              plane.Time // when the ended are looked at next
 	fetch              plane.Time // next one, while not filled
 	alone              plane.Time // since when there is nobody else
 	filled, partly     bool
@@ -346,6 +347,10 @@
 
 // bury forgets the long ended.
 func (m *Machine) bury() {
+	if m.now < m.grave {
+		return
+	}
+	m.grave = m.now + buried/9
 	over := func(it *item) bool { return it.Phase == Ended && m.now-it.ended > buried }
 	for _, it := range m.all {
 		if over(it) {
--- a/internal/lore/mend.go
+++ b/internal/lore/mend.go
@@ -52,6 +52,9 @@
 }
 
 func (m *Machine) some(n int) []string {
+	if n == 1 && len(m.peers) > 0 { // the common case
+		return []string{m.peers[m.rand.IntN(len(m.peers))]}
+	}
 	p := slices.Clone(m.peers)
 	m.rand.Shuffle(len(p), func(i, j int) { p[i], p[j] = p[j], p[i] })
 	return p[:min(n, len(p))]
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -158,6 +158,7 @@
 
 	seeds  []string
 	peers  []Peer
+	most   uint32 // the highest version that one of them has
 	view   Record // the newest active one known
 	told   uint32 // highest committed version heard of
 	teller string
@@ -251,13 +252,17 @@
 
 // Peers takes the membership's view, which may be wrong, and keeps it.
 func (m *Machine) Peers(now plane.Time, peers []Peer) {
-	m.now, m.peers = max(m.now, now), peers
+	m.now, m.peers, m.most = max(m.now, now), peers, 0
+	for _, p := range peers {
+		m.most = max(m.most, p.Held)
+	}
 }
 
 // Holds notes which version a process has.
 func (m *Machine) Holds(addr string, version uint32) {
 	if i := slices.IndexFunc(m.peers, func(p Peer) bool { return p.Addr == addr }); i >= 0 {
 		m.peers[i].Held = max(m.peers[i].Held, version)
+		m.most = max(m.most, version)
 	}
 }
 
--- a/internal/pact/spread.go
+++ b/internal/pact/spread.go
@@ -110,9 +110,11 @@
 		who = append(who, m.teller, m.view.primary())
 	}
 	var ahead []Peer
-	for _, p := range m.peers {
-		if p.Held > held && p.Up {
-			ahead = append(ahead, p)
+	if m.most > held {
+		for _, p := range m.peers {
+			if p.Held > held && p.Up {
+				ahead = append(ahead, p)
+			}
 		}
 	}
 	slices.SortFunc(ahead, func(a, b Peer) int {
--- a/internal/yarn/grown.go
+++ b/internal/yarn/grown.go
@@ -27,6 +27,8 @@
 		f.Core, f.Losses = 3, 1
 	case nodes <= 60:
 		f.Core = 6
+	case nodes > 100:
+		f.Storm = 10 * time.Second // at the same pace
 	}
 	switch nodes {
 	case 11:
--- a/internal/yarn/world.go
+++ b/internal/yarn/world.go
@@ -1,7 +1,6 @@
 package yarn
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -64,7 +63,7 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
+	w.queue.Add(plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 func (w *world) every(d time.Duration, do func()) {
@@ -75,7 +74,7 @@
 func (w *world) run(d time.Duration) {
 	end := w.now + d
 	for len(w.queue) > 0 && w.queue[0].At <= end && w.stats.Broken == "" {
-		e := heap.Pop(&w.queue).(plane.Event)
+		e := w.queue.Next()
 		w.now = e.At
 		w.stats.Events++
 		e.Do()
