--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -4,7 +4,6 @@
 package knot
 
 import (
-	"cmp"
 	"reflect"
 	"slices"
 	"time"
@@ -84,6 +83,8 @@
 	bane    *bane.Machine
 	round   map[string]detour // to holders
 	turn    int
+	swift   int  // changes of membership taken in since the tick
+	late    bool // there are more
 
 	version uint32
 	leaving bool
@@ -132,7 +133,10 @@
 
 // Tick lets time pass.
 func (k *Knot) Tick(now plane.Time) Out {
-	k.bonded(now, k.bond.Tick(now))
+	k.swift = 0
+	out := k.bond.Tick(now)
+	out.Changed = out.Changed || k.late
+	k.bonded(now, out)
 	k.learnt(k.lore.Tick(now))
 	k.agreed(now, k.pact.Tick(now))
 	k.together(now, k.accord.Tick(now))
@@ -227,13 +231,26 @@
 
 func (k *Knot) send(out []plane.Send) { k.out.Send = append(k.out.Send, out...) }
 
+// mostSwift is how many changes of membership are taken in at once between two ticks;
+// more of them, as where all start, go together. Each is a look at all nodes.
+const mostSwift = 2
+
 // bonded carries out what membership wants.
 func (k *Knot) bonded(now plane.Time, out bond.Out) {
 	k.send(out.Send)
+	for _, h := range out.Holds {
+		k.pact.Holds(h.Addr, h.Held)
+	}
 	if !out.Changed {
 		return
 	}
-	view, up := k.bond.View(), k.bond.Up()
+	if k.swift++; k.swift > mostSwift {
+		k.late = true
+		return
+	}
+	k.late = false
+	view := k.bond.View()
+	up := lo.Filter(view, func(n bond.Node, _ int) bool { return n.State == bond.Up })
 	k.learnt(k.lore.Nodes(now, view)) // who leaves still serves, and must hear of servers
 	k.pact.Peers(now, lo.Map(view, func(n bond.Node, _ int) pact.Peer {
 		return pact.Peer{Addr: n.Addr, Name: n.Name, Zone: n.Zone, Member: n.Member, Up: n.State == bond.Up, Held: n.Held}
@@ -246,18 +263,24 @@
 		return bane.Node{Addr: n.Addr, Life: n.Life}, n.State != bond.Gone
 	}))
 	k.out.Shares = Gateways{len(up), slices.IndexFunc(up, func(n bond.Node) bool { return n.Addr == k.self })}
-	holders := lo.Map(slices.SortedFunc(slices.Values(up), inOrder), func(n bond.Node, _ int) string { return n.Addr })
+	holders := inOrder(up)
 	k.counter.Nodes(now, len(up), holders)
 	k.meter.Nodes(now, len(up), holders)
 }
 
-// inOrder is the agreed order for duties that one process does: those with a disk
-// first, since they have more of a processor and are the last to be taken away.
-func inOrder(a, b bond.Node) int {
-	if a.Member != b.Member {
-		return lo.Ternary(a.Member, -1, 1)
+// inOrder is the agreed order for duties that one process does, of processes by their
+// addresses: those with a disk first, since they have more of a processor and are the
+// last to be taken away.
+func inOrder(up []bond.Node) []string {
+	all := make([]string, 0, len(up))
+	for _, members := range []bool{true, false} {
+		for i := range up {
+			if up[i].Member == members {
+				all = append(all, up[i].Addr)
+			}
+		}
 	}
-	return cmp.Compare(a.Addr, b.Addr)
+	return all
 }
 
 // agreed carries out what agreement wants.
--- a/internal/lore/home.go
+++ b/internal/lore/home.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"asterwell/internal/bond"
 	"asterwell/internal/plane"
@@ -43,47 +44,59 @@
 	}
 	try(m.me)
 	for _, a := range m.peers {
-		try(m.nodes[a])
+		try(*m.nodes[a])
 	}
 	return best
 }
 
-// Nodes takes the membership as it is now.
+// Nodes takes the membership as it is now, sorted by address.
 func (m *Machine) Nodes(now plane.Time, all []bond.Node) Out {
-	m.enter(now)
-	nodes := map[string]bond.Node{}
+	m.begins(now)
 	as := true        // as it was, as far as homes and news depend on it
 	var came []string // up again, or new, or another life
-	for _, n := range all {
+	before := m.peers
+	m.peers = make([]string, 0, len(before)+1)
+	for i := range all {
+		n := &all[i]
 		switch {
 		case n.Addr == m.self:
-			as = as && alike(m.me, n)
-			m.me = n
-		case n.State != bond.Gone:
-			nodes[n.Addr] = n
-			o, ok := m.nodes[n.Addr]
-			as = as && ok && alike(o, n)
-			if !ok || o.Life != n.Life {
+			as = as && alike(m.me, *n)
+			m.me = *n
+			continue
+		case n.State == bond.Gone:
+			continue
+		}
+		for len(before) > 0 && before[0] < n.Addr {
+			delete(m.nodes, before[0])
+			as, before = false, before[1:]
+		}
+		m.peers = append(m.peers, n.Addr)
+		if len(before) == 0 || before[0] != n.Addr {
+			as, came = false, append(came, n.Addr)
+			m.nodes[n.Addr] = lo.ToPtr(*n)
+			continue
+		}
+		before = before[1:]
+		if o := m.nodes[n.Addr]; !alike(*o, *n) {
+			if as = false; o.Life != n.Life {
 				came = append(came, n.Addr)
 			}
+			m.nodes[n.Addr] = lo.ToPtr(*n)
 		}
 	}
+	for _, a := range before {
+		as = false
+		delete(m.nodes, a)
+	}
 	away := m.alone
-	if len(nodes) > 0 {
+	if len(m.peers) > 0 {
 		m.alone = -1
 	} else if away < 0 {
 		m.alone = now
 	}
-	as = as && len(nodes) == len(m.nodes)
-	m.nodes = nodes
 	if as {
-		return m.take() // each version that is put has every node say that it holds it
-	}
-	m.peers = m.peers[:0]
-	for a := range nodes {
-		m.peers = append(m.peers, a)
+		return m.take()
 	}
-	slices.Sort(m.peers)
 	m.rehome()
 	m.drop()
 	m.greet(came, away)
@@ -98,11 +111,12 @@
 func (m *Machine) rehome() {
 	before := m.homes
 	m.homes = map[place]string{}
-	for _, it := range m.items {
+	m.homed, m.moved = m.homed+1, true
+	for _, it := range m.all {
 		if it.Phase == Ended {
 			continue
 		}
-		if m.home(it.Server) == m.self && before[place{it.Zone, it.Service}] != m.self {
+		if m.mine(it) && before[place{it.Zone, it.Service}] != m.self {
 			it.beat = m.now
 		}
 	}
@@ -124,7 +138,7 @@
 	}
 	for _, a := range came {
 		if m.filled && m.rand.Float64()*float64(len(m.peers)) < 3 {
-			m.send(a, Sum{Hash: m.hash()})
+			m.send(a, Sum{Hash: m.sum})
 		}
 	}
 }
@@ -132,7 +146,7 @@
 // age: after a long absence our table is asked for anew, and what the others no
 // longer know is dropped: it may have ended, and its address be another's.
 func (m *Machine) age() {
-	for _, it := range m.items {
+	for _, it := range m.all {
 		it.old = it.Phase != Ended && !(it.heard && m.now-it.beat < m.wait)
 	}
 	m.filled, m.partly, m.began, m.fetch = false, false, m.now, m.now
