Take the holder's level where a lump of others' units would be a debt

A gateway with few of the tenant's requests forgets room at its own pass (TAT is raised to now), and then learns what the others passed since its last read in one lump on top: a debt of up to 100 units, which it also told the holder as use, so that others took it over.

The holder sees the units come one by one and drains them at the rate: its level is what the TAT of one place would be. A read that is as new as any before now lowers TAT to that level and what is unheard here. Not within a second of turning to a holder (it may not have been told all), and not while a part is reserved for those missing. Spreading a lump over the time since the last read was not taken: the holder knows better.

--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -116,6 +116,13 @@
 	e.tat = max(now-e.tau, e.tat) + e.span(units)
 }
 
+// ease takes back what a lump of others' units has made too much: they came over the
+// time since the last read, in which room accrued that this gateway had forgotten at
+// its own pass. The holder saw them come one by one.
+func (e *entry) ease(now plane.Time, level float64) {
+	e.tat = min(e.tat, now+e.span(level+e.unheard()))
+}
+
 func (e *entry) unsent() float64 { return float64(e.cur.sum-e.sent) / milli }
 
 // unheard is what was passed and no holder is known to have counted.
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -19,6 +19,7 @@
 	spareGap = time.Second            // between adds to the holder that is not read
 	firstGap = 10 * time.Millisecond  // before the first read of a tenant, after any add
 
+	trustGap   = time.Second            // after which a holder that is read anew has been told what it missed
 	companyGap = 300 * time.Millisecond // without adds of others a holder may be cut off
 	settle     = 300 * time.Millisecond // after a change of period, before the old name is reread
 	believe    = time.Minute            // after which gateways that are missing are taken as gone
@@ -45,9 +46,10 @@
 	order   []*entry // by tenant: messages must not depend on a map's order
 
 	slots    [2]slot
-	reader   int // the slot that is read; -1: none answers
-	gateways int // as told
-	peak     int // the most that were told, until the others are taken as gone
+	reader   int        // the slot that is read; -1: none answers
+	readAt   plane.Time // since when
+	gateways int        // as told
+	peak     int        // the most that were told, until the others are taken as gone
 	fellAt   plane.Time
 	bornAt   plane.Time
 
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -76,7 +76,7 @@
 		}
 	}
 	if reader != m.reader && reader >= 0 {
-		m.slots[reader].refill = true
+		m.slots[reader].refill, m.readAt = true, now
 	}
 	m.reader = reader
 }
@@ -154,9 +154,13 @@
 		own = float64(mine-c.acked) / milli
 		c.acked = mine
 	}
+	fresh := t.Sure && c.based && t.Others >= c.others
 	c.others, c.based = max(c.others, t.Others), true
 	if !m.first(now, e, t, stamp) && e.seen {
 		e.learn(now, n)
+		if fresh && m.reserve() == 0 && now-m.readAt >= trustGap {
+			e.ease(now, float64(t.Level)/milli)
+		}
 	}
 	e.weigh(now, own, n)
 }
