Let the counters' holders tell at once who is out of sight: quotas hold in a fleet cut in halves

A fleet cut in two with a holder on each side passed 430 to 487 of 416 until the members were told (1.3 s and more), most where a crowd came at the cut, as either side had the whole burst. Afterwards a side with half of the gateways or fewer went without counters, each gateway on its own even share.

The two holders ask each other for a sign of life every 100 ms while they are told anything; where that one is silent, or a tenant is near its limit, they ask all gateways that are silent (round a cut too), and say in each answer how many don't answer. Meters go by whoever knows sooner, members or holder: a part of rate and burst is kept for those missing, also on the smaller side, whose gateways now share their part by the holder. What may have been passed unknown (0.4 s of the rate's part, and as much of a crowd) is charged at once. What the margin bears without a reserve follows from the limit, half of a tenth and 20 units, no longer 1/16 for all.

The holder's level drains by the part that is not reserved, so that it also corrects lumps while some are missing. A name that a gateway was only told of is not measured: a holder back from a cut took what the others had passed under the other holder's name for new, a debt of seconds.

Not taken: confirmations by both holders before a pass (a way there and back for each), and signs of life of all gateways all the time (91 to each holder).

--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -136,7 +136,7 @@
 	k.learnt(k.lore.Tick(now))
 	k.agreed(now, k.pact.Tick(now))
 	k.together(now, k.accord.Tick(now))
-	k.counter.Tick(now)
+	k.look(now, k.counter.Tick(now))
 	k.count(now)
 	if k.bane.Awake() {
 		k.ruled(func() bane.Out { return k.bane.Tick(now) })
@@ -247,7 +247,7 @@
 	}))
 	k.out.Shares = Gateways{len(up), slices.IndexFunc(up, func(n bond.Node) bool { return n.Addr == k.self })}
 	holders := lo.Map(slices.SortedFunc(slices.Values(up), inOrder), func(n bond.Node, _ int) string { return n.Addr })
-	k.counter.Nodes(now, len(up), holders)
+	k.counter.Nodes(holders)
 	k.meter.Nodes(now, len(up), holders)
 }
 
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -13,13 +13,15 @@
 
 // Via carries a meter's add past a cut: to a counter's holder, or its answer back,
 // through a process that both reach. Without it a gateway that is cut off from the
-// holders alone passes its even share on top of all that the others pass.
+// holders alone passes its even share on top of all that the others pass. A holder's
+// question for a sign of life goes the same way.
 type Via struct {
 	From   string       `cbor:"1,keyasint"`
 	To     string       `cbor:"2,keyasint"`
 	By     string       `cbor:"3,keyasint,omitempty"`
 	Add    *toll.Add    `cbor:"4,keyasint,omitempty"`
 	Answer *toll.Answer `cbor:"5,keyasint,omitempty"`
+	Ask    bool         `cbor:"6,keyasint,omitempty"`
 }
 
 // detour is a way round to one holder.
@@ -46,13 +48,28 @@
 		if d := k.round[s.To]; d.till > now {
 			k.send([]plane.Send{{To: d.by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
 		} else if k.meter.Mute(now, s.To) {
-			for _, by := range k.ways(s.To) {
-				k.send([]plane.Send{{To: by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
-			}
+			k.around(s.To, Via{From: k.self, To: s.To, Add: &add})
+		}
+	}
+}
+
+// look asks for the signs of life that the counter wants.
+func (k *Knot) look(now plane.Time, asks []plane.Send) {
+	k.send(asks)
+	for _, s := range asks {
+		if k.counter.Blind(now, s.To) {
+			k.around(s.To, Via{From: k.self, To: s.To, Ask: true})
 		}
 	}
 }
 
+// around sends by all of a few ways.
+func (k *Knot) around(to string, v Via) {
+	for _, by := range k.ways(to) {
+		k.send([]plane.Send{{To: by, Msg: v}})
+	}
+}
+
 // ways are a few processes in turn that may reach a holder.
 func (k *Knot) ways(holder string) (by []string) {
 	up := lo.FilterMap(k.bond.Up(), func(n bond.Node, _ int) (string, bool) {
@@ -80,6 +97,12 @@
 			}
 			k.send([]plane.Send{s})
 		}
+	case v.Ask:
+		for _, s := range k.meter.Take(now, v.From, toll.Ask{}) {
+			if a, ok := s.Msg.(toll.Add); ok {
+				k.send([]plane.Send{{To: v.By, Msg: Via{From: k.self, To: v.From, Add: &a}}})
+			}
+		}
 	case v.Answer != nil:
 		k.round[v.From] = detour{by: v.By, till: now + detourFor}
 		k.send(k.meter.Take(now, v.From, *v.Answer))
--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -15,6 +15,13 @@
 	issueGap  = 500 * time.Millisecond // between periods, where holders disagree
 	listenGap = 500 * time.Millisecond // after which a holder knows the levels
 	lapse     = 5 * time.Second        // without any add, what is known of levels is void
+
+	askGap   = 90 * time.Millisecond  // without a sign of a gateway, it is asked for one
+	tornGap  = 40 * time.Millisecond  // without an answer of the other holder, all are asked
+	lostGap  = 90 * time.Millisecond  // without an answer, a gateway is out of sight
+	watchGap = time.Second            // since a tenant was near its limit
+	usedGap  = 2 * time.Second        // since gateways told anything
+	lateGap  = 200 * time.Millisecond // between ticks: this process stood still
 )
 
 // life is the sum of one life of a gateway in one name.
@@ -62,6 +69,7 @@
 	lastFrom  [2]heardFrom // the last two gateways that were heard
 	heard     bool
 	thawed    bool // since then, it was frozen before
+	sights    sights
 }
 
 const tagBits = 16
@@ -69,14 +77,23 @@
 // NewCounter makes the counter of one life of a process.
 func NewCounter(self string, life uint64) *Counter {
 	tag := (xxhash.Sum64String(self) ^ life*0x9e3779b97f4a7c15) >> (64 - tagBits)
-	return &Counter{tag: tag, ledgers: map[string]*ledger{}}
+	return &Counter{tag: tag, ledgers: map[string]*ledger{}, sights: sights{self: self, seen: map[string]sight{}}}
 }
 
-// Nodes is here for the symmetry of the machines: a counter serves who asks.
-func (c *Counter) Nodes(plane.Time, int, []string) {}
+// Nodes takes the gateways there are. A counter serves who asks; but it tells how many
+// of these it doesn't hear.
+func (c *Counter) Nodes(gateways []string) { c.sights.names(gateways) }
+
+// Blind reports whether a gateway leaves an Ask unanswered, so that another way to it
+// should be tried.
+func (c *Counter) Blind(now plane.Time, gateway string) bool { return c.sights.blind(now, gateway) }
 
 // Take sums an add, and answers if it is to be answered.
 func (c *Counter) Take(now plane.Time, from string, msg any) []plane.Send {
+	if _, ok := msg.(Ask); ok {
+		c.sights.hear(now, from, false, false)
+		return nil
+	}
 	a, ok := msg.(Add)
 	if !ok {
 		return nil
@@ -86,6 +103,7 @@
 		c.heard, c.since, c.thawed = true, now, thawed
 	}
 	c.heardAt = now
+	c.sights.hear(now, from, len(a.Items) > 0, a.Near)
 	if c.lastFrom[0].gateway != from {
 		c.lastFrom[1] = c.lastFrom[0]
 	}
@@ -94,7 +112,7 @@
 	if a.Read {
 		c.issue(now)
 	}
-	out := Answer{Life: a.Life, Period: c.high, Stamp: a.Stamp}
+	out := Answer{Life: a.Life, Period: c.high, Stamp: a.Stamp, Missing: c.sights.missing(now)}
 	if other := c.lastFrom[1]; other.gateway != "" && other.gateway != from {
 		out.Company = now-other.at < companyGap
 	}
@@ -176,9 +194,15 @@
 	return others, lives[i].sum
 }
 
-// Tick forgets names that nobody has used for two periods.
-func (c *Counter) Tick(now plane.Time) {
+// Tick asks for signs of life where they matter, and forgets names that nobody has
+// used for two periods.
+func (c *Counter) Tick(now plane.Time) []plane.Send {
 	c.tickAt = now
+	c.sweep(now)
+	return c.sights.tick(now)
+}
+
+func (c *Counter) sweep(now plane.Time) {
 	if now-c.sweptAt < periodGap/2 {
 		return
 	}
--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -16,6 +16,9 @@
 // slack is by how much a gateway may outrun its part before the others hear of it.
 const slack = 1.2
 
+// blindTime is for about how long, in seconds, gateways may be out of sight unknown.
+const blindTime = 0.4
+
 // prior is how many units an even spread weighs against what was seen.
 const prior = 8
 
@@ -26,6 +29,7 @@
 	acked  uint64 // of that, known to a holder
 	others uint64 // the most that any holder has said
 	based  bool   // others can be measured from here
+	read   bool   // a holder has answered for it
 }
 
 // entry is one tenant at one gateway.
@@ -42,6 +46,7 @@
 	vague  bool       // the counter doesn't know yet
 	mute   bool       // the counter was silent
 	pushed plane.Time // up to when use by others was assumed
+	away   int        // gateways out of sight, as was taken in
 
 	cur, old name
 	sent     uint64    // of cur, told to any holder
@@ -102,6 +107,24 @@
 	return max(1, e.limit.Burst/float64(gateways))
 }
 
+// bears is the part of the rate that gateways out of touch may pass without a reserve
+// for them: half of what the quota's margin is worth in 5 s, a tenth and 20 units.
+func (e *entry) bears() float64 {
+	return (0.1*(5*e.limit.Rate+e.limit.Burst) + 20) / 2 / (5 * e.limit.Rate)
+}
+
+// miss takes in that so many gateways have gone out of sight. Before that was known
+// they passed their part of the rate, and as much of a crowd as those that are in sight,
+// to each. What is left here is this side's part of what is left in all.
+func (e *entry) miss(now plane.Time, gone, present, peak int, reserve float64) {
+	if gone <= 0 {
+		return
+	}
+	recent, rate := e.mine+e.theirs, e.limit.Rate
+	unknown := min(recent, rate)*blindTime*float64(gone)/float64(peak) + max(0, recent-rate)*float64(gone)/float64(present)
+	e.leave(now, (e.room(now)-unknown)*(1-reserve))
+}
+
 // use is the update of a pass.
 func (e *entry) use(now plane.Time, units float64) {
 	e.tat = max(now, e.tat) + e.span(units)
@@ -165,6 +188,8 @@
 		e.old = name{}
 	case prev:
 		e.old = e.cur
+		// Another holder's, that this gateway was only told of: all of it would seem new.
+		e.old.based = e.cur.based && e.cur.read
 	default:
 		next.sum += e.cur.sum - e.cur.acked
 		e.old = name{}
--- a/internal/toll/message.go
+++ b/internal/toll/message.go
@@ -11,6 +11,7 @@
 	Read   bool       `cbor:"4,keyasint,omitempty"` // an answer is wanted
 	Items  []Item     `cbor:"5,keyasint"`
 	Echo   bool       `cbor:"6,keyasint,omitempty"` // only a sign of life is wanted
+	Near   bool       `cbor:"7,keyasint,omitempty"` // a tenant is near its limit: who is out of sight matters
 }
 
 // Item is one gateway's sum in one name. Units are thousandths.
@@ -31,6 +32,8 @@
 	Totals []Total    `cbor:"4,keyasint"`
 	// Company says that the holder has heard other gateways lately.
 	Company bool `cbor:"5,keyasint,omitempty"`
+	// Missing is how many of the gateways that there should be are out of the holder's sight.
+	Missing uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // Total is what a holder knows of one name.
@@ -43,5 +46,8 @@
 	Sure   bool   `cbor:"6,keyasint,omitempty"` // the holder has listened for long enough to know Level
 }
 
+// Ask wants a sign of life of a gateway: an Add without items.
+type Ask struct{}
+
 // Messages lists what the machines of this package receive; the order stays.
-func Messages() []any { return []any{Add{}, Answer{}} }
+func Messages() []any { return []any{Add{}, Answer{}, Ask{}} }
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -19,13 +19,14 @@
 	spareGap = time.Second            // between adds to the holder that is not read
 	firstGap = 10 * time.Millisecond  // before the first read of a tenant, after any add
 
+	chargeGap  = 2 * time.Second        // after which what gateways passed while they were lost unknown is worked off
 	trustGap   = time.Second            // after which a holder that is read anew has been told what it missed
 	companyGap = 300 * time.Millisecond // without adds of others a holder may be cut off
 	settle     = 300 * time.Millisecond // after a change of period, before the old name is reread
 	believe    = time.Minute            // after which gateways that are missing are taken as gone
 	young      = 3 * time.Second        // in which one that has met no other gateway may be cut off
 	unknown    = 32                     // gateways, at least, that a young meter reckons with
-	bearable   = 1. / 16                // of the gateways may be missing without a reserve for them
+	nearGap    = 500 * time.Millisecond // so long after it, holders are told that a tenant was near its limit
 )
 
 // slot is one of the two holders.
@@ -34,7 +35,8 @@
 	self    bool
 	pending plane.Time // the first read without an answer; 0: none
 	spareAt plane.Time
-	refill  bool // it may be new: it is told all sums again
+	refill  bool   // it may be new: it is told all sums again
+	missing uint32 // gateways out of its sight, as it last said
 }
 
 // Meter decides at one gateway which requests of which tenants pass.
@@ -48,6 +50,8 @@
 	slots    [2]slot
 	reader   int        // the slot that is read; -1: none answers
 	readAt   plane.Time // since when
+	counted  int        // gateways in touch
+	lostAt   plane.Time // when many were last lost
 	gateways int        // as told
 	peak     int        // the most that were told, until the others are taken as gone
 	fellAt   plane.Time
@@ -60,7 +64,8 @@
 	tickAt       plane.Time
 	companyAt    plane.Time // when the counter here had heard others lately
 	due          bool
-	novel        bool // a tenant that is not seen is in demand
+	nearAt       plane.Time // when a tenant was near its limit
+	novel        bool       // a tenant that is not seen is in demand
 }
 
 // NewMeter makes the meter of one life of a gateway. The seed shifts its adds
@@ -106,6 +111,7 @@
 	}
 	m.gateways = max(gateways, 1)
 	m.believe(now)
+	m.count(now)
 	var next [2]slot
 	var from [2]int
 	for i := range next {
@@ -150,13 +156,35 @@
 	return m.peak
 }
 
-// reserve is the part of a rate that is kept for gateways that are missing. The
-// margin of the quota bears a few of them.
-func (m *Meter) reserve() float64 {
+// present is how many gateways are in touch, by the members or by the holder that is
+// read: whoever of both knows sooner.
+func (m *Meter) present() int {
+	if m.reader < 0 {
+		return m.gateways
+	}
+	return max(1, m.gateways-int(m.slots[m.reader].missing))
+}
+
+// count notes when many go out of touch at once.
+func (m *Meter) count(now plane.Time) {
+	n := m.present()
+	if 8*(m.counted-n) > m.peak {
+		m.lostAt = now
+	}
+	m.counted = n
+}
+
+// reserve is the part of a tenant's rate and burst that is kept for gateways that are
+// missing. The margin of the quota bears a few of them, on one side of a cut.
+func (m *Meter) reserve(e *entry) float64 {
 	if m.peak == 0 {
 		return 0
 	}
-	return max(0, float64(m.peak-m.gateways)/float64(m.peak)-bearable)
+	part := float64(m.peak-m.present()) / float64(m.peak)
+	if part < 0.5 {
+		part -= e.bears()
+	}
+	return max(0, part)
 }
 
 func (m *Meter) slot(addr string) int {
@@ -174,6 +202,9 @@
 		e.asked = true
 	}
 	room := e.room(now)
+	if e.seen && room < e.limit.Burst/2 {
+		m.nearAt = now
+	}
 	if now < e.tat+e.span(units-1)-e.tau {
 		m.hurry(e)
 		m.due = m.due || !e.seen && !e.mute
@@ -246,21 +277,26 @@
 		e.start(now, m.even(now))
 	}
 	if e.seen {
-		e.assume(now, m.reserve())
+		part := m.reserve(e)
+		e.assume(now, part)
+		if away := m.peak - m.present(); away != e.away {
+			e.miss(now, away-e.away, m.present(), m.peak, part)
+			e.away = away
+		}
+		if part > 0 {
+			e.leave(now, e.limit.Burst*(1-part))
+		}
 		return
 	}
+	e.away = m.peak - m.present()
 	even := m.even(now)
 	e.assume(now, 1-1/float64(even))
 	e.leave(now, e.share(even))
 }
 
 // silent says that no holder answers: the gateway has its even share. A holder is
-// not silent before it was asked. Holders of a part with half of the gateways or
-// fewer don't count: the other part may have its own.
+// not silent before it was asked.
 func (m *Meter) silent(now plane.Time) bool {
-	if 2*m.gateways <= m.peak {
-		return true
-	}
 	for i := range m.slots {
 		if m.answers(now, i) {
 			return false
--- /dev/null
+++ b/internal/toll/sight.go
@@ -0,0 +1,116 @@
+package toll
+
+import "asterwell/internal/plane"
+
+// sights is which gateways a counter hears, so that a cut is known before the members
+// are told of it: what is passed on the other side is in no sum here. The two holders
+// ask each other for signs of life while they are told anything. Where that one is
+// silent, or a tenant is near its limit, all that are silent are asked.
+type sights struct {
+	self     string
+	nodes    []string
+	seen     map[string]sight
+	usedAt   plane.Time // a gateway last told this counter what it has passed
+	watchAt  plane.Time // it last mattered who is out of sight
+	tickAt   plane.Time
+	repeatAt plane.Time
+}
+
+// sight is of one gateway. asked is the first time since the last sign; 0: not asked.
+type sight struct{ heard, asked plane.Time }
+
+// names takes the gateways there are, the two holders first.
+func (s *sights) names(nodes []string) {
+	s.nodes = nodes
+	next := make(map[string]sight, len(nodes))
+	for _, n := range nodes {
+		next[n] = s.seen[n]
+	}
+	s.seen = next
+}
+
+func (s *sights) hear(now plane.Time, from string, told, near bool) {
+	s.stood(now)
+	if _, ok := s.seen[from]; ok {
+		s.seen[from] = sight{heard: now}
+	}
+	if told && from != s.self {
+		s.usedAt = now
+	}
+	if near {
+		s.watchAt = now
+	}
+}
+
+// fellow is the other holder, if this process is one.
+func (s *sights) fellow() string {
+	switch {
+	case len(s.nodes) < 2:
+	case s.nodes[0] == s.self:
+		return s.nodes[1]
+	case s.nodes[1] == s.self:
+		return s.nodes[0]
+	}
+	return ""
+}
+
+// stood: where it was this process that stood still, nobody has failed to answer.
+func (s *sights) stood(now plane.Time) {
+	if now-s.tickAt <= lateGap {
+		return
+	}
+	for n, v := range s.seen {
+		s.seen[n] = sight{heard: v.heard}
+	}
+}
+
+func (s *sights) watching(now plane.Time) bool { return s.watchAt != 0 && now-s.watchAt < watchGap }
+
+// tick asks those that are silent.
+func (s *sights) tick(now plane.Time) (out []plane.Send) {
+	s.stood(now)
+	s.tickAt = now
+	fellow, used := s.fellow(), s.usedAt != 0 && now-s.usedAt < usedGap
+	if v := s.seen[fellow]; used && v.asked != 0 && now-v.asked >= tornGap {
+		s.watchAt = now
+	}
+	watching := s.watching(now)
+	again := now-s.repeatAt >= lostGap
+	for _, n := range s.nodes {
+		v := s.seen[n]
+		if !watching && !(used && n == fellow) {
+			s.seen[n] = sight{heard: v.heard}
+			continue
+		}
+		if n == s.self || now-v.heard < askGap || v.asked != 0 && !again {
+			continue
+		}
+		if v.asked == 0 {
+			s.seen[n] = sight{heard: v.heard, asked: now}
+		}
+		out = append(out, plane.Send{To: n, Msg: Ask{}})
+	}
+	if again {
+		s.repeatAt = now
+	}
+	return out
+}
+
+// blind says that a gateway was asked before and hasn't answered.
+func (s *sights) blind(now plane.Time, node string) bool {
+	v := s.seen[node]
+	return v.asked != 0 && v.asked < now
+}
+
+// missing is how many gateways are out of sight.
+func (s *sights) missing(now plane.Time) (n uint32) {
+	if !s.watching(now) {
+		return 0
+	}
+	for _, v := range s.seen {
+		if v.asked != 0 && now-v.asked >= lostGap {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/toll/sim_test.go
+++ b/internal/toll/sim_test.go
@@ -70,6 +70,7 @@
 	for _, b := range f.boxes {
 		f.boot(b)
 	}
+	f.meet()
 	return f
 }
 
@@ -91,6 +92,19 @@
 	b.tickAt = f.now + time.Duration(f.rng.IntN(50))*time.Millisecond
 }
 
+// meet tells the counters which gateways there are, as those in touch see it.
+func (f *field) meet() {
+	for _, b := range f.boxes {
+		var there []string
+		for _, o := range f.boxes {
+			if !o.dead && o.cut == b.cut {
+				there = append(there, o.addr)
+			}
+		}
+		b.counter.Nodes(there)
+	}
+}
+
 // obey runs one line of a script: "kill 0", "nodes 10 1 2", ...
 func (f *field) obey(line string) {
 	w := strings.Fields(line)
@@ -113,6 +127,7 @@
 				b.meter.Nodes(f.now, nums[0], holders)
 			}
 		}
+		f.meet()
 		return
 	case "loss":
 		f.loss = float64(nums[0]) / 100
@@ -265,7 +280,7 @@
 		}
 		if f.now >= b.tickAt {
 			b.tickAt = f.now + 50*time.Millisecond
-			b.counter.Tick(f.now)
+			f.post(b, b.counter.Tick(f.now))
 		}
 		f.post(b, b.meter.Tick(f.now))
 	}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -52,7 +52,8 @@
 		}
 		s.spareAt, s.refill = now, false
 		out = append(out, plane.Send{To: s.addr, Msg: Add{
-			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Items: items}})
+			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Near: now-m.nearAt < nearGap,
+			Items: items}})
 	}
 	for _, e := range m.order {
 		for _, told := range e.told {
@@ -97,7 +98,7 @@
 			continue
 		}
 		out = append(out, Item{Tenant: e.tenant, Period: e.cur.period, Sum: e.cur.sum,
-			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3), Used: e.used(now)})
+			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3 / (1 - m.reserve(e))), Used: e.used(now)})
 		if e.cur.period != 0 {
 			e.told[i] = e.cur.sum
 		}
@@ -107,6 +108,9 @@
 
 // Take hears an answer of a holder.
 func (m *Meter) Take(now plane.Time, from string, msg any) []plane.Send {
+	if _, ok := msg.(Ask); ok {
+		return []plane.Send{{To: from, Msg: Add{Life: m.life, Period: m.period, Stamp: now}}}
+	}
 	a, ok := msg.(Answer)
 	i := m.slot(from)
 	if !ok || i < 0 || a.Life != m.life || a.Stamp > now {
@@ -120,6 +124,8 @@
 	if s := &m.slots[i]; s.pending != 0 && a.Stamp >= s.pending {
 		s.pending = 0
 	}
+	m.slots[i].missing = a.Missing
+	m.count(now)
 	if a.Company {
 		m.companyAt = now
 	}
@@ -155,10 +161,10 @@
 		c.acked = mine
 	}
 	fresh := t.Sure && c.based && t.Others >= c.others
-	c.others, c.based = max(c.others, t.Others), true
+	c.others, c.based, c.read = max(c.others, t.Others), true, true
 	if !m.first(now, e, t, stamp) && e.seen {
 		e.learn(now, n)
-		if fresh && m.reserve() == 0 && now-m.readAt >= trustGap {
+		if fresh && now-m.readAt >= trustGap && (m.lostAt == 0 || now-m.lostAt >= chargeGap) {
 			e.ease(now, float64(t.Level)/milli)
 		}
 	}
