Tell gateways unasked of small tenants near their limit; draw schedules at 11 and 91 gateways

At 91 gateways a tenant whose burst is a few dozen units passed up to 1.5 times its bound when it became hot: each gateway that hadn't read passes one unit, and 91 units are more than the margin of 13 or 60 a second.

An item now says that a tenant is near its limit and small for so many gateways; a holder adds its sums, at most every 40 ms to each gateway, to the answers that gateways read for other tenants. Nothing is sent for it else, and nothing while no such tenant is near.

--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -21,6 +21,7 @@
 	lostGap  = 90 * time.Millisecond  // without an answer, a gateway is out of sight
 	watchGap = time.Second            // since a tenant was near its limit
 	usedGap  = 2 * time.Second        // since gateways told anything
+	crowdGap = 40 * time.Millisecond  // between what a gateway is told unasked
 	lateGap  = 200 * time.Millisecond // between ticks: this process stood still
 )
 
@@ -39,6 +40,7 @@
 	names map[uint64]*tally
 	level float64 // units of the burst in use, draining at the tenant's rate
 	at    plane.Time
+	gap   uint64 // of its limit, as last told
 
 	since plane.Time // the counter's, when level began
 }
@@ -70,6 +72,7 @@
 	heard     bool
 	thawed    bool // since then, it was frozen before
 	sights    sights
+	crowds    crowds
 }
 
 const tagBits = 16
@@ -131,12 +134,18 @@
 		if c.thawed && now-c.since < listenGap {
 			l.level = level // seconds of adds in a lump
 		}
+		if it.Near {
+			c.crowds.note(now, it.Tenant)
+		}
 		if it.Used > 0 { // a holder that is new or told at times only may have missed some
 			l.level = max(l.level, float64(it.Used-1)/milli)
 		}
 		out.Totals = append(out.Totals, Total{Tenant: it.Tenant, Period: it.Period, Others: others, Mine: mine,
 			Level: uint64(l.level * milli), Sure: now-c.since >= listenGap && it.Gap > 0})
 	}
+	if a.Read {
+		out.Totals = append(out.Totals, c.unasked(now, from, a)...)
+	}
 	if a.Echo {
 		out.Totals = nil
 	} else if !a.Read {
@@ -162,7 +171,7 @@
 	}
 	if it.Gap > 0 {
 		l.level = max(0, l.level-float64(now-l.at)/1e3/float64(it.Gap))
-		l.at = now
+		l.at, l.gap = now, it.Gap
 	}
 }
 
--- /dev/null
+++ b/internal/toll/crowd.go
@@ -0,0 +1,67 @@
+package toll
+
+import (
+	"slices"
+
+	"asterwell/internal/plane"
+)
+
+// crowds is the tenants that are near their limits and small for so many gateways: one
+// unit at each gateway that hasn't read would be too much. Who asks for others is told
+// of these too.
+type crowds struct {
+	names []string // sorted: messages must not depend on a map's order
+	at    map[string]plane.Time
+	told  map[string]plane.Time // to gateways
+}
+
+func (c *crowds) note(now plane.Time, tenant string) {
+	if c.at == nil {
+		c.at, c.told = map[string]plane.Time{}, map[string]plane.Time{}
+	}
+	if i, known := slices.BinarySearch(c.names, tenant); !known {
+		c.names = slices.Insert(c.names, i, tenant)
+	}
+	c.at[tenant] = now
+}
+
+// due lists them for a gateway, each so often.
+func (c *crowds) due(now plane.Time, gateway string) []string {
+	c.names = slices.DeleteFunc(c.names, func(t string) bool {
+		over := now-c.at[t] >= nearGap
+		if over {
+			delete(c.at, t)
+		}
+		return over
+	})
+	if len(c.names) == 0 {
+		clear(c.told)
+		return nil
+	}
+	if at, ok := c.told[gateway]; ok && now-at < crowdGap {
+		return nil
+	}
+	c.told[gateway] = now
+	return c.names
+}
+
+// unasked gives the sums of tenants that an add doesn't name.
+func (c *Counter) unasked(now plane.Time, from string, a Add) (out []Total) {
+	for _, tenant := range c.crowds.due(now, from) {
+		l := c.ledgers[tenant]
+		if l == nil || l.names[c.high] == nil || slices.ContainsFunc(a.Items, func(it Item) bool { return it.Tenant == tenant }) {
+			continue
+		}
+		l.refresh(now, c.since, Item{Gap: l.gap})
+		t := Total{Tenant: tenant, Period: c.high, Others: l.names[c.high].total, Level: uint64(l.level * milli),
+			Sure: now-c.since >= listenGap}
+		for _, v := range l.names[c.high].lives[from] {
+			t.Others -= v.sum
+			if v.id == a.Life {
+				t.Mine = v.sum
+			}
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -46,6 +46,7 @@
 	vague  bool       // the counter doesn't know yet
 	mute   bool       // the counter was silent
 	pushed plane.Time // up to when use by others was assumed
+	nearAt plane.Time // when it was near its limit, if others should hear of it who don't ask
 	away   int        // gateways out of sight, as was taken in
 
 	cur, old name
--- a/internal/toll/message.go
+++ b/internal/toll/message.go
@@ -22,6 +22,7 @@
 	Fresh  uint64 `cbor:"4,keyasint,omitempty"` // new to the holder, if nothing was lost
 	Gap    uint64 `cbor:"5,keyasint,omitempty"` // microseconds a unit, for the level
 	Used   uint64 `cbor:"6,keyasint,omitempty"` // of the burst, as the gateway sees it, and 1; 0: not seen
+	Near   bool   `cbor:"7,keyasint,omitempty"` // it is near its limit, and small for so many gateways
 }
 
 // Answer gives the sums of the names that an Add has named.
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -204,6 +204,9 @@
 	room := e.room(now)
 	if e.seen && room < e.limit.Burst/2 {
 		m.nearAt = now
+		if e.limit.Burst < 2*float64(m.even(now)) {
+			e.nearAt = now
+		}
 	}
 	if now < e.tat+e.span(units-1)-e.tau {
 		m.hurry(e)
--- a/internal/toll/sight.go
+++ b/internal/toll/sight.go
@@ -14,6 +14,7 @@
 	watchAt  plane.Time // it last mattered who is out of sight
 	tickAt   plane.Time
 	repeatAt plane.Time
+	asking   bool // all were, at the last tick
 }
 
 // sight is of one gateway. asked is the first time since the last sign; 0: not asked.
@@ -75,6 +76,10 @@
 		s.watchAt = now
 	}
 	watching := s.watching(now)
+	if !watching && !s.asking && !(used && fellow != "") {
+		return nil
+	}
+	s.asking = watching
 	again := now-s.repeatAt >= lostGap
 	for _, n := range s.nodes {
 		v := s.seen[n]
--- a/internal/toll/sim_test.go
+++ b/internal/toll/sim_test.go
@@ -41,6 +41,7 @@
 	every  time.Duration // between bursts
 	over   time.Duration // a burst is spread over
 	one    bool          // a burst goes to one gateway
+	retry  int           // how often a client that is refused comes back at once
 	target *box
 
 	passed  []time.Duration
@@ -59,6 +60,14 @@
 	nodes   int
 	holders []string
 	sends   int
+	again   []again
+}
+
+// again is a refused request that comes back.
+type again struct {
+	at   time.Duration
+	flow *flow
+	left int
 }
 
 func newField(t *testing.T, n int, seed uint64, flows ...*flow) *field {
@@ -198,10 +207,11 @@
 	return f.flows[slices.IndexFunc(f.flows, func(l *flow) bool { return l.tenant == tenant })]
 }
 
-func (f *field) pass(b *box, tenant string) {
+func (f *field) pass(b *box, tenant string) bool {
 	l := f.flow(tenant)
 	l.offered++
-	if ok, after := b.meter.Pass(f.now, tenant, 1); ok {
+	ok, after := b.meter.Pass(f.now, tenant, 1)
+	if ok {
 		l.passed = append(l.passed, f.now)
 	} else {
 		l.refused++
@@ -209,10 +219,13 @@
 			f.t.Errorf("refused with no time to come back after")
 		}
 	}
+	return ok
 }
 
 // offer sends a request to a gateway that is up, as the clients' side would.
-func (f *field) offer(l *flow, to *box) {
+func (f *field) offer(l *flow, to *box) { f.offers(l, to, l.retry) }
+
+func (f *field) offers(l *flow, to *box, left int) {
 	for to.dead {
 		to = f.boxes[f.rng.IntN(len(f.boxes))]
 	}
@@ -222,7 +235,9 @@
 		}
 		return
 	}
-	f.pass(to, l.tenant)
+	if !f.pass(to, l.tenant) && left > 0 {
+		f.again = append(f.again, again{f.now + 2*time.Millisecond, l, left - 1})
+	}
 }
 
 func (f *field) some(l *flow) *box {
@@ -248,6 +263,11 @@
 			f.take(to, l)
 		}
 	}
+	for len(f.again) > 0 && f.again[0].at <= f.now {
+		a := f.again[0]
+		f.again = f.again[1:]
+		f.offers(a.flow, f.some(a.flow), a.left)
+	}
 	for _, l := range f.flows {
 		if f.now < 5*time.Second {
 			break // traffic starts after the machines
