--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -52,7 +52,8 @@
 		}
 		s.spareAt, s.refill = now, false
 		out = append(out, plane.Send{To: s.addr, Msg: Add{
-			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Items: items}})
+			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Near: now-m.nearAt < nearGap,
+			Items: items}})
 	}
 	for _, e := range m.order {
 		for _, told := range e.told {
@@ -76,7 +77,7 @@
 		}
 	}
 	if reader != m.reader && reader >= 0 {
-		m.slots[reader].refill = true
+		m.slots[reader].refill, m.readAt = true, now
 	}
 	m.reader = reader
 }
@@ -97,7 +98,8 @@
 			continue
 		}
 		out = append(out, Item{Tenant: e.tenant, Period: e.cur.period, Sum: e.cur.sum,
-			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3), Used: e.used(now)})
+			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3 / (1 - m.reserve(e))),
+			Used: e.used(now), Near: e.nearAt != 0 && now-e.nearAt < nearGap})
 		if e.cur.period != 0 {
 			e.told[i] = e.cur.sum
 		}
@@ -107,6 +109,9 @@
 
 // Take hears an answer of a holder.
 func (m *Meter) Take(now plane.Time, from string, msg any) []plane.Send {
+	if _, ok := msg.(Ask); ok {
+		return []plane.Send{{To: from, Msg: Add{Life: m.life, Period: m.period, Stamp: now}}}
+	}
 	a, ok := msg.(Answer)
 	i := m.slot(from)
 	if !ok || i < 0 || a.Life != m.life || a.Stamp > now {
@@ -120,6 +125,8 @@
 	if s := &m.slots[i]; s.pending != 0 && a.Stamp >= s.pending {
 		s.pending = 0
 	}
+	m.slots[i].missing = a.Missing
+	m.count(now)
 	if a.Company {
 		m.companyAt = now
 	}
@@ -154,9 +161,13 @@
 		own = float64(mine-c.acked) / milli
 		c.acked = mine
 	}
-	c.others, c.based = max(c.others, t.Others), true
+	fresh := t.Sure && c.based && t.Others >= c.others
+	c.others, c.based, c.read = max(c.others, t.Others), true, true
 	if !m.first(now, e, t, stamp) && e.seen {
 		e.learn(now, n)
+		if fresh && now-m.readAt >= trustGap && (m.lostAt == 0 || now-m.lostAt >= chargeGap) {
+			e.ease(now, float64(t.Level)/milli)
+		}
 	}
 	e.weigh(now, own, n)
 }
