--- a/cmd/reed/faults.go
+++ b/cmd/reed/faults.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"asterwell/internal/bane"
@@ -21,7 +23,7 @@
 		{Name: "get", Usage: "print the set", Action: r.faultGet},
 		{Name: "stop", Usage: "stop all rules at once", Action: r.faultStop},
 		{Name: "status", Usage: "how the rules stand", Action: r.faultStatus, Flags: asJSON},
-		{Name: "strikes", Usage: "what was struck, as the gateways named by --at have it on record", Action: r.faultStrikes,
+		{Name: "strikes", Usage: "what was struck, as all processes have it on record", Action: r.faultStrikes,
 			Flags: append([]cli.Flag{&cli.DurationFlag{Name: "since", Usage: "not older than this (0: all)"}}, asJSON...)},
 	}, Action: func(_ context.Context, c *cli.Command) error {
 		if c.Args().Present() {
@@ -102,22 +104,31 @@
 	if err != nil {
 		return err
 	}
-	var all []tell.Strike
-	for _, at := range client.At {
-		some, err := r.dial([]string{at}, c.Duration("within")).Strikes(ctx)
-		if err != nil {
-			return err
-		}
-		for _, s := range some {
-			if since := c.Duration("since"); since == 0 || time.Since(s.At) <= since {
-				all = append(all, s)
-			}
-		}
+	all, err := client.AllStrikes(ctx, func(at string) *tell.Client { return r.dial([]string{at}, c.Duration("within")) })
+	unheard := (*tell.Unheard)(nil)
+	if err != nil && !errors.As(err, &unheard) {
+		return err
 	}
-	if c.Bool("json") {
-		body, err := json.Marshal(all)
-		fmt.Fprintln(r.out, string(body))
+	if since := c.Duration("since"); since > 0 {
+		all = lo.Filter(all, func(s tell.Strike, _ int) bool { return s.AgoMs <= since.Milliseconds() })
+	}
+	if err := writeStrikes(r.out, all, c.Bool("json")); err != nil {
 		return err
 	}
-	return tell.WriteStrikes(r.out, all)
+	if unheard != nil { // what is there was printed
+		return unheard
+	}
+	return nil
+}
+
+func writeStrikes(to io.Writer, all []tell.Strike, asJSON bool) error {
+	if !asJSON {
+		return tell.WriteStrikes(to, all)
+	}
+	body, err := json.Marshal(append([]tell.Strike{}, all...))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(to, string(body))
+	return err
 }
--- a/cmd/reed/main.go
+++ b/cmd/reed/main.go
@@ -60,10 +60,11 @@
 	var none *tell.Nobody
 	var over *tell.Overtaken
 	var unread *tell.Unread
+	var unheard *tell.Unheard
 	switch {
 	case err == nil:
 		return done
-	case errors.As(err, &unread):
+	case errors.As(err, &unread), errors.As(err, &unheard):
 		return unknown
 	case errors.As(err, &none):
 		if none.Sent {
--- a/cmd/reed/main_test.go
+++ b/cmd/reed/main_test.go
@@ -77,7 +77,7 @@
 	files := map[string][]byte{}
 	for _, line := range lines {
 		if _, name, ok := strings.Cut(line, "@"); ok {
-			files[name] = []byte(ts.ReadFile(name))
+			files[name] = []byte(os.Expand(ts.ReadFile(name), ts.Getenv))
 		}
 	}
 	var mu sync.Mutex
--- a/internal/bane/bane_test.go
+++ b/internal/bane/bane_test.go
@@ -42,13 +42,13 @@
 // force returns a judge with rules in force for good.
 func force(rules ...Rule) *Judge {
 	j := NewJudge()
-	j.adopt(0, rules)
+	j.adopt(0, 1, rules)
 	n := len(rules)
 	till, parts := make([]time.Duration, n), make([]int, n)
 	for i := range rules {
 		till[i], parts[i] = time.Hour, rules[i].Budget
 	}
-	j.lease(till, parts, make([]bool, n), 1)
+	j.lease(till, parts, make([]int, n), make([]bool, n), 1)
 	return j
 }
 
@@ -59,12 +59,14 @@
 	a, b := force(late, gone), force(late, gone)
 	delayed := 0
 	for i := range 10000 {
+		a.hear(a.seq) // as if all were on record
+		b.hear(b.seq)
 		q := Request{ID: fmt.Sprint("id-", i), Tenant: "ship-1", Route: "renominate", Method: "POST"}
 		s, v := a.Strike(1, q)
-		if s2, v2 := b.Strike(time.Minute, q); s2 != s || v2 != v {
+		if s2, v2 := b.Strike(time.Minute, q); s2.Rule != s.Rule || s2.Delay != s.Delay || v2 != v {
 			t.Fatal("two processes judge", q.ID, "apart:", s, s2)
 		}
-		if again, _ := a.Strike(2, q); again != s {
+		if again, _ := a.Strike(2, q); again.Rule != s.Rule || again.Delay != s.Delay {
 			t.Fatal("a repeat of", q.ID, "is drawn anew:", s, again)
 		}
 		switch {
@@ -99,6 +101,7 @@
 	j.nodes = 2
 	hits := 0
 	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+		j.hear(j.seq)
 		if _, v := j.Strike(at, Request{ID: fmt.Sprint(at), Tenant: "a"}); v == Hit {
 			hits++
 		}
@@ -111,16 +114,16 @@
 // TestPart: without a part a drawn request is short, until nothing is left at all.
 func TestPart(t *testing.T) {
 	j := NewJudge()
-	j.adopt(0, []Rule{{Name: "r", Tenant: "a", Share: 1, Effect: VanishAfter, Budget: 2}})
+	j.adopt(0, 1, []Rule{{Name: "r", Tenant: "a", Share: 1, Effect: VanishAfter, Budget: 2}})
 	strike := func() Verdict { _, v := j.Strike(1, Request{ID: "1", Tenant: "a"}); return v }
 	if v := strike(); v != Pass {
 		t.Error("before a lease:", v)
 	}
-	j.lease([]time.Duration{time.Hour}, []int{1}, []bool{false}, 1)
+	j.lease([]time.Duration{time.Hour}, []int{1}, []int{0}, []bool{false}, 1)
 	if a, b := strike(), strike(); a != Hit || b != Short {
 		t.Error("with one part:", a, b)
 	}
-	j.lease([]time.Duration{time.Hour}, []int{1}, []bool{true}, 1)
+	j.lease([]time.Duration{time.Hour}, []int{1}, []int{0}, []bool{true}, 1)
 	if v := strike(); v != Pass {
 		t.Error("when all is handed out:", v)
 	}
--- a/internal/bane/call.go
+++ b/internal/bane/call.go
@@ -37,7 +37,7 @@
 	LeftS  float64 `cbor:"2,keyasint"`
 	Budget int     `cbor:"3,keyasint"`
 	Given  int     `cbor:"4,keyasint"` // strikes handed out
-	Used   int     `cbor:"5,keyasint"` // and known to have struck, by processes heard of in this term
+	Used   int     `cbor:"5,keyasint"` // strikes on record
 }
 
 // Answer ends a call.
--- a/internal/bane/judge.go
+++ b/internal/bane/judge.go
@@ -11,21 +11,31 @@
 	"asterwell/internal/plane"
 )
 
-// Request is what rules look at. Tenant is the one whose key was proved.
-type Request struct{ ID, Tenant, Route, Method string }
+// Request is what rules look at. Tenant is the one whose key was proved. At is the time of
+// day in ms, for the record alone.
+type Request struct {
+	ID     string `cbor:"1,keyasint"`
+	Tenant string `cbor:"2,keyasint"`
+	Route  string `cbor:"3,keyasint"`
+	Method string `cbor:"4,keyasint"`
+	At     int64  `cbor:"5,keyasint,omitempty"`
+}
 
-// Strike is what befalls a request.
+// Strike is what shall befall a request, once it is Made.
 type Strike struct {
 	Rule  string
 	Kind  Kind
 	Delay time.Duration
+	Seq   uint64 // among the notes of this life
+	of    *armed
+	k     int // by this rule, of this life
 }
 
 // Verdict on a request.
 type Verdict uint8
 
-// The verdicts. Short: drawn, but no strike of the budget is here. Whoever asked may wait
-// until Due is no more and ask again; it says so by Wait.
+// The verdicts. Short: drawn, but no strike of the budget is here, or the strike is not on
+// record yet. Whoever asked may wait, and says so by Queue, and ask again.
 const (
 	Pass Verdict = iota
 	Hit
@@ -38,6 +48,9 @@
 	till  plane.Time
 	part  int // strikes handed out to this life
 	used  int
+	noted int    // of them are on record
+	void  uint64 // notes up to this one, and not on record, count no more
+	past  bool   // it belongs to a set that is held no more
 	waits int
 	spent bool    // nothing of the budget is left to hand out
 	room  float64 // doubles that may go now
@@ -50,12 +63,16 @@
 	on    atomic.Bool
 	mu    sync.Mutex
 	rules []*armed
+	turn  uint64
 	nodes int
-	draw  func(string, *Rule) float64 // for mutants
+	seq   uint64 // of the last note
+	heard uint64 // notes up to it are on record, or refused
+	notes []Note // above that
+	early bool   // for mutants
 }
 
 // NewJudge returns one without rules.
-func NewJudge() *Judge { return &Judge{draw: drawn} }
+func NewJudge() *Judge { return &Judge{} }
 
 // drawn is alike on every process, and for every repeat of a request.
 func drawn(id string, r *Rule) float64 { return unit(id, r.Name) }
@@ -87,9 +104,12 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for _, a := range j.rules {
+	if len(j.notes) >= mostNotes { // nobody takes them: rules rest
+		return Strike{}, Pass
+	}
+	for i, a := range j.rules {
 		r := &a.rule
-		if !r.fits(q) || now >= a.till || j.draw(q.ID, r) >= r.Share {
+		if !r.fits(q) || now >= a.till || drawn(q.ID, r) >= r.Share {
 			continue
 		}
 		if a.used >= a.part && a.spent || !a.allows(now, j.nodes) {
@@ -100,11 +120,12 @@
 		}
 		a.used++
 		a.room--
-		s := Strike{Rule: r.Name, Kind: r.Effect}
+		s := Strike{Rule: r.Name, Kind: r.Effect, of: a, k: a.used}
 		if r.Effect == Delay {
 			ms := r.DelayMs + max(0, r.ToMs-r.DelayMs)*unit(q.ID, "delay "+r.Name)
 			s.Delay = time.Duration(ms * float64(time.Millisecond))
 		}
+		s.Seq = j.note(Note{Turn: j.turn, Rule: i, K: a.used, Name: r.Name, Kind: r.Effect, Delay: s.Delay, Request: q})
 		return s, Hit
 	}
 	return Strike{}, Pass
@@ -121,32 +142,43 @@
 	return a.room >= 1
 }
 
-// Wait says that so many more (or fewer) requests wait for a strike of a rule.
-func (j *Judge) Wait(rule string, more int) {
+// Queue says that one more request waits for a strike of a rule, until leave is called.
+func (j *Judge) Queue(rule string) (leave func()) {
+	add := func(a *armed, n int) {
+		j.mu.Lock()
+		a.waits += n
+		j.mu.Unlock()
+	}
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, a := range j.rules {
-		if a.rule.Name == rule {
-			a.waits = max(0, a.waits+more)
-		}
+	i := slices.IndexFunc(j.rules, func(a *armed) bool { return a.rule.Name == rule })
+	if i < 0 {
+		j.mu.Unlock()
+		return func() {}
 	}
+	a := j.rules[i]
+	j.mu.Unlock()
+	add(a, 1)
+	return func() { add(a, -1) }
 }
 
-// Due reports whether somebody waits for a strike.
+// Due reports whether somebody waits for a strike, or for one to be on record.
 func (j *Judge) Due() bool {
-	if !j.on.Load() {
-		return false
-	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if slices.ContainsFunc(j.notes, func(n Note) bool { return n.Of == 0 }) {
+		return true
+	}
 	return slices.ContainsFunc(j.rules, func(a *armed) bool { return a.waits > 0 && a.used >= a.part && !a.spent })
 }
 
 // adopt takes other rules, none of which is in force yet.
-func (j *Judge) adopt(now plane.Time, rules []Rule) {
+func (j *Judge) adopt(now plane.Time, turn uint64, rules []Rule) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.rules = nil
+	for _, a := range j.rules {
+		a.past = true
+	}
+	j.rules, j.turn = nil, turn
 	for _, r := range rules {
 		j.rules = append(j.rules, &armed{rule: r, room: 1, at: now})
 	}
@@ -154,22 +186,27 @@
 }
 
 // lease puts the rules in force, each until its time.
-func (j *Judge) lease(till []plane.Time, parts []int, spent []bool, nodes int) {
+func (j *Judge) lease(till []plane.Time, parts, noted []int, spent []bool, nodes int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.nodes = nodes
 	for i, a := range j.rules {
 		a.till = max(a.till, till[i])
-		a.part, a.spent = max(a.part, parts[i]), spent[i]
+		a.noted, a.spent = max(a.noted, noted[i]), spent[i]
+		if a.part = max(parts[i], a.noted); a.part < a.used { // the rest was taken back
+			j.renumber(i, a.part)
+		}
 	}
 }
 
-// tally is the strikes made and the requests that wait for one, of each rule.
-func (j *Judge) tally() (used, want []int) {
+// tally is what is to be on record, and the strikes taken and the requests that wait for one, of
+// each rule.
+func (j *Judge) tally() (notes []Note, used, want []int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	notes = slices.Clone(j.notes[:min(len(j.notes), notesAtOnce)])
 	for _, a := range j.rules {
 		used, want = append(used, a.used), append(want, a.waits)
 	}
-	return used, want
+	return notes, used, want
 }
--- a/internal/bane/lead.go
+++ b/internal/bane/lead.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"asterwell/internal/plane"
 )
@@ -32,13 +33,20 @@
 	ops    []op // waiting
 	doing  []op // to be answered when rec is kept
 	asks   map[string]Ask
-	wants  map[string]bool // whose requests wait for strikes
-	served []string        // whose strikes are in rec
-	holds  map[Node]uint64 // confirmed turns
-	active uint64          // the turn in force
-	rest   plane.Time      // a lease of another turn may run until then
-	leased plane.Time      // any lease may
+	wants  map[string]bool   // whose requests wait for strikes
+	tells  map[string]bool   // who told of strikes
+	served []string          // whose strikes are in rec
+	seen   map[Node]uint64   // their notes up to here are in rec
+	safe   map[Node]uint64   // and in kept
+	notes  []Entry           // of the term, after so many
+	noted  map[string]uint64 // so many has each member
+	holds  map[Node]uint64   // confirmed turns
+	active uint64            // the turn in force
+	rest   plane.Time        // a lease of another turn may run until then
+	leased plane.Time        // any lease may
 	pushed plane.Time
+
+	noteBase uint64
 }
 
 type op struct {
@@ -51,6 +59,22 @@
 
 func majority(members []string) int { return len(members)/2 + 1 }
 
+func sorted(of map[string]bool) []string { return slices.Sorted(maps.Keys(of)) }
+
+// trim drops the notes that all members have.
+func (l *lead) trim() {
+	low := l.noteBase + uint64(len(l.notes))
+	for _, to := range l.members {
+		low = min(low, l.noted[to])
+	}
+	if low > l.noteBase {
+		l.notes, l.noteBase = l.notes[low-l.noteBase:], low
+	}
+}
+
+// among reports whether a life of a process is among the live ones.
+func (m *Machine) among(n Node) bool { return slices.Contains(m.nodes, n) }
+
 // rise begins a term if this process is the primary.
 func (m *Machine) rise() *lead {
 	if m.lead != nil || !m.place.Leads || len(m.place.Members) == 0 {
@@ -59,7 +83,7 @@
 	m.rises++
 	l := &lead{term: Term{m.place.N, m.c.Self, m.c.Life<<16 | m.rises}, members: slices.Clone(m.place.Members), born: m.now,
 		claimed: map[string]Claimed{}, acked: map[string]uint64{}, heard: map[string]plane.Time{}, asks: map[string]Ask{},
-		wants: map[string]bool{}, holds: map[Node]uint64{}, rest: m.now + LeaseFor}
+		wants: map[string]bool{}, tells: map[string]bool{}, seen: map[Node]uint64{}, safe: map[Node]uint64{}, noted: map[string]uint64{}, holds: map[Node]uint64{}, rest: m.now + LeaseFor}
 	m.lead = l
 	m.steer()
 	return l
@@ -111,7 +135,8 @@
 		if l.acked[to] == l.rec.Seq {
 			m.send(to, Beat{l.term, m.now, m.now - l.leftAt + slack, l.rec.Seq})
 		} else {
-			m.send(to, Append{l.rec, m.now, m.now - l.leftAt + slack})
+			from, notes := l.news(to)
+			m.send(to, Append{l.rec, m.now, m.now - l.leftAt + slack, from, notes})
 		}
 	}
 }
@@ -176,6 +201,8 @@
 	}
 	l.heard[from] = max(l.heard[from], a.Stamp)
 	l.acked[from] = max(l.acked[from], a.Seq)
+	l.noted[from] = min(max(l.noted[from], a.Notes), l.noteBase+uint64(len(l.notes)))
+	l.trim()
 	if l.done || !l.serving {
 		return
 	}
@@ -200,7 +227,7 @@
 func (m *Machine) commit() {
 	l := m.lead
 	other := l.kept.Turn != l.rec.Turn || l.rules == nil
-	l.done, l.kept = true, l.rec
+	l.done, l.kept, l.safe = true, l.rec, maps.Clone(l.seen)
 	if other {
 		l.rest = max(l.rest, l.leased)
 		l.rules, l.pushed = []Rule{}, m.now
@@ -224,7 +251,7 @@
 
 // tell answers asks again that had to wait.
 func (m *Machine) tell(who []string) {
-	for _, addr := range who {
+	for _, addr := range lo.Uniq(who) {
 		m.respond(addr, m.lead.asks[addr])
 	}
 }
@@ -275,14 +302,19 @@
 	}
 }
 
-// allot hands out strikes to those whose requests wait for them.
+// allot puts strikes on record, takes back what nobody can use any more, and hands out strikes
+// to those whose requests wait for them.
 func (m *Machine) allot() {
 	l := m.lead
-	if len(l.wants) == 0 || l.active != l.kept.Turn || !m.kept().live() {
+	if l.active != l.kept.Turn || !m.kept().live() {
 		clear(l.wants)
+	}
+	r, told, who := l.kept, sorted(l.tells), sorted(l.wants)
+	more := m.book(&r)
+	more = m.takenBack(&r) || more
+	if len(told) == 0 && len(who) == 0 && !more {
 		return
 	}
-	r, more, who := l.kept, false, slices.Sorted(maps.Keys(l.wants))
 	clear(l.wants)
 	for _, addr := range who {
 		a := l.asks[addr]
@@ -309,15 +341,20 @@
 			}
 		}
 	}
+	who = append(who, told...)
 	switch {
 	case !more: // there is nothing left, or it was a late word
 		m.tell(who)
 	case m.bug == Forgets:
-		l.kept.Parts = r.Parts
+		l.kept.Parts, l.safe = r.Parts, maps.Clone(l.seen)
 		m.tell(who)
 	default:
 		l.served = who
 		m.write(r)
+		if m.bug == Unkept {
+			l.safe, l.kept.Parts = maps.Clone(l.seen), r.Parts
+			m.tell(who)
+		}
 	}
 }
 
@@ -387,9 +424,12 @@
 	m.activate()
 	if slices.ContainsFunc(a.Want, func(n int) bool { return n > 0 }) {
 		l.wants[from] = true
-		if l.done {
-			m.allot()
-		}
+	}
+	if len(a.Notes) > 0 {
+		l.tells[from] = true
+	}
+	if l.done {
+		m.allot()
 	}
 	m.respond(from, a)
 }
@@ -401,14 +441,16 @@
 	if a.Turn != k.Turn {
 		return
 	}
-	out := Lease{Turn: k.Turn, Stamp: a.Stamp, Life: a.Life, Left: k.Left, Nodes: len(m.nodes), Over: !k.live()}
+	out := Lease{Turn: k.Turn, Stamp: a.Stamp, Life: a.Life, Left: k.Left, Nodes: len(m.nodes), Over: !k.live(),
+		Heard: l.safe[Node{to, a.Life}], Term: k.Term, Seq: k.Seq}
 	if l.active == k.Turn && l.rec.Turn == k.Turn {
 		out.For = max(0, min(LeaseFor, m.authority()+LeaseFor-m.now))
 		l.leased = max(l.leased, m.now+out.For)
 	}
 	for i := range l.rules {
 		one, all := k.given(i, to, a.Life)
-		out.Parts = append(out.Parts, one)
+		used, _ := k.used(i, to, a.Life)
+		out.Parts, out.Noted = append(out.Parts, one), append(out.Noted, used)
 		out.Spent = append(out.Spent, all >= l.rules[i].Budget && m.bug != PerNode)
 	}
 	m.send(to, out)
@@ -441,11 +483,7 @@
 		if i < len(k.Left) && !k.Stopped {
 			r.LeftS = k.Left[i].Seconds()
 		}
-		for _, a := range l.asks {
-			if a.Turn == k.Turn && i < len(a.Used) {
-				r.Used += a.Used[i]
-			}
-		}
+		_, r.Used = k.used(i, "", 0)
 		s.Rules = append(s.Rules, r)
 	}
 	m.send(o.from, Answered{o.f.ID, o.f.Salt, Answer{out, s}})
--- a/internal/bane/machine.go
+++ b/internal/bane/machine.go
@@ -24,7 +24,7 @@
 
 // Config is what a process knows about itself.
 type Config struct {
-	Self       string
+	Self, Name string
 	Life, Seed uint64
 	Member     bool          // has a disk
 	Longest    time.Duration // that rules may live; 0: this deployment has none
@@ -47,8 +47,9 @@
 
 // Write asks to sync a disk's whole content.
 type Write struct {
-	Seq  uint64
-	Disk Disk
+	Seq   uint64
+	Disk  Disk
+	Notes []Entry // and what goes to the record's end; a Write that others overtake keeps these
 }
 
 // Out is what a machine wants done.
@@ -90,8 +91,9 @@
 	rules   []Rule
 	ends    []plane.Time // at the latest, by this clock
 	asked   plane.Time
-	confirm bool // the primary is to hear what is held
-	refused bool // the set is not valid here
+	leased  Record // by which the newest lease went: its term and number
+	confirm bool   // the primary is to hear what is held
+	refused bool   // the set is not valid here
 
 	// as a member: member.go
 	d       Disk
@@ -101,6 +103,9 @@
 	seq     uint64
 	written uint64
 	held    []held
+	logTerm Term // whose notes are here, so many of them
+	logUpTo uint64
+	fresh   []Entry // to be written
 
 	lead  *lead
 	rises uint64
@@ -112,7 +117,7 @@
 	h := fnv.New64a()
 	h.Write([]byte(c.Self))
 	m := &Machine{c: c, judge: j, bug: c.Bug, rng: rand.New(rand.NewPCG(c.Seed^0xba9e, h.Sum64())), now: now}
-	m.salt = m.rng.Uint64()
+	m.salt, j.early = m.rng.Uint64(), c.Bug == Early
 	if c.Member && d != nil {
 		m.d = *d
 	}
@@ -121,7 +126,7 @@
 
 // Awake reports whether anything is to be done here: if not, ticks do nothing.
 func (m *Machine) Awake() bool {
-	return len(m.rules) > 0 || m.confirm || m.lead != nil || len(m.calls) > 0
+	return len(m.rules) > 0 || m.confirm || m.lead != nil || len(m.calls) > 0 || m.judge.Backlog() > 0
 }
 
 // Place takes agreement's view. It must be told before any input while Awake.
@@ -220,7 +225,11 @@
 	if m.dirty {
 		m.dirty = false
 		m.seq++
-		m.out.Write = &Write{m.seq, m.d}
+		w := &Write{m.seq, m.d, m.fresh}
+		if m.out.Write != nil {
+			w.Notes = append(m.out.Write.Notes, w.Notes...)
+		}
+		m.out.Write, m.fresh = w, nil
 	}
 	if m.seq > m.written {
 		m.held = append(m.held, held{m.seq, plane.Send{To: to, Msg: msg}})
--- a/internal/bane/member.go
+++ b/internal/bane/member.go
@@ -24,7 +24,8 @@
 			m.since, m.sure = m.now-t.Aged, true
 		}
 		m.age(r.Term, r.Seq, t.Aged)
-		m.durable(from, Appended{Term: r.Term, Seq: r.Seq, Stamp: t.Stamp})
+		m.logged(t)
+		m.durable(from, Appended{Term: r.Term, Seq: r.Seq, Stamp: t.Stamp, Notes: t.From + uint64(len(t.Notes))})
 	case Beat:
 		if t.Term == m.d.Promised {
 			m.age(t.Term, t.Seq, t.Aged)
--- a/internal/bane/message.go
+++ b/internal/bane/message.go
@@ -20,6 +20,8 @@
 	Record Record        `cbor:"1,keyasint"`
 	Stamp  time.Duration `cbor:"2,keyasint"`
 	Aged   time.Duration `cbor:"3,keyasint,omitempty"` // since the record told what is left
+	From   uint64        `cbor:"4,keyasint,omitempty"` // so many of the term's notes came before
+	Notes  []Entry       `cbor:"5,keyasint,omitempty"`
 }
 
 // Appended says that it is synced.
@@ -27,6 +29,7 @@
 	Term  Term          `cbor:"1,keyasint"`
 	Seq   uint64        `cbor:"2,keyasint"`
 	Stamp time.Duration `cbor:"3,keyasint"`
+	Notes uint64        `cbor:"4,keyasint,omitempty"` // so many of the term's are here, or not needed
 }
 
 // Beat asks a member that has the record whether the term still stands.
@@ -60,6 +63,8 @@
 	Used  []int         `cbor:"4,keyasint,omitempty"`
 	Want  []int         `cbor:"5,keyasint,omitempty"`
 	Body  uint64        `cbor:"6,keyasint,omitempty"` // a hash of it
+	Notes []Note        `cbor:"7,keyasint,omitempty"` // that aren't known to be on record
+	Name  string        `cbor:"8,keyasint,omitempty"`
 }
 
 // Lease puts the rules of a turn in force from the stamp on: each for what it has left, none
@@ -73,7 +78,11 @@
 	Parts []int           `cbor:"6,keyasint,omitempty"`
 	Spent []bool          `cbor:"7,keyasint,omitempty"`
 	Nodes int             `cbor:"8,keyasint,omitempty"`
-	Over  bool            `cbor:"9,keyasint,omitempty"` // nothing of it will come into force again
+	Over  bool            `cbor:"9,keyasint,omitempty"`  // nothing of it will come into force again
+	Heard uint64          `cbor:"10,keyasint,omitempty"` // notes up to this one are on record, or refused
+	Noted []int           `cbor:"11,keyasint,omitempty"` // strikes on record, of each rule
+	Term  Term            `cbor:"12,keyasint"`           // of the record that this goes by
+	Seq   uint64          `cbor:"13,keyasint"`
 }
 
 // Op is what an operator wants.
--- a/internal/bane/node.go
+++ b/internal/bane/node.go
@@ -43,12 +43,12 @@
 			}
 		}
 	}
-	m.judge.adopt(m.now, m.rules)
+	m.judge.adopt(m.now, m.turn, m.rules)
 }
 
 // tend asks for the next lease, and drops rules that have ended whatever anybody says.
 func (m *Machine) tend() {
-	if len(m.rules) == 0 && !m.confirm {
+	if len(m.rules) == 0 && !m.confirm && m.judge.Backlog() == 0 {
 		return
 	}
 	over := true
@@ -66,7 +66,7 @@
 // drop ends the rules here; the turn is remembered.
 func (m *Machine) drop() {
 	m.rules, m.ends = nil, nil
-	m.judge.adopt(m.now, nil)
+	m.judge.adopt(m.now, m.turn, nil)
 	m.out.News = "fault rules ended"
 }
 
@@ -75,15 +75,21 @@
 	if m.turn == 0 {
 		return
 	}
-	used, want := m.judge.tally()
-	m.send(m.place.Primary, Ask{Turn: m.turn, Life: m.c.Life, Stamp: m.now, Used: used, Want: want, Body: xxhash.Sum64(m.doc.Body)})
+	notes, used, want := m.judge.tally()
+	m.send(m.place.Primary, Ask{Turn: m.turn, Life: m.c.Life, Stamp: m.now, Used: used, Want: want, Body: xxhash.Sum64(m.doc.Body),
+		Notes: notes, Name: m.c.Name})
 }
 
 func (m *Machine) onLease(l Lease) {
-	if l.Turn != m.turn || l.Life != m.c.Life {
+	if l.Life != m.c.Life {
 		return
 	}
-	m.confirm = false // it has heard what is held
+	if l.Turn != m.turn {
+		m.judge.hear(l.Heard)
+		return
+	}
+	defer m.judge.hear(l.Heard) // who looks in between waits a little longer
+	m.confirm = false           // it has heard what is held
 	if len(m.rules) == 0 {
 		return
 	}
@@ -91,8 +97,13 @@
 		m.drop()
 		return
 	}
-	if n := len(m.rules); l.For <= 0 || len(l.Left) != n || len(l.Parts) != n || len(l.Spent) != n {
+	if n := len(m.rules); l.For <= 0 || len(l.Left) != n || len(l.Parts) != n || len(l.Spent) != n || len(l.Noted) != n {
+		return
+	}
+	if r := (Record{Term: l.Term, Seq: l.Seq}); m.leased.newer(r) { // overtaken: it may not know of the newest parts
 		return
+	} else {
+		m.leased = r
 	}
 	till := make([]plane.Time, len(m.rules))
 	for i := range till {
@@ -101,5 +112,5 @@
 			till[i] = l.Stamp + time.Hour
 		}
 	}
-	m.judge.lease(till, l.Parts, l.Spent, l.Nodes)
+	m.judge.lease(till, l.Parts, l.Noted, l.Spent, l.Nodes)
 }
--- a/internal/bane/record.go
+++ b/internal/bane/record.go
@@ -33,6 +33,9 @@
 	Addr string `cbor:"2,keyasint"`
 	Life uint64 `cbor:"3,keyasint"`
 	N    int    `cbor:"4,keyasint"`
+	Used int    `cbor:"5,keyasint,omitempty"` // strikes that are on record
+	Back int    `cbor:"6,keyasint,omitempty"` // of those, given back
+	Seq  uint64 `cbor:"7,keyasint,omitempty"` // by notes up to this one
 }
 
 // Record is all that is kept. Turn counts the sets and stops.
@@ -55,11 +58,12 @@
 	return r.Turn > 0 && !r.Stopped && slices.ContainsFunc(r.Left, func(d time.Duration) bool { return d > 0 })
 }
 
-// given is what of a rule's budget was handed out; to one life, and in all.
+// given is what of a rule's budget was handed out; ever to one life, and in all without what was
+// given back.
 func (r Record) given(rule int, addr string, life uint64) (one, all int) {
 	for _, p := range r.Parts {
 		if p.Rule == rule {
-			all += p.N
+			all += p.N - p.Back
 			if p.Addr == addr && p.Life == life {
 				one += p.N
 			}
@@ -77,7 +81,44 @@
 			return
 		}
 	}
-	r.Parts = append(r.Parts, Part{rule, addr, life, n})
+	r.Parts = append(r.Parts, Part{Rule: rule, Addr: addr, Life: life, N: n})
+}
+
+// use counts the strikes of a life up to one; false: they weren't handed out. The record is
+// another one afterwards.
+func (r *Record) use(rule int, addr string, life uint64, k int) bool {
+	for i, p := range r.Parts {
+		if p.Rule == rule && p.Addr == addr && p.Life == life && k <= p.N {
+			r.Parts = slices.Clone(r.Parts)
+			r.Parts[i].Used = max(p.Used, k)
+			return true
+		}
+	}
+	return false
+}
+
+// back counts that a strike on record was never made, once. The record is another one afterwards.
+func (r *Record) back(rule int, addr string, life uint64, k int, seq uint64) {
+	for i, p := range r.Parts {
+		if p.Rule == rule && p.Addr == addr && p.Life == life && k <= p.Used && seq > p.Seq {
+			r.Parts = slices.Clone(r.Parts)
+			r.Parts[i].Back, r.Parts[i].Seq = p.Back+1, seq
+		}
+	}
+}
+
+// used is how many strikes of a rule are on record; ever of one life, and in all without what was
+// given back.
+func (r Record) used(rule int, addr string, life uint64) (one, all int) {
+	for _, p := range r.Parts {
+		if p.Rule == rule {
+			all += p.Used - p.Back
+			if p.Addr == addr && p.Life == life {
+				one += p.Used
+			}
+		}
+	}
+	return one, all
 }
 
 // aged is what is left after a time.
--- a/internal/bane/world/rules.go
+++ b/internal/bane/world/rules.go
@@ -17,12 +17,15 @@
 	turn    uint64          // the newest that struck
 	stopped time.Duration   // when the last stop was acknowledged; 0: not since a put
 
+	afterStrike func(*Proc) // what a test does right after a strike
+
 	stopTurn uint64 // every set before it is stopped
 
 	Requests, Strikes, Messages int
 	Others                      int // requests of others
 	OthersStruck                int
 	Missed                      int // drawn, in force, and gone without a strike for want of a part
+	Void                        int // drawn, and not on record in time
 	OverBudget, AfterEnd        int
 	AfterStop                   time.Duration // the latest strike after a stop's acknowledgement
 	Stops                       int
@@ -102,38 +105,82 @@
 				w.OthersStruck++
 				w.breaks("OTHERS", "%s strikes %s", p.Name, other)
 			}
-			p.strike(id, w.now, false)
+			p.strike(id, w.now, nil)
 		}
 	})
 }
 
 // strike is what the data plane does with a request, waiting for a part if it must.
-func (p *Proc) strike(id string, since time.Duration, waits bool) {
-	w, life := p.w, p.life
-	s, v := p.judge.Strike(p.clock(), bane.Request{ID: id, Tenant: Struck, Route: "renominate", Method: "POST"})
-	late := w.now-since >= patience
-	if waits && (v != bane.Short || late) {
-		p.judge.Wait("r", -1)
+func (p *Proc) strike(id string, since time.Duration, leave func()) {
+	w := p.w
+	q := bane.Request{ID: id, Tenant: Struck, Route: "renominate", Method: "POST"}
+	s, v := p.judge.Strike(p.clock(), q)
+	if leave != nil {
+		leave()
 	}
 	switch {
 	case v == bane.Hit:
-		w.struck(p, s)
-	case v == bane.Short && late:
+		p.hurry()
+		p.made(s, q, w.now)
+	case v == bane.Short && w.now-since >= patience:
 		w.Missed++
 	case v == bane.Short:
-		if !waits {
-			p.judge.Wait(s.Rule, 1)
-			p.input(func() bane.Out { return p.m.Hurry(p.clock()) })
+		leave := p.judge.Queue(s.Rule)
+		p.hurry()
+		p.soon(func() { p.strike(id, since, leave) })
+	}
+}
+
+// made waits until a strike is on record, and lets it befall its request.
+func (p *Proc) made(s bane.Strike, q bane.Request, since time.Duration) {
+	w := p.w
+	switch v := p.judge.Made(p.clock(), s); {
+	case v == bane.Hit:
+		w.struck(p, s)
+		if p.judge.Struck(s, q, "ran"); w.afterStrike != nil {
+			w.afterStrike(p)
 		}
-		w.after(5*ms, func() {
-			if p.up && p.life == life && !p.frozen() {
-				p.strike(id, since, true)
+	case v == bane.Short && w.now-since < patience:
+		p.hurry()
+		p.soon(func() { p.made(s, q, since) })
+	default:
+		w.Void++
+		p.judge.Unmade(s, q, "not made")
+	}
+}
+
+func (p *Proc) hurry() { p.input(func() bane.Out { return p.m.Hurry(p.clock()) }) }
+
+func (p *Proc) soon(do func()) {
+	life := p.life
+	p.w.after(max(5*ms, p.thaws-p.w.now), func() {
+		switch {
+		case !p.up || p.life != life:
+		case p.frozen():
+			p.soon(do)
+		default:
+			do()
+		}
+	})
+}
+
+// recorded is how many members have a note of a life on their disks.
+func (w *World) recorded(addr string, life, seq uint64) (n int) {
+	for _, p := range w.procs {
+		for _, e := range p.log {
+			if e.Addr == addr && e.Life == life && e.Note.Seq == seq {
+				n++
+				break
 			}
-		})
+		}
 	}
+	return n
 }
 
 func (w *World) struck(p *Proc, s bane.Strike) {
+	if n := w.recorded(p.addr, p.number(), s.Seq); n <= len(w.members)/2 {
+		w.breaks("RECORD", "strike %d of %s, life %d, is on %d of %d disks", s.Seq, p.Name, p.life, n, len(w.members))
+	}
 	turn, version := p.m.Held()
 	w.Strikes++
 	p.Strikes++
--- a/internal/bane/world/world.go
+++ b/internal/bane/world/world.go
@@ -59,6 +59,8 @@
 	blind   bool // it hears nothing of agreement: an old primary goes on
 	thaws   time.Duration
 	disk    []byte
+	log     []bane.Entry  // beside it
+	synced  time.Duration // when the last write will be: they come in their order
 	Strikes int
 	calls   map[uint64]func(bane.Answer)
 	last    uint64
@@ -124,7 +126,7 @@
 		}
 	}
 	p.judge = bane.NewJudge()
-	p.m = bane.New(bane.Config{Self: p.addr, Life: p.number(), Seed: p.w.rng.Uint64(), Member: p.member, Longest: Longest, Bug: p.w.bug},
+	p.m = bane.New(bane.Config{Self: p.addr, Name: p.Name, Life: p.number(), Seed: p.w.rng.Uint64(), Member: p.member, Longest: Longest, Bug: p.w.bug},
 		p.judge, d, p.clock())
 	life := p.life
 	p.w.after(0, func() { p.tick(life) })
@@ -183,10 +185,11 @@
 		if err != nil {
 			panic(err)
 		}
-		seq := out.Write.Seq
-		w.after(2*ms+w.upTo(8*ms), func() {
+		seq, notes := out.Write.Seq, out.Write.Notes
+		p.synced = max(p.synced, w.now+2*ms+w.upTo(8*ms))
+		w.after(p.synced-w.now, func() {
 			if p.up && p.life == life {
-				p.disk = data
+				p.disk, p.log = data, append(p.log, notes...)
 				p.input(func() bane.Out { return p.m.Written(p.clock(), seq) })
 			}
 		})
--- a/internal/bane/world/world_test.go
+++ b/internal/bane/world/world_test.go
@@ -179,14 +179,14 @@
 	}
 }
 
-func play(count uint64, bug bane.Bug) []*World {
-	all := make([]*World, count)
+func play(from, to uint64, bug bane.Bug) []*World {
+	all := make([]*World, to-from)
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, 8)
 	for i := range all {
 		wg.Go(func() {
 			slots <- struct{}{}
-			all[i] = Play(uint64(i)+1, bug)
+			all[i] = Play(from+uint64(i)+1, bug)
 			<-slots
 		})
 	}
@@ -196,7 +196,7 @@
 
 func TestDays(t *testing.T) {
 	strikes, missed := 0, 0
-	for i, w := range play(200, bane.Sound) {
+	for i, w := range play(0, 200, bane.Sound) {
 		if w.Broken != "" {
 			t.Errorf("seed %d: %s at %v: %s", i+1, w.Broken, w.At, w.Detail)
 		}
@@ -212,10 +212,12 @@
 // TestBugs: each fault put in is found.
 func TestBugs(t *testing.T) {
 	for bug, rule := range map[bane.Bug]string{bane.Outlives: "END", bane.PerNode: "BUDGET", bane.Hasty: "ACTIVE",
-		bane.Forgets: "BUDGET"} {
-		by := map[string]int{}
-		for _, w := range play(100, bug) {
-			by[w.Broken]++
+		bane.Forgets: "RECORD", bane.Early: "RECORD", bane.Regrants: "BUDGET", bane.Unkept: "RECORD"} {
+		by, days := map[string]int{}, 0
+		for ; days < 100 && by[rule] == 0; days += 25 {
+			for _, w := range play(uint64(days), uint64(days+25), bug) {
+				by[w.Broken]++
+			}
 		}
 		t.Log(bug, by)
 		if by[rule] == 0 {
@@ -223,3 +225,91 @@
 		}
 	}
 }
+
+// TestMoments: whatever befalls a process in the middle of a step, nobody is struck who must not
+// be, and what was handed out and not used comes back.
+func TestMoments(t *testing.T) {
+	troubles := map[string]func(*World){
+		"killed":      func(w *World) { w.Kill(w.procs[4]) },
+		"restarted":   func(w *World) { w.Kill(w.procs[4]); w.Boot(w.procs[4]) },
+		"cut off":     func(w *World) { w.Cut(w.procs[4]) },
+		"frozen":      func(w *World) { w.Freeze(w.procs[4], 2*time.Second) },
+		"joining":     func(w *World) { w.Boot(w.procs[6]) },
+		"the primary": func(w *World) { w.Kill(w.procs[0]); w.Lead(w.procs[1]) },
+		"deposed":     func(w *World) { w.Cut(w.procs[0]); w.Lead(w.procs[1]) },
+	}
+	steps := map[string]func(w *World){
+		"put":  func(w *World) { w.Put(w.procs[3], rule(0.5, 30, 200), nil) },
+		"hand": func(w *World) { w.Put(w.procs[3], rule(0.5, 30, 200), nil); w.Run(1050 * ms) },
+		"stop": func(w *World) {
+			w.Put(w.procs[3], rule(0.5, 30, 1e5), nil)
+			w.Run(2 * time.Second)
+			w.Stop(w.procs[2], nil)
+		},
+		"end": func(w *World) { w.Put(w.procs[3], rule(0.5, 2, 1e5), nil); w.Run(1970 * ms) },
+	}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, 8)
+	for step, begin := range steps {
+		for trouble, befall := range troubles {
+			for at := time.Duration(0); at < 60*ms; at += 12 * ms {
+				wg.Go(func() {
+					slots <- struct{}{}
+					defer func() { <-slots }()
+					w := New(uint64(at)+7, bane.Sound, 7, 3)
+					w.Kill(w.procs[6])
+					w.Traffic(10*ms, nil)
+					put(t, w, w.procs[1], rule(1, 1, 1)) // the first ever needs all that have a disk
+					begin(w)
+					w.Run(at)
+					befall(w)
+					w.Run(2500 * ms)
+					w.Mend()
+					for _, p := range w.procs {
+						w.Boot(p)
+					}
+					w.Run(4 * time.Second)
+					if w.Broken != "" {
+						t.Errorf("%s, %s after %v: %s at %v: %s", step, trouble, at, w.Broken, w.At, w.Detail)
+					}
+					switch n := w.StruckBy(); {
+					case step == "stop" || step == "end":
+						if step == "stop" && w.Stops == 0 { // the primary had it, and nobody else
+							w.Stop(w.procs[2], nil)
+							w.Run(2 * time.Second)
+						}
+						before := w.Strikes
+						if w.Run(2 * time.Second); w.Strikes != before || step == "stop" && w.Stops != 1 {
+							t.Errorf("%s, %s after %v: %d strikes, %d stops", step, trouble, at, w.Strikes-before, w.Stops)
+						}
+					case step == "put" && n == 0: // the primary had it, and nobody else
+					case n < 198: // two at the most were on record when their process was killed
+						t.Errorf("%s, %s after %v: %d of 200", step, trouble, at, n)
+					}
+				})
+			}
+		}
+	}
+	wg.Wait()
+}
+
+// TestGivenBack: a process is killed again and again right after a strike. What it was handed
+// besides goes to others.
+func TestGivenBack(t *testing.T) {
+	w := New(8, bane.Sound, 6, 3)
+	w.Traffic(5*ms, nil)
+	kills := 0
+	w.afterStrike = func(p *Proc) {
+		if p == w.procs[5] && kills < 5 {
+			kills++
+			w.after(0, func() { w.Kill(p) })
+			w.after(2*time.Second, func() { w.Boot(p) })
+		}
+	}
+	put(t, w, w.procs[1], rule(0.05, 600, 600))
+	w.Run(60 * time.Second)
+	sound(t, w)
+	if n := w.StruckBy(); kills < 5 || n < 600-kills || n > 600 {
+		t.Error(kills, "killed,", n, "struck of 600")
+	}
+}
--- a/internal/knot/faults.go
+++ b/internal/knot/faults.go
@@ -18,7 +18,7 @@
 	if c.Faults.Judge == nil {
 		c.Faults.Judge = bane.NewJudge()
 	}
-	return bane.New(bane.Config{Self: c.Self, Life: c.Life, Seed: c.Seed, Member: c.Member, Longest: c.Faults.Longest},
+	return bane.New(bane.Config{Self: c.Self, Name: c.Name, Life: c.Life, Seed: c.Seed, Member: c.Member, Longest: c.Faults.Longest},
 		c.Faults.Judge, c.Faults.Disk, now)
 }
 
@@ -29,6 +29,9 @@
 	out := do()
 	k.send(out.Send)
 	if out.Write != nil {
+		if k.out.Rules != nil { // the newest is whole but for what goes to the record's end
+			out.Write.Notes = append(k.out.Rules.Notes, out.Write.Notes...)
+		}
 		k.out.Rules = out.Write
 	}
 	if out.News != "" {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -154,7 +155,7 @@
 	var err error
 	f.settle(func() bool {
 		outcomes, err = f.outcomes(ctx, rule.Name)
-		return err == nil && lo.Sum(lo.Values(outcomes)) >= faultBudget && outcomes[underWay] == 0
+		return err == nil && lo.Sum(lo.Values(outcomes)) >= faultBudget && outcomes[tell.UnderWay] == 0
 	})
 	if err != nil {
 		return err
@@ -198,9 +199,6 @@
 	return nil
 }
 
-// underWay is what is on record of a strike whose outcome is not known yet.
-const underWay = "under way"
-
 // stops: all requests vanish; a process stands still while the rules are stopped, and goes on.
 func (f *faultFleet) stops(ctx context.Context, r *Report) error {
 	if err := f.put(ctx, bane.Rule{Name: "gone", Tenant: faultStruck, Share: 1, Effect: bane.VanishBefore, EndsS: 60, Budget: 100000}); err != nil {
@@ -366,28 +364,20 @@
 	return s.Pact.Epoch
 }
 
-// strikes are what all processes have on record of a rule.
-func (f *faultFleet) strikes(ctx context.Context, rule string) (all []tell.Strike, err error) {
-	for _, p := range f.nodes {
-		some, err := tell.New([]string{p.control()}, 5*time.Second).Strikes(ctx)
-		if err != nil {
-			return nil, err
-		}
-		for _, s := range some {
-			if s.Rule == rule {
-				all = append(all, s)
-			}
-		}
-	}
-	return all, nil
+// strikes are what is on record of a rule.
+func (f *faultFleet) strikes(ctx context.Context, rule string) ([]tell.Strike, error) {
+	all, err := f.client().AllStrikes(ctx, func(at string) *tell.Client { return tell.New([]string{at}, 5*time.Second) })
+	return lo.Filter(all, func(s tell.Strike, _ int) bool { return s.Rule == rule }), err
 }
 
-// outcomes counts what became of those that a rule struck.
+// outcomes counts what became of those that a rule struck. What was not made is no strike.
 func (f *faultFleet) outcomes(ctx context.Context, rule string) (map[string]int, error) {
 	all, err := f.strikes(ctx, rule)
 	n := map[string]int{}
 	for _, s := range all {
-		n[s.Outcome]++
+		if !strings.HasPrefix(s.Outcome, "not ") {
+			n[s.Outcome]++
+		}
 	}
 	return n, err
 }
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -74,6 +74,7 @@
 	bell    seam.Bell // where the writer waits
 	ring    func()    // for the client's goroutine
 	limit   time.Duration
+	copied  func(piece []byte, last bool) // nil: nobody copies it
 
 	begun atomic.Bool // nothing can be sent again
 	mu    sync.Mutex
@@ -175,7 +176,11 @@
 		if n == 0 && !last {
 			continue
 		}
-		u.give(u.framed(buf, room, n, last), last)
+		piece := u.framed(buf, room, n, last)
+		if u.copied != nil {
+			u.copied(piece, last)
+		}
+		u.give(piece, last)
 		if now := u.world.Now(); last || now.Sub(told) > progressEvery {
 			told = now
 			wrote()
--- a/internal/shuttle/fault.go
+++ b/internal/shuttle/fault.go
@@ -1,6 +1,7 @@
 package shuttle
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,13 +19,18 @@
 	On() bool
 	// Strike judges a request. It may wait a little for a strike of the budget.
 	Strike(q bane.Request, left time.Duration) (bane.Strike, bool)
-	// Struck records what became of one that was hit.
+	// Made waits until the strike is on record, and reports whether it may be made now.
+	Made(s bane.Strike, left time.Duration) bool
+	// Struck records what became of one that was made, Unmade of one that never was and won't be.
 	Struck(q bane.Request, s bane.Strike, outcome string)
+	Unmade(q bane.Request, s bane.Strike, outcome string)
 }
 
-// mostHeld is how many struck requests may be held here at one time. Each of them has a
-// client's connection; beyond this number rules rest.
-const mostHeld = 200
+const (
+	mostHeld   = 200     // struck requests here at one time, and seconds of doubles; beyond, rules rest
+	heldPart   = 4       // and no more than such a part of the places for clients
+	mostCopies = 8 << 20 // bytes of what is to be sent again
+)
 
 // blow is a strike on one request.
 type blow struct {
@@ -36,6 +42,17 @@
 	q     bane.Request
 	s     bane.Strike
 	whole time.Duration // that the route gives a request
+	from  time.Duration // when it was struck
+	uses  atomic.Int32  // who needs its place among those held
+}
+
+// stay keeps the request's place among those held until leave is called as often.
+func (b *blow) stay() { b.uses.Add(1) }
+
+func (b *blow) leave() {
+	if b.uses.Add(-1) == 0 {
+		b.p.held.Add(-1)
+	}
 }
 
 // struck deals with a request if a rule strikes it, and reports whether one did.
@@ -44,17 +61,27 @@
 	if f == nil || r.Customer == "" || !f.On() {
 		return false
 	}
-	if p.held.Add(1) > mostHeld {
+	if p.held.Add(1) > p.mayHold() {
 		p.held.Add(-1)
 		return false
 	}
-	defer p.held.Add(-1)
 	b := &blow{p: p, ctx: ctx, l: l, id: id, r: r, whole: whole,
 		q: bane.Request{ID: id, Tenant: r.Customer, Route: route, Method: string(ctx.Method())}}
+	b.stay()
+	defer b.leave()
 	var hit bool
 	if b.s, hit = f.Strike(b.q, r.Deadline-p.opt.Now()); !hit {
 		return false
 	}
+	b.from = p.opt.Now()
+	if b.s.Kind == bane.Double {
+		b.double()
+		return true
+	}
+	if !f.Made(b.s, r.Deadline-b.from) {
+		f.Unmade(b.q, b.s, "not made: not on record in time")
+		return false
+	}
 	switch b.s.Kind {
 	case bane.Delay:
 		b.delay()
@@ -62,12 +89,18 @@
 		b.silence("never ran")
 	case bane.VanishAfter:
 		b.silence(ran(b.await()))
-	case bane.Double:
-		b.double()
 	}
 	return true
 }
 
+// mayHold is how many struck requests may be here at one time: clients of others need places, too.
+func (p *Plane) mayHold() int64 {
+	if p.opt.Sockets <= 0 { // nobody has set a bound
+		return mostHeld
+	}
+	return int64(min(mostHeld, max(1, p.opt.Sockets/heldPart)))
+}
+
 func (b *blow) await() protocol.Final { return protocol.Await(b.ctx, b.l.core, b.p.ids, b.id, b.r) }
 
 func (b *blow) record(outcome string) { b.p.opt.Faults.Struck(b.q, b.s, outcome) }
@@ -98,7 +131,9 @@
 		b.p.opt.World.Sleep(left)
 		return true
 	}
+	b.stay()
 	b.p.opt.World.Go(func() {
+		defer b.leave()
 		b.p.opt.World.Sleep(left + time.Millisecond)
 		c.Bell().Ring()
 	})
@@ -107,7 +142,7 @@
 
 // delay lets the request on its way later, if it has time left by then.
 func (b *blow) delay() {
-	if until := b.p.opt.Now() + b.s.Delay; until < b.r.Deadline {
+	if until := b.from + b.s.Delay; until < b.r.Deadline {
 		if !b.hold(until) {
 			b.record("never ran: its client left")
 			return
@@ -130,23 +165,50 @@
 }
 
 // double sends a request again once it was served. A refusal is not doubled: the promise
-// that it never ran must stay true. The caller doesn't wait for the second.
+// that it never ran must stay true. The caller doesn't wait for the second, nor for the record.
 func (b *blow) double() {
+	c := b.r.Call.(*protocol.Call).Copied(b.p.room)
 	a := b.await()
 	served := a.Kind == protocol.Served
 	b.p.answer(b.ctx, a)
+	again := c.Call()
+	b.stay()
+	end := func(unmade string) {
+		b.p.copies.Add(int64(-c.Held()))
+		b.leave()
+		if unmade != "" {
+			b.p.opt.Faults.Unmade(b.q, b.s, unmade)
+		}
+	}
 	switch {
 	case !served:
-		b.record("not doubled: the first was not served")
-	case !b.quota():
-		b.record("not doubled: beyond its quota")
+		end("not doubled: the first was not served")
+	case again == nil:
+		end("not doubled: its body is too long to be kept")
 	default:
-		again := &routing.Request{Class: b.r.Class, Plan: b.r.Plan, Customer: b.r.Customer, Deadline: b.p.opt.Now() + b.whole,
-			Units: b.r.Units, Width: b.r.Width, Call: b.r.Call, Reply: unheard{b}}
-		b.l.core.Submit(again)
+		b.p.opt.World.Go(func() {
+			switch {
+			case !b.quota():
+				end("not doubled: beyond its quota")
+			case !b.p.opt.Faults.Made(b.s, b.whole):
+				end("not made: not on record in time")
+			default:
+				b.l.core.Submit(&routing.Request{Class: b.r.Class, Plan: b.r.Plan, Customer: b.r.Customer, Deadline: b.p.opt.Now() + b.whole,
+					Units: b.r.Units, Width: b.r.Width, Call: again, Reply: unheard{b, end}})
+			}
+		})
 	}
 }
 
+// room takes room for copies of what is to be sent again, if there is some.
+func (p *Plane) room(n int) bool {
+	if p.copies.Add(int64(n)) > mostCopies {
+		p.copies.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
 // quota takes a unit for the second.
 func (b *blow) quota() bool {
 	t := b.p.table.Load().TenantNamed(b.r.Customer)
@@ -158,23 +220,31 @@
 }
 
 // unheard takes the second answer, which is nobody's.
-type unheard struct{ b *blow }
+type unheard struct {
+	b   *blow
+	end func(string)
+}
 
 func (u unheard) Served(answer any) {
 	fasthttp.ReleaseResponse(answer.(*fasthttp.Response))
-	u.b.p.opt.World.Go(func() { u.b.record("ran twice") })
+	u.over("ran twice")
 }
 
 func (u unheard) Refused(_ time.Duration, v routing.Verdict) {
-	what := "ran once: the second was refused"
 	if v == routing.MayHaveRun {
-		what = "ran once, and the second may have run"
+		u.over("ran once, and the second may have run")
+		return
 	}
-	u.b.p.opt.World.Go(func() { u.b.record(what) })
+	u.over("ran once: the second was refused")
 }
 
-func (u unheard) Failed(bool) {
-	u.b.p.opt.World.Go(func() { u.b.record("ran once, and the second may have run") })
-}
+func (u unheard) Failed(bool) { u.over("ran once, and the second may have run") }
 
 func (u unheard) Unfit(error) { u.Refused(0, routing.Untried) }
+
+func (u unheard) over(outcome string) {
+	u.b.p.opt.World.Go(func() {
+		u.end("")
+		u.b.record(outcome)
+	})
+}
--- a/internal/shuttle/fault_test.go
+++ b/internal/shuttle/fault_test.go
@@ -1,11 +1,14 @@
 package shuttle
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,7 +21,7 @@
 	"asterwell/internal/transport"
 )
 
-const text = `{"Epoch":"00000001","BoundsReq":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000000,"HeaderReadMs":3000,"KeepaliveMs":15000},
+const text = `{"Epoch":"00000001","BoundsReq":{"MaxHeaderBytes":16384,"MaxBodyBytes":20000000,"HeaderReadMs":3000,"KeepaliveMs":15000},
  "Principals":[{"Name":"ship-1","Credentials":["k1"],"Rank":1,"RatePerS":1000,"BurstSize":1000},
   {"Name":"ship-10","Credentials":["k10"],"Rank":1,"RatePerS":1000,"BurstSize":1000}],
  "Pools":[{"Name":"toy","ProbePath":"/","MaxConns":100}],
@@ -30,6 +33,7 @@
 	mu     sync.Mutex
 	ran    map[string]int
 	tenant map[string]string // that it was told of each request
+	sums   []string          // of long bodies
 }
 
 func (s *toy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -41,6 +45,12 @@
 	s.tenant[id] = strings.Join(r.Header.Values(headerTenant), ",")
 	s.mu.Unlock()
 	w.Header().Set(headerID, id)
+	if len(body) > 100 {
+		body = fmt.Appendf(nil, "%d %x", len(body), sha256.Sum256(body))
+		s.mu.Lock()
+		s.sums = append(s.sums, string(body))
+		s.mu.Unlock()
+	}
 	fmt.Fprintf(w, "%s %d %s", id, n, body)
 }
 
@@ -54,12 +64,15 @@
 type always struct {
 	strike bane.Strike
 	told   chan string
+	never  atomic.Bool // nothing gets on record
 }
 
 func (a *always) On() bool { return true }
 func (a *always) Strike(q bane.Request, _ time.Duration) (bane.Strike, bool) {
 	return a.strike, q.Tenant == "ship-1"
 }
+func (a *always) Made(bane.Strike, time.Duration) bool              { return !a.never.Load() }
+func (a *always) Unmade(q bane.Request, s bane.Strike, what string) { a.Struck(q, s, what) }
 func (a *always) Struck(_ bane.Request, _ bane.Strike, what string) { a.told <- what }
 
 // stage is a gateway before a toy server.
@@ -67,6 +80,7 @@
 	toy   *toy
 	f     *always
 	url   string
+	plane *Plane
 	quota func(string) bool
 	late  atomic.Bool // it has left for long
 }
@@ -76,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &stage{toy: &toy{ran: map[string]int{}, tenant: map[string]string{}}, f: &always{s, make(chan string, 100)},
+	g := &stage{toy: &toy{ran: map[string]int{}, tenant: map[string]string{}}, f: &always{strike: s, told: make(chan string, 1000)},
 		quota: func(string) bool { return true }}
 	back := httptest.NewServer(g.toy)
 	t.Cleanup(back.Close)
@@ -85,13 +99,14 @@
 		Pass:    func(tenant string, _ float64) (bool, time.Duration) { return g.quota(tenant), time.Second },
 		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f})
 	t.Cleanup(p.Stop)
+	g.plane = p
 	p.Adopt(c.Table())
 	p.Serve([]Server{{ID: "s-1", Addr: back.Listener.Addr().String(), Service: "toy", Zone: "a", Capacity: 50, State: choice.Up}})
 	ln, err := transport.Listen(nil, "127.0.0.1:0", 100)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go ln.Serve(transport.NewServer(p.Handle, 1<<20))
+	go ln.Serve(transport.NewServer(p.Handle, transport.MaxStream))
 	t.Cleanup(func() { ln.Close() })
 	g.url = "http://" + ln.Addr().(*net.TCPAddr).String() + "/x"
 	return g
@@ -209,3 +224,137 @@
 		t.Error("ran")
 	}
 }
+
+// TestOffRecord: what can't be put on record isn't made, and the request goes its way.
+func TestOffRecord(t *testing.T) {
+	for _, kind := range []bane.Kind{bane.Delay, bane.VanishBefore, bane.VanishAfter, bane.Double} {
+		g := newStage(t, bane.Strike{Kind: kind, Delay: time.Minute})
+		g.f.never.Store(true)
+		status, body, _ := g.ask(t, &http.Client{}, "k1", "id", "b", "X-Deadline-Ms", "2000")
+		if what := g.told(); status != 200 || body != "id 1 b" || !strings.HasPrefix(what, "not made") {
+			t.Error(kind, status, body, what)
+		}
+		if n, _ := g.toy.of("id"); n != 1 {
+			t.Error(kind, "ran", n, "times")
+		}
+	}
+}
+
+// TestKeyPassedOn: a key goes to another tenant, or to nobody, while its last owner's requests are
+// held. The rule follows the name.
+func TestKeyPassedOn(t *testing.T) {
+	g := newStage(t, bane.Strike{Kind: bane.Delay, Delay: 300 * time.Millisecond})
+	adopt := func(epoch, ship1, ship10 string) {
+		c, err := creed.Parse([]byte(strings.NewReplacer("00000001", epoch, `["k1"]`, ship1, `["k10"]`, ship10).Replace(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.plane.Adopt(c.Table())
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if status, _, took := g.ask(t, &http.Client{}, "k1", "held", "b"); status != 200 || took < 300*time.Millisecond {
+			t.Error("held over the change:", status, took)
+		}
+	})
+	for g.plane.held.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	adopt("00000002", `["k2"]`, `["k1"]`)
+	if status, _, took := g.ask(t, &http.Client{}, "k1", "passed on", "b"); status != 200 || took > 200*time.Millisecond {
+		t.Error("another's by now:", status, took)
+	}
+	if status, _, took := g.ask(t, &http.Client{}, "k2", "its new key", "b"); status != 200 || took < 300*time.Millisecond {
+		t.Error("with the new key:", status, took)
+	}
+	wg.Wait()
+	for id, tenant := range map[string]string{"held": "ship-1", "passed on": "ship-10", "its new key": "ship-1"} {
+		if n, of := g.toy.of(id); n != 1 || of != tenant {
+			t.Error(id, "ran", n, "times for", of)
+		}
+	}
+	adopt("00000003", `["k3"]`, `["k10"]`)
+	if status, _, _ := g.ask(t, &http.Client{}, "k2", "revoked", "b"); status != 401 {
+		t.Error("revoked:", status)
+	}
+}
+
+// TestHeld: as many are held as may be, with their clients there or gone; others don't notice, and
+// the next ones of the struck tenant go free.
+func TestHeld(t *testing.T) {
+	g := newStage(t, bane.Strike{Kind: bane.Delay, Delay: 1500 * time.Millisecond})
+	addr := strings.TrimSuffix(strings.TrimPrefix(g.url, "http://"), "/x")
+	before := runtime.NumGoroutine()
+	most := int(g.plane.mayHold())
+	if most != 25 { // a quarter of the places for clients
+		t.Fatal(most)
+	}
+	client := &http.Client{}
+	g.ask(t, client, "k10", "first", "b") // its connection stays
+	knock := func(what string, i int) net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: toy.example\r\nAuthorization: Bearer k1\r\n%s: %s-%d\r\nContent-Length: 0\r\n\r\n", headerID, what, i)
+		return c
+	}
+	for i := range 1000 { // they leave at once, and keep their places as long as something waits for them
+		knock("gone", i).Close()
+	}
+	if n := runtime.NumGoroutine() - before; n > 500 {
+		t.Error(n, "goroutines for clients that left")
+	}
+	for g.plane.held.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 80 {
+		c := knock("held", i)
+		defer c.Close()
+		for i < most && g.plane.held.Load() < int64(most) && g.plane.held.Load() <= int64(i) {
+			time.Sleep(100 * time.Microsecond)
+		}
+		if n := g.plane.held.Load(); n > int64(most)+1 {
+			t.Fatal(n, "held")
+		}
+	}
+	for i := range 100 {
+		if status, _, took := g.ask(t, client, "k10", fmt.Sprint("other-", i), "b"); status != 200 || took > 300*time.Millisecond {
+			t.Error("another's, beside those held:", status, took)
+		}
+	}
+	for g.plane.held.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestLongBody: bodies that stream are doubled whole, as far as there is room for copies of them.
+func TestLongBody(t *testing.T) {
+	g := newStage(t, bane.Strike{Kind: bane.Double})
+	long := strings.Repeat("nomination ", 300_000) // 3.3 MB
+	sum := fmt.Sprintf("%d %x", len(long), sha256.Sum256([]byte(long)))
+	for _, length := range []int64{int64(len(long)), -1} {
+		r, _ := http.NewRequest("POST", g.url, strings.NewReader(long))
+		r.Host, r.ContentLength = "toy.example", length
+		r.Header.Set("Authorization", "Bearer k1")
+		r.Header.Set(headerID, fmt.Sprint("long", length))
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		if what := g.told(); a.StatusCode != 200 || what != "ran twice" {
+			t.Error(length, a.StatusCode, what)
+		}
+	}
+	if !slices.Equal(g.toy.sums, []string{sum, sum, sum, sum}) {
+		t.Error("not the same:", g.toy.sums)
+	}
+	status, _, _ := g.ask(t, http.DefaultClient, "k1", "longer", strings.Repeat(long, 3))
+	if what := g.told(); status != 200 || !strings.HasPrefix(what, "not doubled: its body") {
+		t.Error(status, what)
+	}
+	if n := g.plane.copies.Load(); n != 0 {
+		t.Error(n, "bytes are still held")
+	}
+}
--- a/internal/tell/faults.go
+++ b/internal/tell/faults.go
@@ -1,16 +1,22 @@
 package tell
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/samber/lo"
+
+	"asterwell/internal/bond"
 )
 
 const faults = "/api/faults"
@@ -37,9 +43,11 @@
 // Strike is what befell one request.
 type Strike struct {
 	At                                      time.Time
+	AgoMs                                   int64 // by a clock that nobody sets, where its process still runs
 	Rule, Effect, Tenant, Route, Method, ID string
 	DelayMs                                 float64
 	Node, Outcome                           string
+	Life, Seq                               uint64 // tell it from others of the node
 }
 
 // PutFaults sends a set of fault rules.
@@ -69,6 +77,64 @@
 	return f, a, nil
 }
 
+// Unheard are the processes that did not tell what they have on record.
+type Unheard struct{ Why map[string]error }
+
+func (e *Unheard) Error() string {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(e.Why)) {
+		all = append(all, fmt.Sprintf("%s (%v)", name, e.Why[name]))
+	}
+	return "not heard: " + strings.Join(all, ", ")
+}
+
+// UnderWay is the outcome of a strike of which no more is known.
+const UnderWay = "under way"
+
+// AllStrikes reads what all processes that the first one knows have on record: live ones have
+// their own in memory, those with a disk everybody's. What is on record at several is there once.
+// An *Unheard comes with what others told.
+func (c *Client) AllStrikes(ctx context.Context, to func(at string) *Client) ([]Strike, error) {
+	s, _, err := c.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	type key struct {
+		node      string
+		life, seq uint64
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	known, unheard := map[key]Strike{}, map[string]error{}
+	for _, n := range s.Nodes {
+		if n.State == state(bond.Gone.String()) || n.Control == "" {
+			continue
+		}
+		wg.Go(func() {
+			some, err := to(n.Control).Strikes(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unheard[n.Name] = err
+			}
+			for _, s := range some {
+				k := key{s.Node, s.Life, s.Seq}
+				if old, ok := known[k]; !ok || old.Outcome == UnderWay || s.Node == n.Name && s.Outcome != UnderWay {
+					known[k] = s // itself it knows best
+				}
+			}
+		})
+	}
+	wg.Wait()
+	all := slices.SortedFunc(maps.Values(known), func(a, b Strike) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Seq, b.Seq))
+	})
+	if len(unheard) > 0 {
+		return all, &Unheard{unheard}
+	}
+	return all, nil
+}
+
 // Strikes reads what one gateway has on record.
 func (c *Client) Strikes(ctx context.Context) ([]Strike, error) {
 	a, err := c.call(ctx, http.MethodGet, "/api/strikes", nil)
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -55,6 +55,7 @@
 	rules     *actor.Box[*bane.Write]
 	judge     *bane.Judge
 	ban       *ban // nil: no fault rules
+	tape      *tape
 	dirty     bool
 	keptAt    time.Time
 	plane     *shuttle.Plane
@@ -109,7 +110,7 @@
 	debug.SetGCPercent(50)
 	debug.SetMemoryLimit(int64(set.BoundsReq.MemMb) << 20 * 6 / 10)
 	p := &Process{path: path, set: set, start: time.Now(), box: actor.NewBox[any](nil), disk: actor.NewBox[*pact.Write](nil), rows: actor.NewBox[[]lore.Row](nil),
-		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(),
+		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(), tape: &tape{},
 		self: meshAddr(set.IpAddr, set)}
 	p.ring = omen.NewRing(os.Stderr, set.NodeName, 256, log.InfoLevel)
 	p.say = &log.Logger{Handler: p.ring, Level: log.DebugLevel}
@@ -131,7 +132,7 @@
 		Faults: knot.Faults{Longest: p.longest(), Judge: p.judge, Disk: p.keptRules(sound)}},
 		p.meter, kept, now)
 	p.plane = shuttle.New(shuttle.Options{Zone: set.Zone, Now: p.now, Sockets: set.BoundsReq.FdLimit / 3, Seed: seed, Pass: p.pass,
-		Leaving: p.leaving.Load, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults()})
+		Leaving: p.leaving.Load, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults(life)})
 	p.mesh = mesh.New(mesh.Options[*frame]{Codec: codec, Most: 1000, Tune: tune, Buffer: 2 << 10,
 		Handle: func(_ *mesh.Pipe[*frame], f *frame) { p.box.Put(f) }})
 	if err := p.mesh.Listen(p.self); err != nil {
