Void a strike for good once the rest of its part was taken back

Cause: a process whose part is cut down gives the numbers of its strikes that are not on record to others; a strike that lost its number was refused only until another one with that number came on record, and then both were made. Met by reading, after taking out the order of leases (a late one looks like a part that was cut down).

Now what was taken at the time, above the number cut down to, is void for good, and gives nothing back.

Ruled out: never using a number again (the part would have to grow for each loss).

--- a/internal/bane/bane_test.go
+++ b/internal/bane/bane_test.go
@@ -149,3 +149,66 @@
 		}
 	}
 }
+
+// TestTakenBack: what a process took of its part and has not put on record is void for good once the
+// rest of the part was taken back, whatever others with the same numbers come to; it can't be given
+// back either.
+func TestTakenBack(t *testing.T) {
+	j := NewJudge()
+	j.adopt(0, 1, []Rule{{Name: "r", Tenant: "a", Share: 1, Effect: VanishAfter, Budget: 9}})
+	lease := func(part, noted int) {
+		j.lease([]time.Duration{time.Hour}, []int{part}, []int{noted}, []bool{false}, 1)
+	}
+	take := func() Strike {
+		s, v := j.Strike(1, Request{ID: "1", Tenant: "a"})
+		if v != Hit {
+			t.Fatal(v)
+		}
+		return s
+	}
+	lease(3, 0)
+	first, second := take(), take()
+	lease(3, 1)
+	j.hear(first.Seq)
+	if a, b := j.Made(1, first), j.Made(1, second); a != Hit || b != Short {
+		t.Error("one on record:", a, b)
+	}
+	lease(1, 1) // it was taken for gone
+	lease(4, 1)
+	again := take()
+	lease(4, 2)
+	j.hear(again.Seq)
+	if a, b, c := j.Made(1, first), j.Made(1, second), j.Made(1, again); a != Hit || b != Pass || c != Hit {
+		t.Error("after the rest was taken back:", a, b, c)
+	}
+	if v := j.Made(2*time.Hour, again); v == Hit {
+		t.Error("made without a lease")
+	}
+	j.Unmade(second, Request{}, "not made")
+	if notes, _, _ := j.tally(); len(notes) != 1 || notes[0].K != 0 {
+		t.Error("gives back what was taken back:", notes)
+	}
+	j.adopt(1, 2, nil)
+	if v := j.Made(1, again); v != Pass {
+		t.Error("made by a set that isn't held any more")
+	}
+}
+
+// TestBackOnce: a strike is given back once, however often that is told, and only if it is on record.
+func TestBackOnce(t *testing.T) {
+	var r Record
+	r.grant(0, "a", 1, 5)
+	if r.use(0, "a", 1, 6) || !r.use(0, "a", 1, 3) {
+		t.Error("counts what was not handed out")
+	}
+	r.back(0, "a", 1, 4, 8) // is not on record
+	for range 3 {
+		r.back(0, "a", 1, 3, 9)
+	}
+	if _, all := r.given(0, "", 0); all != 4 {
+		t.Error(all, "handed out")
+	}
+	if _, all := r.used(0, "", 0); all != 2 {
+		t.Error(all, "used")
+	}
+}
--- a/internal/bane/judge.go
+++ b/internal/bane/judge.go
@@ -49,7 +49,7 @@
 	part  int // strikes handed out to this life
 	used  int
 	noted int    // of them are on record
-	void  uint64 // notes up to this one, and not on record, count no more
+	voids []void // what was taken back
 	past  bool   // it belongs to a set that is held no more
 	waits int
 	spent bool    // nothing of the budget is left to hand out
--- a/internal/bane/note.go
+++ b/internal/bane/note.go
@@ -53,7 +53,7 @@
 	switch {
 	case j.early:
 		return Hit
-	case a == nil || a.past || s.k > a.noted && s.Seq <= max(a.void, j.heard):
+	case a == nil || a.past || a.voided(s) || s.k > a.noted && s.Seq <= j.heard:
 		return Pass
 	case s.Seq > j.heard || now >= a.till:
 		return Short
@@ -75,16 +75,28 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	n := Note{Of: s.Seq, Name: s.Rule, Kind: s.Kind, Delay: s.Delay, Request: q, Outcome: outcome}
-	if a := s.of; a != nil && !a.past && s.Seq > a.void {
+	if a := s.of; a != nil && !a.past && !a.voided(s) {
 		n.Turn, n.Rule, n.K = j.turn, slices.Index(j.rules, a), s.k
 	}
 	j.note(n)
 }
 
+// void is of the strikes above k that had been taken by the note seq.
+type void struct {
+	seq uint64
+	k   int
+}
+
+func (a *armed) voided(s Strike) bool {
+	return slices.ContainsFunc(a.voids, func(v void) bool { return s.Seq <= v.seq && s.k > v.k })
+}
+
 // renumber is for when strikes above k were taken back: others get their numbers, so that those
-// that had them give nothing back. The lock is held.
+// that had them are never made, and give nothing back. The lock is held.
 func (j *Judge) renumber(rule, k int) {
-	j.rules[rule].used, j.rules[rule].void = k, j.seq
+	a := j.rules[rule]
+	a.used = k
+	a.voids = append(slices.DeleteFunc(a.voids, func(v void) bool { return v.k >= k }), void{j.seq, k})
 	for i, n := range j.notes {
 		if n.Of > 0 && n.Turn == j.turn && n.Rule == rule && n.K > k {
 			j.notes[i].K = 0
