--- a/example/system/fleet.go
+++ b/example/system/fleet.go
@@ -53,6 +53,7 @@
 StateDir: "{{.State}}"
 HeartbeatMs: 300
 FaultBudget: {MachineLosses: 1}
+FaultRules: {LongestS: 600}
 `))
 
 func (m *machine) Ready() int   { return m.Port + 1 }
--- a/internal/bane/lead.go
+++ b/internal/bane/lead.go
@@ -83,7 +83,8 @@
 	m.rises++
 	l := &lead{term: Term{m.place.N, m.c.Self, m.c.Life<<16 | m.rises}, members: slices.Clone(m.place.Members), born: m.now,
 		claimed: map[string]Claimed{}, acked: map[string]uint64{}, heard: map[string]plane.Time{}, asks: map[string]Ask{},
-		wants: map[string]bool{}, tells: map[string]bool{}, seen: map[Node]uint64{}, safe: map[Node]uint64{}, noted: map[string]uint64{}, holds: map[Node]uint64{}, rest: m.now + LeaseFor}
+		wants: map[string]bool{}, tells: map[string]bool{}, seen: map[Node]uint64{}, safe: map[Node]uint64{},
+		noted: map[string]uint64{}, holds: map[Node]uint64{}, rest: m.now + LeaseFor}
 	m.lead = l
 	m.steer()
 	return l
--- a/internal/lab/faultline.go
+++ b/internal/lab/faultline.go
@@ -34,7 +34,7 @@
 
 func (w word) write(to *bytes.Buffer) {
 	fmt.Fprintf(to, "POST /%s HTTP/1.1\r\nHost: toy.example\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"+
-		"X-Tenant-Name: %s\r\nContent-Length: 4\r\n\r\nbody", w.path, w.key, w.id, deadlineMs, faultStruck) // a forgery: the key tells who is struck
+		"X-Tenant-Name: %s\r\nContent-Length: 4\r\n\r\nbody", w.path, w.key, w.id, deadlineMs, faultStruck) // a forgery: the key tells
 }
 
 // say sends requests at once, and returns what became of each.
--- a/internal/lab/faultlosses.go
+++ b/internal/lab/faultlosses.go
@@ -17,7 +17,8 @@
 // loses: the primary is killed while a budget is being used, and comes back. What it had been
 // handed and had not used goes to the others.
 func (f *faultFleet) loses(ctx context.Context, r *Report) error {
-	if err := f.put(ctx, bane.Rule{Name: "part", Tenant: faultStruck, Share: 0.5, Effect: bane.VanishAfter, EndsS: 60, Budget: faultBudget}); err != nil {
+	if err := f.put(ctx, bane.Rule{Name: "part", Tenant: faultStruck, Share: 0.5,
+		Effect: bane.VanishAfter, EndsS: 60, Budget: faultBudget}); err != nil {
 		return err
 	}
 	var sent []sentOne
@@ -65,7 +66,8 @@
 	n := f.nodes[len(f.nodes)-1]
 	twice, unrecorded := 0, 0
 	for k := range deaths {
-		rule := bane.Rule{Name: fmt.Sprint("dies-", k), Tenant: faultStruck, Share: 1, Effect: bane.Double, MostPerS: 1000, EndsS: 60, Budget: 1000}
+		rule := bane.Rule{Name: fmt.Sprint("dies-", k), Tenant: faultStruck, Share: 1,
+			Effect: bane.Double, MostPerS: 1000, EndsS: 60, Budget: 1000}
 		if err := f.put(ctx, rule); err != nil {
 			return err
 		}
@@ -119,7 +121,8 @@
 
 // passes: in the middle of a rule, a configuration passes the struck tenant's key on.
 func (f *faultFleet) passes(ctx context.Context, r *Report) error {
-	if err := f.put(ctx, bane.Rule{Name: "key", Tenant: faultStruck, Share: 1, Effect: bane.Double, MostPerS: 1000, EndsS: 60, Budget: 100000}); err != nil {
+	if err := f.put(ctx, bane.Rule{Name: "key", Tenant: faultStruck, Share: 1,
+		Effect: bane.Double, MostPerS: 1000, EndsS: 60, Budget: 100000}); err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
@@ -130,7 +133,11 @@
 	}
 	wg.Wait()
 	for _, n := range f.nodes {
-		for l := f.linesOf(n, "ask", 1)[0]; l.say(word{"key-new", "defer", fmt.Sprint("there-", n.name, time.Now().UnixNano())})[0].status != 200; {
+		l := f.linesOf(n, "ask", 1)[0]
+		there := func() bool {
+			return l.say(word{"key-new", "defer", fmt.Sprint("there-", n.name, time.Now().UnixNano())})[0].status == http.StatusOK
+		}
+		for !there() {
 			if ctx.Err() != nil {
 				return fmt.Errorf("%s has not taken the configuration", n.name)
 			}
