Test rules that fit alike: the next strikes where the first has ended or is used up

Need: only two rules that were both in force were tried, and nobody looked at who is asked for a part when requests wait for the second of them.

The test fails with a cap that is not looked at, with a rule that is used up and keeps its requests, and with a wait that doesn't end.

--- a/internal/bane/bane_test.go
+++ b/internal/bane/bane_test.go
@@ -212,3 +212,43 @@
 		t.Error(all, "used")
 	}
 }
+
+// TestOverlap: of rules that fit alike the first strikes, until it has ended, is at its cap or has
+// used up its budget; who waited for it then waits for the next.
+func TestOverlap(t *testing.T) {
+	j := NewJudge()
+	j.adopt(0, 1, []Rule{{Name: "ended", Tenant: "a", Share: 1, Effect: VanishAfter, Budget: 9},
+		{Name: "twice", Tenant: "a", Share: 1, Effect: Double, MostPerS: 1, Budget: 9},
+		{Name: "late", Tenant: "a", Share: 1, Effect: Delay, DelayMs: 5, Budget: 9}})
+	lease := func(late int, spent bool) {
+		j.lease([]time.Duration{10, time.Hour, time.Hour}, []int{9, 2, late}, []int{0, 0, 0}, []bool{false, spent, false}, 1)
+	}
+	strike := func(at time.Duration) (string, Verdict) {
+		s, v := j.Strike(at, Request{ID: "1", Tenant: "a"})
+		return s.Rule, v
+	}
+	lease(0, false)
+	for i, want := range []struct {
+		at   time.Duration
+		rule string
+		v    Verdict
+	}{{1, "ended", Hit}, {10, "twice", Hit}, {20, "late", Short}, {2 * time.Second, "twice", Hit}} {
+		if rule, v := strike(want.at); rule != want.rule || v != want.v {
+			t.Error(i, rule, v)
+		}
+	}
+	j.hear(j.seq)
+	leave := j.Queue("late")
+	if _, _, want := j.tally(); want[2] != 1 || !j.Due() {
+		t.Error("nobody asks for the next rule's part:", want)
+	}
+	lease(1, true)
+	leave()
+	if rule, v := strike(4 * time.Second); rule != "late" || v != Hit {
+		t.Error("after its part came:", rule, v)
+	}
+	j.hear(j.seq)
+	if _, _, want := j.tally(); want[2] != 0 || j.Due() {
+		t.Error("waits for ever:", want)
+	}
+}
