Keep fault rules from being in force beside processes that put nothing on record

Cause: while versions are mixed, a process of the version before would strike without notes; once it is gone, its whole part would be taken back and handed out again, past the budget.

Now an ask tells its form, and one of an older form confirms no set; TestOlder strikes 3 s long without it.

Not taken: parts of such processes that are never taken back (the set would be in force with strikes that nobody could undo).

--- a/internal/bane/lead.go
+++ b/internal/bane/lead.go
@@ -410,7 +410,7 @@
 
 func (m *Machine) onAsk(from string, a Ask) {
 	l := m.rise()
-	if l == nil {
+	if l == nil || a.Form < puts {
 		return
 	}
 	l.asks[from] = a
--- a/internal/bane/message.go
+++ b/internal/bane/message.go
@@ -65,8 +65,13 @@
 	Body  uint64        `cbor:"6,keyasint,omitempty"` // a hash of it
 	Notes []Note        `cbor:"7,keyasint,omitempty"` // that aren't known to be on record
 	Name  string        `cbor:"8,keyasint,omitempty"`
+	Form  uint8         `cbor:"9,keyasint,omitempty"`
 }
 
+// puts is the form of processes that put strikes on record before they make them. One that doesn't
+// never confirms a set: what was handed out to it couldn't be taken back.
+const puts = 1
+
 // Lease puts the rules of a turn in force from the stamp on: each for what it has left, none
 // for longer than For. Parts are what was ever handed out to the life that asked.
 type Lease struct {
--- a/internal/bane/node.go
+++ b/internal/bane/node.go
@@ -86,7 +86,7 @@
 	}
 	notes, used, want := m.judge.tally()
 	m.send(m.primary(), Ask{Turn: m.turn, Life: m.c.Life, Stamp: m.now, Used: used, Want: want, Body: xxhash.Sum64(m.doc.Body),
-		Notes: notes, Name: m.c.Name})
+		Notes: notes, Name: m.c.Name, Form: puts})
 }
 
 func (m *Machine) onLease(l Lease) {
--- a/internal/bane/world/world.go
+++ b/internal/bane/world/world.go
@@ -58,6 +58,7 @@
 	up      bool
 	blind   bool // it hears nothing of agreement: an old primary goes on
 	unaware bool // it started after the last election, and agreement has told it nothing
+	old     bool // of a version that doesn't put strikes on record
 	thaws   time.Duration
 	disk    []byte
 	log     []bane.Entry  // beside it
@@ -207,6 +208,10 @@
 			d += w.upTo(300 * ms)
 		}
 		msg := s.Msg
+		if a, ok := msg.(bane.Ask); ok && p.old {
+			a.Form = 0
+			msg = a
+		}
 		w.after(d, func() {
 			if to.life == reach && !w.severed(p, to) {
 				to.input(func() bane.Out { return to.m.Take(to.clock(), p.addr, msg) })
--- a/internal/bane/world/world_test.go
+++ b/internal/bane/world/world_test.go
@@ -313,3 +313,21 @@
 		t.Error(kills, "killed,", n, "struck of 600")
 	}
 }
+
+// TestOlder: while a process is up that doesn't put strikes on record, no set is in force.
+func TestOlder(t *testing.T) {
+	w := New(9, bane.Sound, 5, 3)
+	w.Traffic(10*ms, nil)
+	w.procs[4].old = true
+	put(t, w, w.procs[1], rule(1, 60, 100000))
+	if w.Run(3 * time.Second); w.Strikes > 0 {
+		t.Error(w.Strikes, "strikes beside an older process")
+	}
+	w.Kill(w.procs[4])
+	w.Boot(w.procs[4])
+	w.procs[4].old = false
+	if w.Run(3 * time.Second); w.procs[4].Strikes == 0 {
+		t.Error("not in force once it is newer")
+	}
+	sound(t, w)
+}
