--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -12,6 +12,7 @@
 type Gate struct {
 	Version  uint32 // of those rules
 	Together bool
+	Reads    bool // pure requests too
 	Lease    policy.Lease
 	Soon     bool // it will be open again in a moment
 }
@@ -24,7 +25,7 @@
 // Gate is how it stands.
 func (m *Machine) Gate() Gate {
 	l, holds := m.holder.Lease()
-	return Gate{Version: m.adopted, Together: m.rollout.Together, Lease: l, Soon: holds}
+	return Gate{Version: m.adopted, Together: m.rollout.Together, Reads: m.rollout.Reads, Lease: l, Soon: holds}
 }
 
 // pullEvery is how often a node asks for a document that the primary has and it lacks.
--- a/internal/accord/world/measure.go
+++ b/internal/accord/world/measure.go
@@ -39,7 +39,12 @@
 			}
 		}
 		w.Put(w.nodes[w.rng.IntN(3)], w.top+1, 0, 0, "")
-		w.Run(span + w.upTo(time.Second))
+		if down > 0 {
+			w.Run(span)
+		} else {
+			w.settle(span)
+		}
+		w.Run(w.upTo(time.Second))
 	}
 	s.Bytes = (float64(w.bytes-at)/float64(up) - s.RestBytes*(w.now-began).Seconds()) / float64(max(versions, 1))
 	for v := first; v <= w.top; v++ {
@@ -56,3 +61,11 @@
 	s.Broken, s.Marks, s.Puts = w.res.Broken, w.res.Marks, w.puts
 	return s
 }
+
+// settle runs until all that live serve by the newest version, and a bit longer.
+func (w *World) settle(most time.Duration) {
+	for end := w.now + most; w.now < end && w.res.All[w.top] == 0 && len(w.res.Broken) == 0; {
+		w.Run(10 * ms)
+	}
+	w.Run(500 * ms)
+}
--- a/internal/creed/config_test.go
+++ b/internal/creed/config_test.go
@@ -51,6 +51,8 @@
 		{"a mode that is none", `"Pools":[`, `"Rollout":{"Mode":"both"},"Pools":[`, "Rollout.Mode", "together"},
 		{"a key too many", `"Pools":[`, `"Rollout":{"Mode":"each","confirm":2},"Pools":[`, "Rollout.confirm", "unknown"},
 		{"half a node", `"Pools":[`, `"Rollout":{"Confirm":1.5},"Pools":[`, "Rollout.Confirm", "whole"},
+		{"reads by what", `"Pools":[`, `"Rollout":{"Mode":"together","Reads":"now"},"Pools":[`, "Rollout.Reads", "last"},
+		{"reads by leases that nobody grants", `"Pools":[`, `"Rollout":{"Reads":"live"},"Pools":[`, "Rollout.Reads", "Mode"},
 		{"no rollout", `"Pools":[`, `"Rollout":"together","Pools":[`, "Rollout", "not an object"},
 		{"shared key", `"Principals":[`, `"Principals":[{"Name":"b","Credentials":["nn2ctnfzs989anu6wsjn"]},`,
 			"Principals[1].Credentials[0]", "Principals[0]"},
--- a/internal/creed/rollout.go
+++ b/internal/creed/rollout.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
@@ -16,6 +17,7 @@
 	Together bool          // else each node takes it up as it gets it
 	Confirm  int           // nodes that must have confirmed; 0: all that live
 	Within   time.Duration // then it is withdrawn; 0: it waits for as long as it takes
+	Reads    bool          // pure routes too go by what is live for certain, or are refused
 	bad      *Fault
 }
 
@@ -42,7 +44,9 @@
 		var why error
 		switch v := all[k]; k {
 		case "Mode":
-			r.Together, why = mode(v)
+			r.Together, why = word(v, "each", "together")
+		case "Reads":
+			r.Reads, why = word(v, "last", "live")
 		case "Confirm":
 			r.Confirm, why = confirm(v)
 		case "WithinMs":
@@ -52,21 +56,25 @@
 			}
 			r.Within = time.Duration(ms * float64(time.Millisecond))
 		default:
-			why = errors.New("unknown; there are Mode, Confirm and WithinMs")
+			why = errors.New("unknown; there are Mode, Confirm, WithinMs and Reads")
 		}
 		if why != nil {
 			return bad("."+k, why.Error())
 		}
 	}
+	if r.Reads && !r.Together { // there are no leases to go by
+		return bad(".Reads", `"live" needs "Mode": "together"`)
+	}
 	return nil
 }
 
-func mode(v json.RawMessage) (together bool, err error) {
+// word reads one of two, and tells whether it is the second.
+func word(v json.RawMessage, first, second string) (bool, error) {
 	var s string
-	if json.Unmarshal(v, &s) != nil || s != "each" && s != "together" {
-		return false, errors.New(`must be "each" or "together": ` + string(v))
+	if json.Unmarshal(v, &s) != nil || s != first && s != second {
+		return false, fmt.Errorf("must be %q or %q: %s", first, second, v)
 	}
-	return s == "together", nil
+	return s == second, nil
 }
 
 func confirm(v json.RawMessage) (int, error) {
--- a/internal/creed/schema/configuration.cue
+++ b/internal/creed/schema/configuration.cue
@@ -38,6 +38,7 @@
 		Mode?:     "each" | "together"
 		Confirm?:  "all" | (number & >=1)
 		WithinMs?: number & >=0 & <=1e9
+		Reads?:    "last" | "live"
 	}
 	...
 }
--- a/internal/creed/schema/schema_test.go
+++ b/internal/creed/schema/schema_test.go
@@ -38,7 +38,9 @@
 		{"Pools[3].Encrypted:", `"Encrypted":false}]}`, `"Encrypted":"no"}]}`},
 		{"Rollout.Mode:", `"Pools":[`, `"Rollout":{"Mode":"both"},"Pools":[`},
 		{"Rollout.WithinS:", `"Pools":[`, `"Rollout":{"WithinS":3},"Pools":[`},
-		{"", `"Pools":[`, `"Rollout":{"Mode":"together","Confirm":3,"WithinMs":5000},"Pools":[`},
+		{"", `"Pools":[`, `"Rollout":{"Mode":"together","Confirm":3,"WithinMs":5000,"Reads":"live"},"Pools":[`},
+		{"Rollout.Reads:", `"Pools":[`, `"Rollout":{"Reads":"all"},"Pools":[`},
+		{"Rollout.Reads:", `"Pools":[`, `"Rollout":{"Mode":"each","Reads":"live"},"Pools":[`},
 		{"no JSON", `"Encrypted":false}]}`, `"Encrypted":false}]`},
 	} {
 		text := strings.Replace(good, c[1], c[2], 1)
--- a/internal/lab/faultfleet.go
+++ b/internal/lab/faultfleet.go
@@ -31,6 +31,7 @@
 	http        []*httptest.Server
 	version     uint32
 	acked       time.Time
+	beats       context.Context // of the servers
 	stop        context.CancelFunc
 	run         int
 }
@@ -92,7 +93,18 @@
 	return n
 }
 
-func (c *counts) serve(name string) http.HandlerFunc {
+// note counts a request that runs.
+func (c *counts) note(r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids[r.Header.Get("X-Tenant-Name")+" "+id]++
+	c.by[id]++
+	c.all++
+}
+
+// toy is a server that tells what runs.
+func toy(name string, ran func(r *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/probe" {
 			return
@@ -105,23 +117,20 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		c.mu.Lock()
-		c.ids[r.Header.Get("X-Tenant-Name")+" "+id]++
-		c.by[id]++
-		c.all++
-		c.mu.Unlock()
+		ran(r)
 		fmt.Fprintf(w, "%s ran", id)
 	}
 }
 
-func newFaultFleet(binary string, nodes int) (*faultFleet, error) {
+// newFaultFleet makes a fleet with its files in a folder below one; empty: the temporary one.
+func newFaultFleet(binary string, nodes int, below string) (*faultFleet, error) {
 	if nodes < 3 || nodes > 60 {
 		return nil, fmt.Errorf("--nodes must be from 3 to 60, not %d", nodes)
 	}
 	if _, err := os.Stat(binary); err != nil {
 		return nil, fmt.Errorf("loom: %w", err)
 	}
-	dir, err := os.MkdirTemp("", "asterwell-faults-")
+	dir, err := os.MkdirTemp(below, "asterwell-fleet-")
 	if err != nil {
 		return nil, err
 	}
@@ -199,19 +208,10 @@
 func (f *faultFleet) up(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, time.Minute)
 	defer stop()
-	for _, n := range f.nodes {
-		if err := f.start(n); err != nil {
-			return err
-		}
-	}
-	beats, end := context.WithCancel(context.Background())
-	f.stop = end
-	for i := range 3 {
-		name := fmt.Sprintf("s-%d", i+1)
-		s := httptest.NewServer(f.servers.serve(name))
-		f.http = append(f.http, s)
-		go f.beat(beats, name, string(rune('a'+i)), s.Listener.Addr().String())
+	if err := f.launch(); err != nil {
+		return err
 	}
+	f.toys("toy", 3, f.servers.note)
 	if _, err := f.client().Put(ctx, []byte(faultConfiguration)); err != nil {
 		return err
 	}
@@ -227,18 +227,44 @@
 	return nil
 }
 
-func (f *faultFleet) beat(ctx context.Context, name, zone, addr string) {
-	at := ""
+// launch starts all processes.
+func (f *faultFleet) launch() error {
+	for _, n := range f.nodes {
+		if err := f.start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// toys start servers of a service, which report to the processes until the end.
+func (f *faultFleet) toys(service string, count int, ran func(r *http.Request)) {
+	if f.stop == nil {
+		f.beats, f.stop = context.WithCancel(context.Background())
+	}
+	for i := range count {
+		name := fmt.Sprintf("s-%s-%d", service, i+1)
+		s := httptest.NewServer(toy(name, ran))
+		f.http = append(f.http, s)
+		go f.beat(f.beats, service, name, string(rune('a'+i%3)), s.Listener.Addr().String())
+	}
+}
+
+// beatWithin is how long a process may take for a beat: one that stands still says nothing.
+const beatWithin = 500 * time.Millisecond
+
+func (f *faultFleet) beat(ctx context.Context, service, name, zone, addr string) {
+	at, client := "", &http.Client{Timeout: beatWithin}
 	for seq := 1; ctx.Err() == nil; seq++ {
 		if at == "" {
 			at = f.nodes[seq%3].control()
 		}
 		body, _ := json.Marshal(map[string]any{"Endpoint": addr,
-			"SelfInfo":    map[string]any{"Backend": "toy", "Epoch": "v1", "Zone": zone, "Capacity": 50},
+			"SelfInfo":    map[string]any{"Backend": service, "Epoch": "v1", "Zone": zone, "Capacity": 50},
 			"HealthState": map[string]any{"Phase": "serving", "Sequence": seq, "WarmupLeftMs": 0}})
 		q, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+at+"/api/members/"+name, bytes.NewReader(body))
 		at = ""
-		if a, err := http.DefaultClient.Do(q); err == nil {
+		if a, err := client.Do(q); err == nil {
 			var said struct{ HeartbeatTarget string }
 			json.NewDecoder(a.Body).Decode(&said)
 			a.Body.Close()
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -37,7 +37,7 @@
 // and plays days of drawn troubles in simulated time.
 func MeasureFaults(o FaultOptions) (*Report, error) {
 	r := &Report{Name: "faults", Seed: o.Seed, Figure: map[string]any{}}
-	f, err := newFaultFleet(o.Binary, o.Nodes)
+	f, err := newFaultFleet(o.Binary, o.Nodes, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -30,10 +30,7 @@
 	t := &rollouts{r: r, o: o, figure: r.Figure, rule: map[string]int{}}
 	r.Row("run", "nodes", "rollouts", "live p50 s", "live p99 s", "all p50 s", "all p99 s", "refused", "in turn", "held ms", "bytes/node",
 		"rest bytes/node/s")
-	for _, n := range o.Nodes {
-		t.size(n, 0)
-		t.size(n, 3)
-	}
+	t.sizes()
 	t.seeds()
 	t.model()
 	for k, v := range map[string]int{"rollouts": t.puts, "live": t.live, "withdrawn": t.withdrawn, "overtaken": t.over,
@@ -67,14 +64,36 @@
 	}
 }
 
-// size measures a fleet of one size, with every down-th node killed just before.
-func (t *rollouts) size(n, down int) {
+// sizes measures fleets, all there and with every third node killed; the largest first, as
+// they take the longest.
+func (t *rollouts) sizes() {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, max(1, t.o.Side))
+	sums := make([][2]world.Sum, len(t.o.Nodes))
+	for i, n := range slices.Backward(t.o.Nodes) {
+		for j, down := range []int{0, 3} {
+			slots <- struct{}{}
+			t.say("%d nodes, %d of three down", n, j)
+			wg.Go(func() {
+				sums[i][j] = world.Measure(world.Options{Seed: t.o.Seed, Nodes: n, Every: time.Duration(max(6, n/2)) * time.Millisecond},
+					t.o.Versions, down)
+				<-slots
+			})
+		}
+	}
+	wg.Wait()
+	for i, n := range t.o.Nodes {
+		t.size(n, 0, sums[i][0])
+		t.size(n, 3, sums[i][1])
+	}
+}
+
+// size tells of one.
+func (t *rollouts) size(n, down int, s world.Sum) {
 	name, key := "all there", fmt.Sprintf("_%d", n)
 	if down > 0 {
 		name, key = "a third down", key+"_third_down"
 	}
-	t.say("%d nodes, %s", n, name)
-	s := world.Measure(world.Options{Seed: t.o.Seed, Nodes: n, Every: time.Duration(max(6, n/2)) * time.Millisecond}, t.o.Versions, down)
 	where := fmt.Sprintf("%d nodes, %s", n, name)
 	t.broke(where, s.Broken)
 	t.judge(where, s.Puts, s.Marks)
@@ -151,26 +170,42 @@
 	},
 }
 
+// read is a request that went by a version, at some moment between two.
+type read struct {
+	version  uint32
+	from, to time.Duration
+}
+
 // judge holds a history against the register with a program that is not ours: of each
 // version a write from its call to the first request that went by it, and reads.
 func (t *rollouts) judge(where string, puts map[uint32]time.Duration, marks []world.Mark) {
-	var ops []porcupine.Operation
-	seen := map[uint32]bool{}
+	first := map[uint32]time.Duration{}
+	var reads []read
 	for i, m := range marks {
-		if !seen[m.Version] {
-			seen[m.Version] = true
-			ops = append(ops, porcupine.Operation{Input: version{true, m.Version}, Call: int64(puts[m.Version]), Return: int64(m.At)})
+		if _, ok := first[m.Version]; !ok {
+			first[m.Version] = m.At
 		} else if i%20 != 0 && marks[i-1].Version == m.Version && (i+1 == len(marks) || marks[i+1].Version == m.Version) {
 			continue // far from any turn: one of many is enough
 		}
-		ops = append(ops, porcupine.Operation{Input: version{false, m.Version}, Call: int64(m.At), Return: int64(m.At) + 1})
+		reads = append(reads, read{m.Version, m.At, m.At + 1})
 	}
-	if porcupine.CheckOperationsTimeout(versions, ops, time.Minute) == porcupine.Illegal {
+	if !linear(puts, first, reads) {
 		t.illegal = true
 		t.r.Rule(false, "%s: porcupine on the register: not linearizable", where)
 	}
 }
 
+func linear(puts, first map[uint32]time.Duration, reads []read) bool {
+	var ops []porcupine.Operation
+	for v, at := range first {
+		ops = append(ops, porcupine.Operation{Input: version{true, v}, Call: int64(puts[v]), Return: int64(at)})
+	}
+	for _, r := range reads {
+		ops = append(ops, porcupine.Operation{Input: version{false, r.version}, Call: int64(r.from), Return: int64(r.to)})
+	}
+	return porcupine.CheckOperationsTimeout(versions, ops, time.Minute) == porcupine.Ok
+}
+
 // model visits the states of leases and turn, whose code this is.
 func (t *rollouts) model() {
 	t.say("the small model")
--- a/internal/shuttle/fault_test.go
+++ b/internal/shuttle/fault_test.go
@@ -23,7 +23,9 @@
   {"Name":"ship-10","Credentials":["k10"],"Rank":1,"RatePerS":1000,"BurstSize":1000}],
  "Pools":[{"Name":"toy","ProbePath":"/","MaxConns":100}],
  "Sockets":[{"Authority":"toy.example","Policy":[{"Name":"renominate","RouteClass":"effectful","TargetMs":300,"Rank":1,
-  "Predicate":{"PathPrefix":"/"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}}]}]}`
+  "Predicate":{"PathPrefix":"/"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}},
+  {"Name":"look","RouteClass":"pure","TargetMs":300,"Rank":1,
+  "Predicate":{"PathPrefix":"/look"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}}]}]}`
 
 // toy is a server that counts what runs.
 type toy struct {
@@ -69,6 +71,7 @@
 	url   string
 	quota func(string) bool
 	late  atomic.Bool // it has left for long
+	plane *Plane
 }
 
 func newStage(t *testing.T, s bane.Strike) *stage {
@@ -85,6 +88,7 @@
 		Pass:    func(tenant string, _ float64) (bool, time.Duration) { return g.quota(tenant), time.Second },
 		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f})
 	t.Cleanup(p.Stop)
+	g.plane = p
 	p.Adopt(c.Table())
 	p.Serve([]Server{{ID: "s-1", Addr: back.Listener.Addr().String(), Service: "toy", Zone: "a", Capacity: 50, State: choice.Up}})
 	ln, err := transport.Listen(nil, "127.0.0.1:0", 100)
--- a/internal/shuttle/gate.go
+++ b/internal/shuttle/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,6 +19,29 @@
 // errTurned ends a request whose rules are not in force any more when it is decided.
 var errTurned = errors.New("the rules have changed, or are not confirmed")
 
+// Turns counts what waited at the gate or was refused there, since the start.
+type Turns struct {
+	Held       int64   // requests that waited in a turn
+	HeldMostMs float64 // the longest of those
+	InTurn     int64   // refused, as a turn took too long
+	Unleased   int64   // refused, as nothing may be decided here
+}
+
+// tally is those counts as they grow.
+type tally struct{ held, most, inTurn, unleased atomic.Int64 }
+
+func (t *tally) waited(d time.Duration) {
+	t.held.Add(1)
+	for most := t.most.Load(); int64(d) > most && !t.most.CompareAndSwap(most, int64(d)); most = t.most.Load() {
+	}
+}
+
+// Turns tells them.
+func (p *Plane) Turns() Turns {
+	t := &p.turns
+	return Turns{t.held.Load(), time.Duration(t.most.Load()).Seconds() * 1e3, t.inTurn.Load(), t.unleased.Load()}
+}
+
 // gate is by what effectful requests may be decided.
 type gate struct {
 	accord.Gate
@@ -31,25 +55,36 @@
 	}
 }
 
-// may says whether an effectful request can go by that version. The time is taken here,
+// may says whether a request that needs a lease can go by that version. The time is taken here,
 // after it has come: a process that stood still notices.
 func (p *Plane) may(version uint32) bool {
 	g := p.gate.Load()
 	return g == nil || !g.Together || g.May(p.opt.Now(), version)
 }
 
-// pass lets a request in that is effectful, or refuses it; again tells that a turn was
+// gated says whether requests of a route need a lease.
+func (p *Plane) gated(r *creed.Route) bool {
+	if r.Class == creed.Effectful {
+		return true
+	}
+	g := p.gate.Load()
+	return g != nil && g.Reads
+}
+
+// pass lets a request in that needs a lease, or refuses it; again tells that a turn was
 // waited for, and all is to be looked up anew.
 func (p *Plane) pass(ctx *fasthttp.RequestCtx, t *creed.Table, r *creed.Route) (ok, again bool) {
-	if r.Class != creed.Effectful || p.may(t.Version) {
+	if !p.gated(r) || p.may(t.Version) {
 		return true, false
 	}
-	late := time.NewTimer(turnTakes)
+	late, began, waited := time.NewTimer(turnTakes), p.opt.Now(), false
 	defer late.Stop()
 	for g := p.gate.Load(); g.Soon || g.May(p.opt.Now(), g.Version); g = p.gate.Load() {
 		if g.May(p.opt.Now(), g.Version) && p.Version() == g.Version {
+			p.turns.waited(p.opt.Now() - began)
 			return false, true
 		}
+		waited = true
 		select {
 		case <-g.changed:
 			continue
@@ -57,13 +92,18 @@
 		}
 		break
 	}
+	if waited {
+		p.turns.inTurn.Add(1)
+	} else {
+		p.turns.unleased.Add(1)
+	}
 	refuse(ctx, fasthttp.StatusServiceUnavailable, unleased)
 	return false, false
 }
 
 // bound makes the core look again when it decides.
 func (p *Plane) bound(t *creed.Table, r *creed.Route) func() error {
-	if g := p.gate.Load(); r.Class != creed.Effectful || g == nil || !g.Together {
+	if g := p.gate.Load(); !p.gated(r) || g == nil || !g.Together {
 		return nil
 	}
 	return func() error {
--- /dev/null
+++ b/internal/shuttle/gate_test.go
@@ -0,0 +1,52 @@
+package shuttle
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"asterwell/internal/accord"
+	"asterwell/internal/bane"
+	"asterwell/internal/policy"
+)
+
+// Without a lease effectful requests are refused, and pure ones where the rules want it.
+func TestGate(t *testing.T) {
+	g := newStage(t, bane.Strike{})
+	lease := policy.Lease{Version: 1, Until: 10 * time.Hour}
+	write := g.url
+	read := strings.TrimSuffix(g.url, "x") + "look"
+	for _, c := range []struct {
+		name        string
+		gate        accord.Gate
+		write, read int
+	}{
+		{"each", accord.Gate{Version: 1}, 200, 200},
+		{"leased", accord.Gate{Version: 1, Together: true, Reads: true, Lease: lease}, 200, 200},
+		{"no lease, reads by the last", accord.Gate{Version: 1, Together: true}, 503, 200},
+		{"no lease, reads by what is live", accord.Gate{Version: 1, Together: true, Reads: true}, 503, 503},
+		{"run out", accord.Gate{Version: 1, Together: true, Reads: true, Lease: policy.Lease{Version: 1, Until: time.Minute}}, 503, 503},
+		{"in a turn that does not end", accord.Gate{Version: 1, Together: true, Reads: true, Soon: true}, 503, 503},
+	} {
+		g.plane.Gate(c.gate)
+		for url, want := range map[string]int{write: c.write, read: c.read} {
+			g.url = url
+			id := c.name + url[len(url)-4:]
+			status, _, _ := g.ask(t, http.DefaultClient, "k10", id, "x")
+			if ran, _ := g.toy.of(id); status != want || (ran == 1) != (want == 200) {
+				t.Errorf("%s, %s: %d, ran %d times", c.name, url, status, ran)
+			}
+		}
+	}
+	if n := g.plane.Turns(); n.InTurn != 2 || n.Unleased != 5 || n.Held != 0 {
+		t.Errorf("%+v", n)
+	}
+	// What waits in a turn goes on once it is over.
+	g.plane.Gate(accord.Gate{Version: 1, Together: true, Soon: true})
+	go g.plane.Gate(accord.Gate{Version: 1, Together: true, Lease: lease})
+	g.url = write
+	if status, _, _ := g.ask(t, http.DefaultClient, "k10", "waits", "x"); status != http.StatusOK {
+		t.Errorf("after the turn: %d", status)
+	}
+}
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -58,6 +58,7 @@
 	index   int
 	refused atomic.Int64 // by quota
 	held    atomic.Int64 // struck requests
+	turns   tally
 }
 
 // New returns a plane without a configuration: it refuses everything.
--- a/internal/tell/status.go
+++ b/internal/tell/status.go
@@ -14,6 +14,7 @@
 	"asterwell/internal/accord"
 	"asterwell/internal/bond"
 	"asterwell/internal/lore"
+	"asterwell/internal/shuttle"
 )
 
 // Status is what one gateway knows: of itself, of agreement, of the others.
@@ -23,6 +24,7 @@
 	Version        string // of the configuration in force there
 	Pact           Pact
 	Rollout        accord.Status
+	Turns          shuttle.Turns
 	Nodes          []Node
 	Servers        []Server
 }
--- a/internal/weave/disk.go
+++ b/internal/weave/disk.go
@@ -12,6 +12,7 @@
 	"asterwell/internal/bond"
 	"asterwell/internal/lore"
 	"asterwell/internal/pact"
+	"asterwell/internal/shuttle"
 	"asterwell/internal/vault"
 )
 
@@ -130,6 +131,7 @@
 	Version    string
 	Pact       pact.Status
 	Rollout    accord.Status
+	Turns      shuttle.Turns
 	Nodes      []bond.Node
 	Servers    []lore.Server
 	Mesh_      map[string]int64 `json:"Frames"`
@@ -137,6 +139,6 @@
 
 func (p *Process) examine() Status {
 	return Status{Name: p.set.NodeName, Mesh: p.self, Ready: p.ready.Load(), Leaving: p.leaving.Load(),
-		Version: fmt.Sprintf("%08x", p.plane.Version()), Pact: p.knot.Pact(), Rollout: p.knot.Rollout(p.now()), Nodes: p.knot.View(), Servers: p.knot.Servers(),
-		Mesh_: p.mesh.Counts.All()}
+		Version: fmt.Sprintf("%08x", p.plane.Version()), Pact: p.knot.Pact(), Rollout: p.knot.Rollout(p.now()), Turns: p.plane.Turns(),
+		Nodes: p.knot.View(), Servers: p.knot.Servers(), Mesh_: p.mesh.Counts.All()}
 }
