--- a/cmd/asterlab/rollout.go
+++ b/cmd/asterlab/rollout.go
@@ -30,6 +30,6 @@
 	c.Flags().BoolVar(&on, "real", false, "real processes of loom on loopback, under load, instead of simulated ones")
 	c.Flags().StringVar(&real.Binary, "loom", beside("loom"), "the system's binary, for --real")
 	c.Flags().IntVar(&real.Processes, "processes", 9, "for --real: 6 to 9, of which three are the core")
-	c.Flags().DurationVar(&real.Within, "time", 85*time.Second, "for --real: all of it ends by then")
+	c.Flags().DurationVar(&real.Within, "time", 75*time.Second, "for --real: no part begins or goes on after that; the judge takes some seconds more")
 	return c
 }
--- a/cmd/reed/main.go
+++ b/cmd/reed/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -26,6 +27,7 @@
 	nobody    = 3 // no gateway took it: nothing has been done
 	unknown   = 4 // no clear answer: it may have been done; the same again does no harm
 	overtaken = 5 // acknowledged, but another configuration is in force
+	otherwise = 6 // the rollout has ended the other way: withdrawn, or live before it could be
 )
 
 func main() {
@@ -60,9 +62,15 @@
 	var none *tell.Nobody
 	var over *tell.Overtaken
 	var unread *tell.Unread
+	var other *tell.Otherwise
+	var unsettled *tell.Unsettled
 	switch {
 	case err == nil:
 		return done
+	case errors.As(err, &other):
+		return otherwise
+	case errors.As(err, &unsettled):
+		return unknown
 	case errors.As(err, &unread):
 		return unknown
 	case errors.As(err, &none):
@@ -83,7 +91,7 @@
 	root := &cli.Command{Name: "reed", Usage: "the operators' calls to the gateways of a system",
 		Description: "Exit codes: 0 done; 1 bad command line or file, nothing sent; 2 refused for good, or not there;\n" +
 			"3 no gateway took it, nothing done; 4 no clear answer, may have been done; 5 acknowledged, but another\n" +
-			"configuration is in force.",
+			"configuration is in force; 6 a rollout has ended the other way.",
 		Writer: r.out, ErrWriter: io.Discard, HideVersion: true, HideHelpCommand: true,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "at", Usage: "control addresses (host:port) of gateways, tried in turn", Sources: cli.EnvVars("REED_AT")},
@@ -112,7 +120,8 @@
 	}
 	quiet := func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
 	faults := root.Commands[len(root.Commands)-1]
-	for _, c := range append(append(root.Commands, root), faults.Commands...) {
+	rollout := root.Command("rollout")
+	for _, c := range slices.Concat(root.Commands, []*cli.Command{root}, faults.Commands, rollout.Commands) {
 		c.OnUsageError = quiet
 		c.ExitErrHandler = func(context.Context, *cli.Command, error) {}
 	}
--- a/internal/accord/lead.go
+++ b/internal/accord/lead.go
@@ -19,11 +19,13 @@
 	round   uint64            // of the writers' confirmation that is under way
 	pending uint32
 	since   plane.Time // of pending, here
+	asks    []asks     // to withdraw, that wait for the document
 }
 
 // turn takes over what is kept.
 func (m *Machine) turn(now plane.Time) {
 	l := m.lead
+	m.settle()
 	if !m.rollout.Together || m.side.Version == 0 {
 		l.c, l.addrs = nil, map[uint64]string{}
 		return
@@ -120,19 +122,6 @@
 	return m.end()
 }
 
-// Withdraw asks that a version which is not live yet never be.
-func (m *Machine) Withdraw(version uint32, by string) Out {
-	m.send(m.primary, Withdraw{version, by})
-	return m.end()
-}
-
-func (m *Machine) withdraw(version uint32, why string) {
-	if m.lead != nil && m.side.Fate == Prepared && m.doc.Version == version && m.out.Amend == nil {
-		d := withdrawn(m.doc, why)
-		m.out.Amend = &d
-	}
-}
-
 // carry carries out what the conduct wants.
 func (m *Machine) carry(now plane.Time) {
 	l := m.lead
--- a/internal/accord/machine.go
+++ b/internal/accord/machine.go
@@ -24,10 +24,11 @@
 // Out is what follows from an input.
 type Out struct {
 	Send   []plane.Send
-	Adopt  *pact.Doc // to be in force here
-	Gate   bool      // Gate may have changed
-	Affirm bool      // ask the writers whether this is the primary still, then tell Affirming
-	Amend  *pact.Doc // to be kept by agreement; tell Dropped if it can't be
+	Adopt  *pact.Doc  // to be in force here
+	Gate   bool       // Gate may have changed
+	Affirm bool       // ask the writers whether this is the primary still, then tell Affirming
+	Told   []Withdrew // to those who made the calls
+	Amend  *pact.Doc  // to be kept by agreement; tell Dropped if it can't be
 }
 
 // Machine is one process's part.
@@ -48,6 +49,8 @@
 	sought plane.Time // when another process was last asked who leads
 	turns  int
 
+	wishes []wish // to withdraw, made here
+
 	lead *lead
 	seen plane.Time // when lead was last told the time
 	bug  Bug
@@ -146,7 +149,9 @@
 	case Grant:
 		m.granted(now, from, t)
 	case Withdraw:
-		m.withdraw(t.Version, "by "+t.By)
+		m.wished(from, t)
+	case Withdrew:
+		m.told(t)
 	}
 	return m.end()
 }
@@ -156,6 +161,7 @@
 	if m.rollout.Together {
 		m.ask(now)
 	}
+	m.urge(now)
 	if m.lead != nil {
 		m.tick(now)
 	}
--- a/internal/accord/message.go
+++ b/internal/accord/message.go
@@ -38,10 +38,21 @@
 type Withdraw struct {
 	Version uint32 `cbor:"1,keyasint"`
 	By      string `cbor:"2,keyasint,omitempty"`
+	ID      uint64 `cbor:"3,keyasint,omitempty"` // of the life that asks
+	Call    uint64 `cbor:"4,keyasint,omitempty"` // that the answer is for
+}
+
+// Withdrew is the primary's answer.
+type Withdrew struct {
+	ID      uint64  `cbor:"1,keyasint"`
+	Call    uint64  `cbor:"2,keyasint"`
+	Outcome Outcome `cbor:"3,keyasint"`
+	Live    uint32  `cbor:"4,keyasint"`
+	Newest  uint32  `cbor:"5,keyasint"`
 }
 
 // Messages lists what a Machine takes; the order stays.
-func Messages() []any { return []any{Ask{}, Grant{}, Withdraw{}} }
+func Messages() []any { return []any{Ask{}, Grant{}, Withdraw{}, Withdrew{}} }
 
 func (a Ask) renew() policy.Renew {
 	return policy.Renew{Seq: a.Seq, Name: a.Name, Zone: a.Zone, Version: a.Version, Checked: a.Checked, Refusal: a.Refusal,
--- /dev/null
+++ b/internal/accord/withdraw.go
@@ -0,0 +1,121 @@
+package accord
+
+import (
+	"slices"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// Outcome is what has come of an operator's wish that a version never be live.
+type Outcome uint8
+
+// The outcomes. None of the last three changes any more, but that a withdrawn one may be
+// overtaken too, and a version that is not there may still come.
+const (
+	Unclear   Outcome = iota
+	Absent            // no such version is kept
+	TakenBack         // it was not live, and never will be
+	Remains           // it is live
+	Surpassed         // a higher one is kept: if it has not been live, it never will be
+)
+
+func (o Outcome) String() string {
+	return [...]string{"", "absent", "withdrawn", "live", "overtaken"}[min(o, Surpassed)]
+}
+
+// wish is a call made here, which goes to the primary until that answers.
+type wish struct {
+	Withdraw
+	at, sent plane.Time
+}
+
+// asks is a call that the primary has taken.
+type asks struct {
+	from string
+	Withdraw
+}
+
+const (
+	wishFor   = time.Second
+	wishAgain = 150 * time.Millisecond
+	wishMost  = 32 // that wait at the primary; others come again
+)
+
+// Withdraw asks that a version which is not live yet never be. The answer comes in some
+// Out.Told; without one nothing can be said.
+func (m *Machine) Withdraw(now plane.Time, call uint64, version uint32, by string) Out {
+	m.wishes = append(m.wishes, wish{Withdraw{version, by, m.id, call}, now, now - wishAgain})
+	m.urge(now)
+	return m.end()
+}
+
+// urge sends what has no answer yet, and forgets what nobody waits for any more.
+func (m *Machine) urge(now plane.Time) {
+	m.wishes = slices.DeleteFunc(m.wishes, func(w wish) bool { return now-w.at > wishFor })
+	for i := range m.wishes {
+		w := &m.wishes[i]
+		switch {
+		case now-w.sent < wishAgain:
+		case m.primary == "":
+			m.seek(now)
+		default:
+			w.sent = now
+			m.send(m.primary, w.Withdraw)
+		}
+	}
+}
+
+func (m *Machine) told(t Withdrew) {
+	i := slices.IndexFunc(m.wishes, func(w wish) bool { return t.ID == m.id && t.Call == w.Call })
+	if i >= 0 {
+		m.wishes = slices.Delete(m.wishes, i, i+1)
+		m.out.Told = append(m.out.Told, t)
+	}
+}
+
+// wished takes a call at the primary. Until the document tells the outcome it waits.
+func (m *Machine) wished(from string, t Withdraw) {
+	if m.lead == nil {
+		return
+	}
+	m.withdraw(t.Version, "by "+t.By)
+	if a := (asks{from, t}); !slices.Contains(m.lead.asks, a) && len(m.lead.asks) < wishMost {
+		m.lead.asks = append(m.lead.asks, a)
+	}
+	m.settle()
+}
+
+// settle answers the calls whose outcome the document tells. It is kept by all writers of
+// this epoch: what it tells is true, though a successor may know more.
+func (m *Machine) settle() {
+	l := m.lead
+	l.asks = slices.DeleteFunc(l.asks, func(a asks) bool {
+		o := m.outcome(a.Version)
+		if o != Unclear {
+			m.send(a.from, Withdrew{a.ID, a.Call, o, m.side.Version, m.doc.Version})
+		}
+		return o != Unclear
+	})
+}
+
+func (m *Machine) outcome(version uint32) Outcome {
+	switch {
+	case version == m.side.Version && version != 0:
+		return Remains
+	case version < m.doc.Version:
+		return Surpassed
+	case version > m.doc.Version:
+		return Absent
+	case m.side.Fate == Withdrawn:
+		return TakenBack
+	}
+	return Unclear
+}
+
+func (m *Machine) withdraw(version uint32, why string) {
+	if m.lead != nil && m.side.Fate == Prepared && m.doc.Version == version && m.out.Amend == nil {
+		d := withdrawn(m.doc, why)
+		m.out.Amend = &d
+	}
+}
--- a/internal/accord/world/judge.go
+++ b/internal/accord/world/judge.go
@@ -24,6 +24,9 @@
 		w.breaks("MIXED", "%s takes a request up by %d, one was by %d", p.name, version, w.newest)
 	case version > w.newest:
 		w.note("%s is the first to go by %d", p.name, version)
+		if w.never[version] {
+			w.breaks("TOLD", "%d is live, its operator was told that it never would be", version)
+		}
 		w.newest, w.first[version] = version, w.now
 	}
 	if w.fates[version] == accord.Withdrawn {
@@ -32,6 +35,19 @@
 	w.res.Marks = append(w.res.Marks, Mark{w.now, version, p.name})
 }
 
+// told holds an operator's answer against what is so.
+func (w *World) told(p *Proc, version uint32, o accord.Outcome) {
+	w.note("%s: %d is %v", p.name, version, o)
+	w.res.Told = append(w.res.Told, Told{version, o})
+	switch is, known := w.fates[version]; {
+	case o == accord.Remains && (is != accord.Live || !known), o == accord.TakenBack && is != accord.Withdrawn,
+		o == accord.Surpassed && w.maxFate() <= version:
+		w.breaks("TOLD", "%d is %v, its operator was told: %v", version, is, o)
+	case (o == accord.TakenBack || o == accord.Surpassed) && w.first[version] == 0 && (is != accord.Live || !known):
+		w.never[version] = true
+	}
+}
+
 // serves notes when all that live can go by a version.
 func (w *World) serves(p *Proc, version uint32) {
 	if w.res.All[version] != 0 {
--- a/internal/accord/world/proc.go
+++ b/internal/accord/world/proc.go
@@ -34,6 +34,7 @@
 	gate             accord.Gate
 	waiting          []time.Duration // when the requests that wait at the gate came
 	calls            uint64
+	wishes           map[uint64]uint32 // calls to withdraw, and what
 	refuses          bool
 }
 
@@ -46,7 +47,7 @@
 		return
 	}
 	w := p.w
-	p.up, p.thaws, p.ice, p.waiting, p.gate = true, 0, nil, nil, accord.Gate{}
+	p.up, p.thaws, p.ice, p.waiting, p.gate, p.wishes = true, 0, nil, nil, accord.Gate{}, map[uint64]uint32{}
 	p.life++
 	var kept *pact.Disk
 	if p.disk != nil {
@@ -149,6 +150,11 @@
 	if v, fate := p.k.Accord().Kept(); v != 0 {
 		w.fate(p, v, fate)
 	}
+	for _, r := range out.Replies {
+		if t, ok := r.Value.(accord.Withdrew); ok {
+			w.told(p, p.wishes[r.Call], t.Outcome)
+		}
+	}
 	for _, s := range out.Send {
 		w.send(p, s)
 	}
@@ -323,6 +329,9 @@
 func (w *World) Withdraw(p *Proc, version uint32) {
 	if p != nil && p.up {
 		w.note("withdraw %d at %s", version, p.name)
-		p.input(func() knot.Out { return p.k.Withdraw(p.clock(), version, "ops") })
+		p.calls++
+		id := p.calls
+		p.wishes[id] = version
+		p.input(func() knot.Out { return p.k.Withdraw(p.clock(), id, version, "ops") })
 	}
 }
--- a/internal/accord/world/scenario_test.go
+++ b/internal/accord/world/scenario_test.go
@@ -207,3 +207,40 @@
 		w.want(t, accord.Live)
 	}
 }
+
+// An operator hears how its wish has ended, whatever befalls the primary meanwhile.
+func TestWithdrawTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		before  func(w *World)
+		version uint32
+		want    accord.Outcome
+	}{
+		"prepared":    {func(w *World) { w.nodes[8].kill(); w.Put(w.primary(), 3, 0, 0, ""); w.Run(time.Second) }, 3, accord.TakenBack},
+		"live":        {func(w *World) { w.Put(w.nodes[4], 3, 0, 0, ""); w.Run(3 * time.Second) }, 3, accord.Remains},
+		"not there":   {func(w *World) { w.Run(time.Second) }, 3, accord.Absent},
+		"overtaken":   {func(w *World) { w.Put(w.nodes[4], 3, 0, 0, ""); w.Put(w.nodes[4], 4, 0, 0, ""); w.Run(3 * time.Second) }, 3, accord.Surpassed},
+		"the old one": {func(w *World) { w.nodes[8].kill(); w.Put(w.primary(), 3, 0, 0, ""); w.Run(time.Second) }, 2, accord.Remains},
+		"the primary stands still": {func(w *World) {
+			w.nodes[8].kill()
+			w.Put(w.primary(), 3, 0, 0, "")
+			w.Run(time.Second)
+			w.primary().freeze(2 * time.Second)
+			w.Run(1900 * ms)
+		}, 3, accord.TakenBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := stage(t, 1, 0, 11, 0)
+			c.before(w)
+			w.Withdraw(w.nodes[7], c.version)
+			w.Run(1500 * ms)
+			if len(w.res.Told) != 1 || w.res.Told[0] != (Told{c.version, c.want}) {
+				t.Errorf("told %v, want %v", w.res.Told, c.want)
+			}
+			w.calm()
+			w.Run(Settled)
+			for _, b := range w.res.Broken {
+				t.Error(b)
+			}
+		})
+	}
+}
--- a/internal/accord/world/world.go
+++ b/internal/accord/world/world.go
@@ -37,6 +37,13 @@
 	All                              map[uint32]time.Duration // until all that live serve by it
 	PutAt                            map[uint32]time.Duration
 	Marks                            []Mark
+	Told                             []Told
+}
+
+// Told is what an operator was told of a version that was to be withdrawn.
+type Told struct {
+	Version uint32
+	Outcome accord.Outcome
 }
 
 // Mark is a request that was decided.
@@ -48,7 +55,7 @@
 
 // Broken is a promise that did not hold.
 type Broken struct {
-	Rule string // MIXED, DEAD, FEW, HELD, SPLIT, STUCK
+	Rule string // MIXED, DEAD, FEW, HELD, SPLIT, STUCK, TOLD
 	At   time.Duration
 	What string
 }
@@ -80,7 +87,8 @@
 	top     uint32
 	open    map[uint32]map[*Proc]bool
 	bytes   int
-	quiet   bool // no clients
+	quiet   bool            // no clients
+	never   map[uint32]bool // versions of which an operator was told so
 }
 
 // New makes processes in three zones, and starts them.
@@ -89,6 +97,7 @@
 	w := &World{opt: o, rng: rand.New(rand.NewPCG(o.Seed, 27)), byAddr: map[string]*Proc{}, cuts: map[[2]string]bool{},
 		first: map[uint32]time.Duration{}, puts: map[uint32]time.Duration{}, bodies: map[uint32]string{},
 		fates: map[uint32]accord.Fate{}, words: map[string]word{}, confirm: map[uint32]int{}}
+	w.never = map[uint32]bool{}
 	w.open, w.res.All, w.res.PutAt = map[uint32]map[*Proc]bool{}, map[uint32]time.Duration{}, w.puts
 	for i := range o.Nodes {
 		p := &Proc{w: w, name: fmt.Sprintf("n%02d", i), addr: fmt.Sprintf("10.0.%d.%d:7000", i%3, i), zone: string(rune('a' + i%3)),
--- a/internal/knot/together.go
+++ b/internal/knot/together.go
@@ -31,6 +31,9 @@
 func (k *Knot) together(now plane.Time, out accord.Out) {
 	k.send(out.Send)
 	k.out.Gate = k.out.Gate || out.Gate
+	for _, t := range out.Told {
+		k.out.Replies = append(k.out.Replies, Reply{t.Call, t})
+	}
 	if out.Adopt != nil {
 		k.adopt(now, out.Adopt)
 	}
@@ -55,8 +58,8 @@
 func (k *Knot) Rollout(now plane.Time) accord.Status { return k.accord.Status(now) }
 
 // Withdraw asks that a version which is not live yet never be.
-func (k *Knot) Withdraw(now plane.Time, version uint32, by string) Out {
-	k.together(now, k.accord.Withdraw(version, by))
+func (k *Knot) Withdraw(now plane.Time, call uint64, version uint32, by string) Out {
+	k.together(now, k.accord.Withdraw(now, call, version, by))
 	return k.end()
 }
 
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -189,13 +189,13 @@
 		}
 		reads = append(reads, read{m.Version, m.At, m.At + 1})
 	}
-	if !linear(puts, first, reads) {
+	if !linear(puts, first, reads, time.Minute) {
 		t.illegal = true
-		t.r.Rule(false, "%s: porcupine on the register: not linearizable", where)
+		t.r.Rule(false, "%s: porcupine on the register: not linearizable, or not decided within a minute", where)
 	}
 }
 
-func linear(puts, first map[uint32]time.Duration, reads []read) bool {
+func linear(puts, first map[uint32]time.Duration, reads []read, within time.Duration) bool {
 	var ops []porcupine.Operation
 	for v, at := range first {
 		ops = append(ops, porcupine.Operation{Input: version{true, v}, Call: int64(puts[v]), Return: int64(at)})
@@ -203,7 +203,7 @@
 	for _, r := range reads {
 		ops = append(ops, porcupine.Operation{Input: version{false, r.version}, Call: int64(r.from), Return: int64(r.to)})
 	}
-	return porcupine.CheckOperationsTimeout(versions, ops, time.Minute) == porcupine.Ok
+	return porcupine.CheckOperationsTimeout(versions, ops, within) == porcupine.Ok
 }
 
 // model visits the states of leases and turn, whose code this is.
--- a/internal/lab/rolloutplay.go
+++ b/internal/lab/rolloutplay.go
@@ -70,7 +70,7 @@
 
 // await waits until requests go by a version, or it is withdrawn.
 func (t *trial) await(v uint32, within time.Duration) (took time.Duration, live bool) {
-	for end := t.l.now() + within; t.l.now() < end; time.Sleep(5 * time.Millisecond) {
+	for end := t.l.now() + within; t.l.now() < end && t.ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 		live, withdrawn := t.l.goes(v)
 		if live {
 			t.l.mu.Lock()
@@ -89,6 +89,8 @@
 	return 0, false
 }
 
+const judgeWithin = 8 * time.Second
+
 // rules of the n-th version: payouts move, are split, lose their key.
 func (t *trial) vary(n int) rules {
 	return rules{pay: []string{"a", "b", "split"}[n%3], key: n%5 != 3, reads: n%4 == 1}
@@ -142,9 +144,8 @@
 
 func (t *trial) withdraw(v uint32) {
 	c := tell.New([]string{t.f.nodes[t.rng.IntN(3)].control()}, 3*time.Second)
-	a, err := c.Withdraw(t.ctx, fmt.Sprintf("%08x", v))
+	_, _, err := c.Withdraw(t.ctx, fmt.Sprintf("%08x", v))
 	t.r.Rule(err == nil, "withdraw: %v", err)
-	_ = a
 }
 
 // thirds takes a third away just before the change: one of the core, the others not; one
@@ -289,7 +290,7 @@
 	r, l := t.r, t.l
 	v := l.judge()
 	puts, firsts, reads := l.history()
-	linear := linear(puts, firsts, reads)
+	linear := linear(puts, firsts, reads, judgeWithin)
 	withdrawn, live := 0, 0
 	_, inTurn, unleased := l.held()
 	l.mu.Lock()
@@ -320,7 +321,7 @@
 		r.Rule(false, "%s", what)
 	}
 	r.Rule(split == 0, "%d versions with two outcomes", split)
-	r.Rule(linear, "porcupine on the register: not linearizable")
+	r.Rule(linear, "porcupine on the register: not linearizable, or not decided within %v", judgeWithin)
 	r.Rule(newest >= t.acks.Load(), "%08x was acknowledged, the newest that anybody holds is %08x", t.acks.Load(), newest)
 	r.Rule(t.inTurn == 0, "%d requests were refused as a turn took too long, with nobody down", t.inTurn)
 }
--- a/internal/tell/errors.go
+++ b/internal/tell/errors.go
@@ -49,6 +49,16 @@
 	return fmt.Sprintf("%s is in force, not %s", e.Held, e.Sent)
 }
 
+// Otherwise tells that a version's rollout has ended in another way than was wanted.
+type Otherwise struct{ Version, How string }
+
+func (e *Otherwise) Error() string { return e.Version + " is " + e.How }
+
+// Unsettled tells that a version's rollout had not ended when the time was over.
+type Unsettled struct{ Version string }
+
+func (e *Unsettled) Error() string { return e.Version + " is not settled yet" }
+
 // Unread tells that a configuration was acknowledged, and then could not be read back.
 type Unread struct{ Err error }
 
--- a/internal/tell/rollout.go
+++ b/internal/tell/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,9 +17,29 @@
 // Rollout is how the taking up of a configuration stands.
 type Rollout struct{ accord.Status }
 
-// Withdraw asks that a version which is not live yet never be.
-func (c *Client) Withdraw(ctx context.Context, version string) (*Answer, error) {
-	return c.call(ctx, http.MethodDelete, "/api/rollout/"+version, nil)
+// Withdrawal is what has come of a version that was to be withdrawn.
+type Withdrawal struct{ Version, Outcome, Live, Newest string }
+
+// Withdraw asks that a version which is not live yet never be. Its error is *Otherwise if
+// that is live already, *Overtaken if a higher one is kept.
+func (c *Client) Withdraw(ctx context.Context, version string) (*Withdrawal, *Answer, error) {
+	a, err := c.call(ctx, http.MethodDelete, "/api/rollout/"+version, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	w := new(Withdrawal)
+	if err := json.Unmarshal(a.Body, w); err != nil {
+		return nil, a, &Unread{fmt.Errorf("%s: %w", a.At, err)}
+	}
+	switch w.Outcome {
+	case "withdrawn":
+		return w, a, nil
+	case "live":
+		return w, a, &Otherwise{version, "live already, and stays so"}
+	case "overtaken":
+		return w, a, &Overtaken{Sent: version, Held: w.Newest}
+	}
+	return w, a, &Unread{fmt.Errorf("%s does not tell how it ended", a.At)} // a version of the program before
 }
 
 // Leader is the control address of the primary, which alone knows what each node says;
--- a/internal/weave/rollout.go
+++ b/internal/weave/rollout.go
@@ -1,21 +1,37 @@
 package weave
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/accord"
 )
 
-// withdraw passes an operator's wish on to the primary. How it ended the status tells:
-// a version that has become live by then stays so.
+// Withdrawal tells an operator what has come of a version that was to be withdrawn.
+type Withdrawal struct{ Version, Outcome, Live, Newest string }
+
+// withdraw brings an operator's wish to the primary, and its word back.
 func (p *Process) withdraw(ctx *fasthttp.RequestCtx, version string) {
 	v, err := strconv.ParseUint(version, 16, 32)
 	if err != nil || len(version) != 8 {
 		ctx.Error("path: not a version of eight hexadecimal digits: "+strconv.Quote(version)+"\n", http.StatusBadRequest)
 		return
 	}
-	p.box.Put(withdrawn{uint32(v), ctx.RemoteIP().String()})
+	by := ctx.RemoteIP().String()
+	a, _ := p.ask(func(call uint64) { p.box.Put(withdrawn{call, uint32(v), by}) }).(accord.Withdrew)
+	switch a.Outcome {
+	case accord.Unclear: // it may still be taken up
+		p.busy(ctx)
+		return
+	case accord.Absent:
+		ctx.Error("no such version is kept\n", http.StatusNotFound)
+		return
+	}
+	body, _ := json.Marshal(Withdrawal{fmt.Sprintf("%08x", v), a.Outcome.String(), fmt.Sprintf("%08x", a.Live), fmt.Sprintf("%08x", a.Newest)})
 	ctx.SetContentType("application/json")
-	ctx.SetBodyString("{}")
+	ctx.SetBody(body)
 }
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -197,6 +197,7 @@
 		doc  pact.Doc
 	}
 	withdrawn struct {
+		call    uint64
 		version uint32
 		by      string
 	}
@@ -239,7 +240,7 @@
 	case proposed:
 		p.carry(p.knot.Put(now, m.call, m.doc))
 	case withdrawn:
-		p.carry(p.knot.Withdraw(now, m.version, m.by))
+		p.carry(p.knot.Withdraw(now, m.call, m.version, m.by))
 	case fetched:
 		p.carry(p.knot.Get(now, m.call))
 	case examined:
