--- a/internal/accord/machine.go
+++ b/internal/accord/machine.go
@@ -76,6 +76,7 @@
 	Lasting                   // a lease is looked at with the time before the freeze
 	Successor                 // a new primary doesn't wait out the leases of the one before
 	Unaffirmed                // leases are granted without asking the writers
+	Hasty                     // a withdrawal is told before it is kept
 )
 
 // New starts a process.
--- a/internal/accord/withdraw.go
+++ b/internal/accord/withdraw.go
@@ -107,7 +107,7 @@
 		return Surpassed
 	case version > m.doc.Version:
 		return Absent
-	case m.side.Fate == Withdrawn:
+	case m.side.Fate == Withdrawn || m.bug == Hasty:
 		return TakenBack
 	}
 	return Unclear
--- a/internal/accord/world/seeds_test.go
+++ b/internal/accord/world/seeds_test.go
@@ -55,7 +55,7 @@
 // has one more.
 func TestMutants(t *testing.T) {
 	for name, bug := range map[string]accord.Bug{"early": accord.Early, "impatient": accord.Impatient, "careless": accord.Careless,
-		"lasting": accord.Lasting, "successor": accord.Successor} {
+		"lasting": accord.Lasting, "successor": accord.Successor, "hasty": accord.Hasty} {
 		t.Run(name, func(t *testing.T) {
 			found := false
 			plays(bug, 400, func(seed uint64, r Result) bool {
--- a/internal/tell/status.go
+++ b/internal/tell/status.go
@@ -14,7 +14,6 @@
 	"asterwell/internal/accord"
 	"asterwell/internal/bond"
 	"asterwell/internal/lore"
-	"asterwell/internal/shuttle"
 )
 
 // Status is what one gateway knows: of itself, of agreement, of the others.
@@ -24,11 +23,18 @@
 	Version        string // of the configuration in force there
 	Pact           Pact
 	Rollout        accord.Status
-	Turns          shuttle.Turns
+	Turns          Turns
 	Nodes          []Node
 	Servers        []Server
 }
 
+// Turns is what that gateway has held in turns and refused since its start: InTurn where
+// one took too long, Unleased where nothing could be decided.
+type Turns struct {
+	Held, InTurn, Unleased int64
+	HeldMostMs             float64
+}
+
 // Pact is agreement as that gateway sees it; the addresses are of the mesh.
 type Pact struct {
 	Role             string
