Collect less garbage in large simulated rollouts; look for nodes ahead without copying all

Need: 300 simulated nodes spend a sixth of their time in collection, and pact copied all its peers each tick to find, mostly, nobody. Change: the collector of measure rollout runs at 400 percent; pact builds the short list of those that are ahead. Measured: 7% of the processor time of 300 nodes at rest was that copy. What remains is membership: 53% of a start is sorting views.

--- a/cmd/asterlab/rollout.go
+++ b/cmd/asterlab/rollout.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -21,6 +22,7 @@
 				real.Seed, real.Progress = o.Seed, o.Progress
 				return print(lab.MeasureRealRollout(real))
 			}
+			debug.SetGCPercent(400)
 			return print(lab.MeasureRollout(o))
 		}}
 	c.Flags().IntSliceVar(&o.Nodes, "nodes", []int{11, 91}, "sizes of the fleet")
--- a/internal/pact/spread.go
+++ b/internal/pact/spread.go
@@ -118,8 +118,12 @@
 	if m.told > held {
 		who = append(who, m.teller, m.view.primary())
 	}
-	ahead := slices.Clone(m.peers)
-	ahead = slices.DeleteFunc(ahead, func(p Peer) bool { return p.Held <= held || !p.Up })
+	var ahead []Peer // mostly nobody
+	for _, p := range m.peers {
+		if p.Held > held && p.Up {
+			ahead = append(ahead, p)
+		}
+	}
 	slices.SortFunc(ahead, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Held, a.Held), cmp.Compare(a.Addr, b.Addr))
 	})
