--- a/internal/accord/machine.go
+++ b/internal/accord/machine.go
@@ -24,10 +24,11 @@
 // Out is what follows from an input.
 type Out struct {
 	Send   []plane.Send
-	Adopt  *pact.Doc // to be in force here
-	Gate   bool      // Gate may have changed
-	Affirm bool      // ask the writers whether this is the primary still, then tell Affirming
-	Amend  *pact.Doc // to be kept by agreement; tell Dropped if it can't be
+	Adopt  *pact.Doc  // to be in force here
+	Gate   bool       // Gate may have changed
+	Affirm bool       // ask the writers whether this is the primary still, then tell Affirming
+	Told   []Withdrew // to those who made the calls
+	Amend  *pact.Doc  // to be kept by agreement; tell Dropped if it can't be
 }
 
 // Machine is one process's part.
@@ -45,9 +46,12 @@
 	holder *policy.Holder
 	epoch  pact.Ballot // whose round the holder holds
 	pulled plane.Time
+	lacks  plane.Time // since when the primary is known to have a newer document; 0: it has none
 	sought plane.Time // when another process was last asked who leads
 	turns  int
 
+	wishes []wish // to withdraw, made here
+
 	lead *lead
 	seen plane.Time // when lead was last told the time
 	bug  Bug
@@ -72,6 +76,7 @@
 	Lasting                   // a lease is looked at with the time before the freeze
 	Successor                 // a new primary doesn't wait out the leases of the one before
 	Unaffirmed                // leases are granted without asking the writers
+	Hasty                     // a withdrawal is told before it is kept
 )
 
 // New starts a process.
@@ -92,7 +97,7 @@
 // Doc takes the newest document that is kept. Synced says that no disk has to have it
 // first; else Synced is called once it has.
 func (m *Machine) Doc(now plane.Time, d pact.Doc, synced bool) Out {
-	m.doc, m.side, m.synced = d, Read(d), synced
+	m.doc, m.side, m.synced, m.lacks = d, Read(d), synced, 0
 	if m.side.Version > m.adopted {
 		m.adopted, m.rollout = m.side.Version, creed.RolloutOf(m.side.Body)
 		m.out.Adopt, m.out.Gate = &pact.Doc{Version: m.side.Version, Body: m.side.Body}, true
@@ -146,7 +151,9 @@
 	case Grant:
 		m.granted(now, from, t)
 	case Withdraw:
-		m.withdraw(t.Version, "by "+t.By)
+		m.wished(from, t)
+	case Withdrew:
+		m.told(t)
 	}
 	return m.end()
 }
@@ -156,6 +163,7 @@
 	if m.rollout.Together {
 		m.ask(now)
 	}
+	m.urge(now)
 	if m.lead != nil {
 		m.tick(now)
 	}
--- a/internal/shuttle/fault_test.go
+++ b/internal/shuttle/fault_test.go
@@ -26,7 +26,9 @@
   {"Name":"ship-10","Credentials":["k10"],"Rank":1,"RatePerS":1000,"BurstSize":1000}],
  "Pools":[{"Name":"toy","ProbePath":"/","MaxConns":100}],
  "Sockets":[{"Authority":"toy.example","Policy":[{"Name":"renominate","RouteClass":"effectful","TargetMs":300,"Rank":1,
-  "Predicate":{"PathPrefix":"/"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}}]}]}`
+  "Predicate":{"PathPrefix":"/"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}},
+  {"Name":"look","RouteClass":"pure","TargetMs":300,"Rank":1,
+  "Predicate":{"PathPrefix":"/look"},"Effect":{"Backend":"toy","DeadlineMs":3000,"Tries":1}}]}]}`
 
 // toy is a server that counts what runs.
 type toy struct {
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -59,6 +59,7 @@
 	refused atomic.Int64 // by quota
 	held    atomic.Int64 // struck requests
 	copies  atomic.Int64 // bytes of those to be sent again
+	turns   tally
 }
 
 // New returns a plane without a configuration: it refuses everything.
