Give reed diff, members, services, epochs, drain, help by command and a manual page

Whoever is called at night had one table: which processes there are and how many servers are in which phase. Who watches whom, how old the news is, since when the core's duties stand, which server has not beaten, what a put would change, and how to take clients off one machine without ending it were not to be had.

Not taken: one larger status, which every reader would pay for; a drain that goes to any gateway of --at, which would leave to chance which one; asking all gateways for the age of beats. The calls are declared beside their handlers, the loop only copies, and their form is one package (glass) for the process and for the client. services asks each server's home once, side by side, 64 at the most. A drain is refused where no other gateway is ready, unless it is said so; it shares the closing of connections with the end of a process, ends none of its duties, and is not there at the clients' address. status says 503 where the loop does not answer, not null.

Help and the manual come from one table of pages. A file that is wrong is now named with its key by put and check too. Scripts play each verb against scripted gateways, with every exit code, and against two real processes: the one that drains is not ready for the others, ends connections behind its answers, and goes on answering.

--- a/cmd/reed/calls.go
+++ b/cmd/reed/calls.go
@@ -9,17 +9,16 @@
 
 	"github.com/urfave/cli/v3"
 
-	"asterwell/internal/creed"
 	"asterwell/internal/creed/schema"
 )
 
 func (r *reed) put(ctx context.Context, c *cli.Command) error {
-	_, body, err := r.read(c)
+	name, body, err := r.read(c)
 	if err != nil {
 		return err
 	}
 	if !c.Bool("unchecked") {
-		if err := schema.Explain(body); err != nil {
+		if err := explain(name, body); err != nil {
 			return err
 		}
 	}
@@ -81,10 +80,7 @@
 	if err != nil {
 		return err
 	}
-	if err := schema.Explain(body); err != nil {
-		return err
-	}
-	conf, err := creed.Parse(body)
+	conf, err := parse(name, body)
 	if err != nil {
 		return err
 	}
@@ -106,12 +102,18 @@
 
 // read takes the one file that a command names.
 func (r *reed) read(c *cli.Command) (name string, text []byte, err error) {
-	switch name = c.StringArg("file"); {
-	case name == "":
-		return name, nil, errors.New(c.Name + ": FILE is missing")
-	case c.Args().Present():
+	if name = c.StringArg("file"); name != "" && c.Args().Present() {
 		return name, nil, fmt.Errorf("%s: one FILE, not more: %s", c.Name, c.Args().First())
-	case name == "-":
+	}
+	return r.open(c.Name, name)
+}
+
+func (r *reed) open(command, name string) (_ string, text []byte, err error) {
+	switch name {
+	case "":
+		return name, nil, errors.New(command + ": FILE is missing")
+	case "-":
+		name = "standard input"
 		text, err = io.ReadAll(r.in)
 	default:
 		text, err = os.ReadFile(name)
--- a/cmd/reed/faults.go
+++ b/cmd/reed/faults.go
@@ -17,7 +17,7 @@
 func (r *reed) faultCommands(file []cli.Argument) *cli.Command {
 	asJSON := []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "as JSON"}}
 	return &cli.Command{Name: "fault", Usage: "fault rules for single tenants", Commands: []*cli.Command{
-		{Name: "put", Usage: "send a set of rules, all that there shall be", Arguments: file, Action: r.faultPut},
+		{Name: "put", Usage: "send a set of rules, all that there shall be", ArgsUsage: "FILE", Arguments: file, Action: r.faultPut},
 		{Name: "get", Usage: "print the set", Action: r.faultGet},
 		{Name: "stop", Usage: "stop all rules at once", Action: r.faultStop},
 		{Name: "status", Usage: "how the rules stand", Action: r.faultStatus, Flags: asJSON},
--- a/cmd/reed/main.go
+++ b/cmd/reed/main.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -26,6 +27,7 @@
 	nobody    = 3 // no gateway took it: nothing has been done
 	unknown   = 4 // no clear answer: it may have been done; the same again does no harm
 	overtaken = 5 // acknowledged, but another configuration is in force
+	differs   = 6 // the two that were compared differ
 )
 
 func main() {
@@ -49,7 +51,7 @@
 	r := &reed{in, out, complaints, d}
 	root := r.root()
 	err := root.Run(ctx, args)
-	if err != nil {
+	if err != nil && err != errDiffers {
 		fmt.Fprintln(complaints, "reed:", err)
 	}
 	return code(err)
@@ -63,6 +65,8 @@
 	switch {
 	case err == nil:
 		return done
+	case errors.Is(err, errDiffers):
+		return differs
 	case errors.As(err, &unread):
 		return unknown
 	case errors.As(err, &none):
@@ -80,11 +84,9 @@
 
 func (r *reed) root() *cli.Command {
 	file := []cli.Argument{&cli.StringArg{Name: "file", UsageText: "FILE (- for standard input)"}}
+	asJSON := &cli.BoolFlag{Name: "json", Usage: "as JSON"}
 	root := &cli.Command{Name: "reed", Usage: "the operators' calls to the gateways of a system",
-		Description: "Exit codes: 0 done; 1 bad command line or file, nothing sent; 2 refused for good, or not there;\n" +
-			"3 no gateway took it, nothing done; 4 no clear answer, may have been done; 5 acknowledged, but another\n" +
-			"configuration is in force.",
-		Writer: r.out, ErrWriter: io.Discard, HideVersion: true, HideHelpCommand: true,
+		Writer: r.out, ErrWriter: io.Discard, HideVersion: true,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "at", Usage: "control addresses (host:port) of gateways, tried in turn", Sources: cli.EnvVars("REED_AT")},
 			&cli.StringFlag{Name: "from", Usage: "a process's settings file: call the gateways in its Bootstrap",
@@ -92,16 +94,30 @@
 			&cli.DurationFlag{Name: "within", Usage: "for a call with all its tries", Value: 10 * time.Second},
 		},
 		Commands: []*cli.Command{
-			{Name: "put", Usage: "send a configuration", Arguments: file, Action: r.put, Flags: []cli.Flag{
+			{Name: "put", Usage: "send a configuration", ArgsUsage: "FILE", Arguments: file, Action: r.put, Flags: []cli.Flag{
 				&cli.BoolFlag{Name: "unchecked", Usage: "leave the checking to the gateway"}}},
 			{Name: "get", Usage: "print the newest configuration", Action: r.get},
+			{Name: "diff", Usage: "compare a configuration with the one in force, or two files", ArgsUsage: "FILE | OLD NEW", Action: r.diff,
+				Arguments: []cli.Argument{&cli.StringArg{Name: "file", UsageText: "FILE"}, &cli.StringArg{Name: "new", UsageText: "[NEW]"}},
+				Flags:     []cli.Flag{asJSON}},
+			r.rolloutCommand(),
 			{Name: "status", Usage: "what one gateway knows of the system", Action: r.status, Flags: []cli.Flag{
 				&cli.BoolFlag{Name: "json", Usage: "as the gateway sent it"}}},
-			r.rolloutCommand(),
+			{Name: "members", Usage: "the gateways: state, age of the news, who watches whom", Action: r.members, Flags: []cli.Flag{asJSON}},
+			{Name: "services", Usage: "the servers by service: phase, warm-up, last beat, home", ArgsUsage: "[SERVICE]", Action: r.services,
+				Arguments: []cli.Argument{&cli.StringArg{Name: "service", UsageText: "[SERVICE]"}},
+				Flags: []cli.Flag{asJSON, &cli.BoolFlag{Name: "here", Usage: "what the one gateway knows; ask no homes"},
+					&cli.BoolFlag{Name: "ended", Usage: "those that have ended, too"}}},
+			{Name: "epochs", Usage: "who is primary, backup and witness, and the changes of it", Action: r.epochs, Flags: []cli.Flag{asJSON}},
+			{Name: "drain", Usage: "send clients of one gateway elsewhere, or take them again", ArgsUsage: "[NAME]", Action: r.drain,
+				Arguments: []cli.Argument{&cli.StringArg{Name: "name", UsageText: "[NAME]"}},
+				Flags: []cli.Flag{asJSON, &cli.BoolFlag{Name: "stop", Usage: "take clients again"},
+					&cli.BoolFlag{Name: "alone", Usage: "even if no other gateway is ready"}}},
 			{Name: "log", Usage: "the last lines of one gateway", Action: r.log},
-			{Name: "check", Usage: "check a configuration without sending it", Arguments: file, Action: r.check},
-			{Name: "settings", Usage: "check a process's settings file", Arguments: file, Action: r.settings},
+			{Name: "check", Usage: "check a configuration without sending it", ArgsUsage: "FILE", Arguments: file, Action: r.check},
+			{Name: "settings", Usage: "check a process's settings file", ArgsUsage: "FILE", Arguments: file, Action: r.settings},
 			r.faultCommands(file),
+			{Name: "man", Usage: "print the manual page", Action: r.man},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Present() {
@@ -110,15 +126,21 @@
 			return cli.ShowRootCommandHelp(c)
 		},
 	}
-	quiet := func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
-	faults := root.Commands[len(root.Commands)-1]
-	for _, c := range append(append(root.Commands, root), faults.Commands...) {
-		c.OnUsageError = quiet
-		c.ExitErrHandler = func(context.Context, *cli.Command, error) {}
-	}
+	quietly("", root)
 	return root
 }
 
+// quietly leaves errors to run, and gives each command below one its page.
+func quietly(above string, c *cli.Command) {
+	name := strings.TrimSpace(above + " " + c.Name)
+	c.Description = pages[name]
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+	c.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	for _, below := range c.Commands {
+		quietly(name, below)
+	}
+}
+
 // client calls the gateways that the command line names, or a settings file does.
 func (r *reed) client(c *cli.Command) (*tell.Client, error) {
 	at := c.StringSlice("at")
--- a/cmd/reed/main_test.go
+++ b/cmd/reed/main_test.go
@@ -15,9 +15,17 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"asterwell/internal/tell"
+	"asterwell/internal/weave"
 )
 
 func TestMain(m *testing.M) {
+	if os.Getenv("PROCESS") != "" { // a script has started it as one
+		if err := weave.Run(context.Background(), os.Getenv("ASTERWELL_CONFIG")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	testscript.Main(m, map[string]func(){"reed": func() {
 		os.Exit(run(context.Background(), os.Args, os.Stdin, os.Stdout, os.Stderr, unhurried))
 	}})
@@ -40,7 +48,8 @@
 			e.Values["checks"] = new([]func() string)
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"gateway": gateway, "exit": exit, "spent": spent}})
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"gateway": gateway, "exit": exit, "spent": spent,
+			"process": process, "until": until, "beat": beat, "call": call}})
 }
 
 // spent holds the gateways to it that they were asked all they should, and no more.
@@ -68,6 +77,9 @@
 // answers as they say: METHOD PATH STATUS [HEADER=VALUE...] [@FILE]. The status "cut"
 // closes the connection once the call is read. Its address is then in $NAME.
 func gateway(ts *testscript.TestScript, _ bool, args []string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	ts.Setenv(args[0], ln.Addr().String())
 	var lines []string
 	for _, line := range strings.Split(ts.ReadFile(args[1]), "\n") {
 		if line = strings.TrimSpace(line); line != "" {
@@ -77,7 +89,7 @@
 	files := map[string][]byte{}
 	for _, line := range lines {
 		if _, name, ok := strings.Cut(line, "@"); ok {
-			files[name] = []byte(ts.ReadFile(name))
+			files[name] = []byte(os.Expand(ts.ReadFile(name), ts.Getenv))
 		}
 	}
 	var mu sync.Mutex
@@ -108,11 +120,8 @@
 		w.WriteHeader(status)
 		w.Write(body)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
 	s := &http.Server{Handler: http.HandlerFunc(serve)}
 	go s.Serve(ln)
-	ts.Setenv(args[0], ln.Addr().String())
 	ts.Defer(func() { s.Close() })
 	checks := ts.Value("checks").(*[]func() string)
 	*checks = append(*checks, func() string {
--- a/cmd/reed/rollout.go
+++ b/cmd/reed/rollout.go
@@ -14,7 +14,7 @@
 func (r *reed) rolloutCommand() *cli.Command {
 	return &cli.Command{Name: "rollout", Usage: "how the newest configuration is taken up: live, prepared by whom, refused, withdrawn",
 		Action: r.rollout, Commands: []*cli.Command{
-			{Name: "withdraw", Usage: "never let a version be live; one that is stays so", Action: r.withdraw,
+			{Name: "withdraw", Usage: "never let a version be live; one that is stays so", Action: r.withdraw, ArgsUsage: "VERSION",
 				Arguments: []cli.Argument{&cli.StringArg{Name: "version", UsageText: "VERSION (eight hexadecimal digits)"}}},
 		}}
 }
--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -35,6 +35,7 @@
 	asked int        // times since then
 	via   string     // who last reached it when we couldn't
 	ended plane.Time // since when it is gone
+	since plane.Time // since when it is in its state, for people
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -82,7 +83,7 @@
 		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
 	}
 	m.beat, m.hello, m.try = now, now, now
-	m.nodes[self.Addr] = &entry{node: self}
+	m.nodes[self.Addr] = &entry{node: self, since: now}
 	m.Seeds(now, seeds)
 	return m
 }
@@ -136,7 +137,11 @@
 // renew gives our own entry its next version, and leaves it to be told.
 func (m *Machine) renew() {
 	m.self.Seq++
-	m.nodes[m.self.Addr].node = m.self
+	me := m.nodes[m.self.Addr]
+	if me.node.State != m.self.State {
+		me.since = m.now
+	}
+	me.node = m.self
 	m.late[m.self.Addr] = true
 	m.out.Changed = true
 	m.stale = true
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -46,13 +46,16 @@
 }
 
 // around is the nodes at the offsets after (1) or before (-1) us.
-func (m *Machine) around(way int) []string {
+func (m *Machine) around(way int) []string { return m.beside(m.self.Addr, way) }
+
+// beside is the same for any live node.
+func (m *Machine) beside(node string, way int) []string {
 	n := len(m.ring)
-	at := slices.Index(m.ring, m.self.Addr)
+	at := slices.Index(m.ring, node)
 	var found []string
 	for _, o := range offsets {
 		a := m.ring[((at+way*o)%n+n)%n]
-		if a != m.self.Addr && !slices.Contains(found, a) {
+		if a != node && !slices.Contains(found, a) {
 			found = append(found, a)
 		}
 	}
@@ -137,7 +140,7 @@
 func (m *Machine) lose(addr string) {
 	e := m.nodes[addr]
 	if !e.lost && e.node.State != Gone {
-		e.lost, e.ended = true, m.now
+		e.lost, e.ended, e.since = true, m.now, m.now
 		m.stale, m.out.Changed = true, true
 		m.out.Silent = append(m.out.Silent, addr)
 	}
--- a/internal/bond/word.go
+++ b/internal/bond/word.go
@@ -71,7 +71,7 @@
 
 // found: one that we alone had lost is there.
 func (m *Machine) found(e *entry) {
-	e.lost, e.heard, e.asked = false, m.now, 0
+	e.lost, e.heard, e.asked, e.since = false, m.now, 0, m.now
 	m.stale, m.out.Changed = true, true
 }
 
@@ -119,7 +119,7 @@
 		if n.State == Gone {
 			return false
 		}
-		m.nodes[n.Addr] = &entry{node: n, heard: m.now}
+		m.nodes[n.Addr] = &entry{node: n, heard: m.now, since: m.now}
 		m.stale, m.out.Changed = true, true
 		return true
 	}
@@ -138,6 +138,9 @@
 		n = n2
 		e.ended = m.now
 	}
+	if e.lost || e.node.State != n.State || e.node.Life != n.Life {
+		e.since = m.now
+	}
 	e.node, e.lost = n, false
 	e.heard, e.asked = m.now, 0
 	delete(m.doubt, n.Addr)
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -87,6 +87,7 @@
 
 	version uint32
 	leaving bool
+	drained bool
 	ready   bool
 	out     Out
 }
@@ -141,7 +142,7 @@
 	if k.bane.Awake() {
 		k.ruled(func() bane.Out { return k.bane.Tick(now) })
 	}
-	if ready := !k.leaving && k.version > 0 && k.lore.Filled(); ready != k.ready {
+	if ready := !k.leaving && !k.drained && k.version > 0 && k.lore.Filled(); ready != k.ready {
 		k.ready = ready
 		k.bond.SetReady(ready)
 	}
@@ -195,6 +196,10 @@
 	return k.end()
 }
 
+// Drain says that clients should go elsewhere for as long as it is on. The next tick
+// tells it.
+func (k *Knot) Drain(on bool) { k.drained = on }
+
 // Seeds replaces the addresses to turn to.
 func (k *Knot) Seeds(now plane.Time, seeds []string) {
 	k.bond.Seeds(now, seeds)
@@ -216,6 +221,15 @@
 // Servers is every server known.
 func (k *Knot) Servers() []lore.Server { return k.lore.Servers() }
 
+// Gateways is every process with what is known of it here.
+func (k *Knot) Gateways(now plane.Time) []bond.Sight { return k.bond.Sights(now) }
+
+// Services is every server with what is known of it here.
+func (k *Knot) Services(now plane.Time) []lore.Sight { return k.lore.Sights(now) }
+
+// Epochs are those that this process has seen, the newest last.
+func (k *Knot) Epochs() []pact.Change { return k.pact.Past() }
+
 // Pact tells how agreement stands.
 func (k *Knot) Pact() pact.Status { return k.pact.Status() }
 
--- a/internal/lore/home.go
+++ b/internal/lore/home.go
@@ -1,6 +1,7 @@
 package lore
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,18 +17,21 @@
 // where the zone has none) that the hash ranks first.
 func (m *Machine) home(s Server) string {
 	p := place{s.Zone, s.Service}
-	if h, ok := m.homes[p]; ok {
-		return h
+	h, ok := m.homes[p]
+	if !ok {
+		h = m.belongs(p)
+		m.homes[p] = h
 	}
+	return h
+}
+
+// belongs finds a place's home, and remembers nothing.
+func (m *Machine) belongs(p place) string {
 	h := m.rank(p, true)
 	if h == "" {
 		h = m.rank(p, false)
 	}
-	if h == "" {
-		h = m.self
-	}
-	m.homes[p] = h
-	return h
+	return cmp.Or(h, m.self)
 }
 
 func (m *Machine) rank(p place, near bool) string {
--- a/internal/lore/machine.go
+++ b/internal/lore/machine.go
@@ -29,6 +29,7 @@
 	last  uint64     // highest sequence number heard from it
 	beat  plane.Time // when; for a home also when its wait began
 	heard bool       // a beat came here at all
+	came  plane.Time // when the last one did
 	ended plane.Time // since when it is ended or silent
 	old   bool       // from before a long absence, and not seen by others since
 }
@@ -114,7 +115,7 @@
 		it = m.items[s.ID]
 	}
 	if s.Seq >= it.last {
-		it.last, it.beat, it.heard, it.old = s.Seq, m.now, true, false
+		it.last, it.beat, it.came, it.heard, it.old = s.Seq, m.now, m.now, true, false
 	}
 	return news
 }
--- /dev/null
+++ b/internal/lore/sight.go
@@ -0,0 +1,32 @@
+package lore
+
+import (
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// Sight is a server as people are shown it.
+type Sight struct {
+	Server
+	WarmLeft time.Duration // it is slow for so long yet
+	Home     string        // mesh address of its home
+	Beat     time.Duration // since its last beat that came here; below 0: none did
+}
+
+// Sights is every server with what is known of it here, sorted by ID.
+func (m *Machine) Sights(now plane.Time) []Sight {
+	all := make([]Sight, 0, len(m.items))
+	for _, id := range m.ids() {
+		it := m.items[id]
+		s := Sight{Server: it.Server, WarmLeft: max(0, it.Warm-now), Beat: -1}
+		if it.heard {
+			s.Beat = max(0, now-it.came)
+		}
+		if it.Phase != Ended {
+			s.Home = m.belongs(place{it.Zone, it.Service})
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -181,6 +181,7 @@
 	turn    int
 	founder founder
 	adopted Doc // the newest handed out to be put in force
+	past    []Change
 	bug     bug
 }
 
@@ -411,6 +412,7 @@
 			}
 		}
 		if len(m.loop) == 0 {
+			m.remember()
 			if m.d.Kept.Above(m.adopted) {
 				m.adopted, m.out.Adopt = m.d.Kept, m.Held()
 			}
--- /dev/null
+++ b/internal/pact/past.go
@@ -0,0 +1,48 @@
+package pact
+
+import (
+	"slices"
+
+	"asterwell/internal/plane"
+)
+
+// Change is an epoch that has taken the place of another, as it became known here.
+type Change struct {
+	At     plane.Time
+	Ballot Ballot
+	Seats  []Duty
+}
+
+// Duty is what a seat of the core does in an epoch.
+type Duty struct {
+	Seat
+	Does string // primary, backup, witness
+}
+
+const mostPast = 64
+
+// remember notes another epoch.
+func (m *Machine) remember() {
+	if n := len(m.past); m.view.none() || n > 0 && m.past[n-1].Ballot == m.view.Ballot {
+		return
+	}
+	c := Change{At: m.now, Ballot: m.view.Ballot}
+	for _, s := range m.view.Set {
+		d := Duty{s, "witness"}
+		switch slices.Index(m.view.Writers, s.Addr) {
+		case -1:
+		case 0:
+			d.Does = "primary"
+		default:
+			d.Does = "backup"
+		}
+		c.Seats = append(c.Seats, d)
+	}
+	if len(m.past) == mostPast {
+		m.past = slices.Delete(m.past, 0, 1)
+	}
+	m.past = append(m.past, c)
+}
+
+// Past is the epochs that this process has seen, the newest last.
+func (m *Machine) Past() []Change { return slices.Clone(m.past) }
--- a/internal/routing/layer_test.go
+++ b/internal/routing/layer_test.go
@@ -55,6 +55,8 @@
 		"../knot":       {"net*", "os*", "log*", "github.com/valyala/*", "asterwell/internal/weave", "asterwell/internal/shuttle", "asterwell/internal/vault", "asterwell/internal/mesh", "asterwell/internal/seam"},
 		"../creed":      {"net", "net/http", "log*", "cuelang.org/*", "own"},
 		"../vault":      {"net", "net/http", "own"},
+		"../glass":      {"net*", "os*", "log*", "io*", "encoding/*", "github.com/*", "own"},
+		"../tell":       {"github.com/valyala/*", "github.com/mattn/*", "cuelang.org/*", "asterwell/internal/weave", "asterwell/internal/vault", "asterwell/internal/knot"},
 		"../omen":       {"net*", "own"},
 		"../shuttle":    {"asterwell/internal/weave", "asterwell/internal/knot", "asterwell/internal/pact", "asterwell/internal/lore", "asterwell/internal/bond", "asterwell/internal/toll", "asterwell/internal/vault"},
 		"../weave":      {"asterwell/internal/standin*", "asterwell/internal/lab", "asterwell/internal/yarn", "cuelang.org/*", "testing"},
--- /dev/null
+++ b/internal/tell/show.go
@@ -0,0 +1,209 @@
+package tell
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+
+	"asterwell/internal/glass"
+)
+
+// show reads what one gateway shows.
+func show[T any](ctx context.Context, c *Client, what string) (*T, *Answer, error) {
+	a, err := c.call(ctx, http.MethodGet, "/api/"+what, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	v := new(T)
+	if err := json.Unmarshal(a.Body, v); err != nil {
+		return nil, a, fmt.Errorf("%s: %s: %w", a.At, what, err)
+	}
+	return v, a, nil
+}
+
+// Members asks one gateway for all gateways.
+func (c *Client) Members(ctx context.Context) (*glass.Members, *Answer, error) {
+	return show[glass.Members](ctx, c, "members")
+}
+
+// Epochs asks one gateway for what it has seen of agreement.
+func (c *Client) Epochs(ctx context.Context) (*glass.Epochs, *Answer, error) {
+	return show[glass.Epochs](ctx, c, "epochs")
+}
+
+// Services asks one gateway for all servers.
+func (c *Client) Services(ctx context.Context) (*glass.Services, *Answer, error) {
+	return show[glass.Services](ctx, c, "services")
+}
+
+const (
+	mostHomes = 64 // that are asked for the age of beats
+	atOnce    = 8
+)
+
+// Beats asks the homes of servers for the age of beats that did not come to the gateway
+// that told of them, once each. It returns the homes that did not answer.
+func Beats(ctx context.Context, s *glass.Services, dial func(at []string, within time.Duration) *Client) (silent []string) {
+	var homes []string
+	for _, v := range s.Servers {
+		if v.BeatS == nil && v.HomeAt != "" && !slices.Contains(homes, v.HomeAt) && len(homes) < mostHomes {
+			homes = append(homes, v.HomeAt)
+		}
+	}
+	var mu sync.Mutex
+	beats := map[string]*float64{}
+	for some := range slices.Chunk(homes, atOnce) {
+		var all sync.WaitGroup
+		for _, at := range some {
+			all.Go(func() {
+				told, _, err := dial([]string{at}, 0).Services(ctx)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					silent = append(silent, at)
+					return
+				}
+				for _, v := range told.Servers {
+					if v.HomeAt == at && v.BeatS != nil {
+						beats[v.ID] = v.BeatS
+					}
+				}
+			})
+		}
+		all.Wait()
+	}
+	for i, v := range s.Servers {
+		s.Servers[i].BeatS = cmp.Or(v.BeatS, beats[v.ID])
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// Drain makes the one gateway that the client calls send clients elsewhere, or take them
+// again. Unless alone, it refuses where they would have nowhere to go.
+func (c *Client) Drain(ctx context.Context, on, alone bool) (*Answer, error) {
+	what := lo.Ternary(on, lo.Ternary(alone, "start-alone", "start"), "stop")
+	return c.call(ctx, http.MethodPost, "/api/drain/"+what, nil)
+}
+
+// WriteMembers prints the gateways by zone and name.
+func WriteMembers(to io.Writer, m *glass.Members) error {
+	fmt.Fprintf(to, "as %s sees it%s\n\n", m.Asked, lo.Ternary(m.Draining, "; it drains", ""))
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tZONE\tCONTROL\tCORE\tSTATE\tFOR\tREADY\tHOLDS\tNEWS\tSTARTED\tWATCHED BY")
+	slices.SortFunc(m.Gateways, func(a, b glass.Gateway) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Name, b.Name)) })
+	far := false
+	for _, g := range m.Gateways {
+		news := age(g.NewsS)
+		switch {
+		case g.Addr == m.Mesh:
+			news = "itself"
+		case !g.Watched:
+			news, far = news+" *", true
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", g.Name, g.Zone, cmp.Or(g.Control, "-"), yes(g.Core), g.State, age(g.ForS),
+			yes(g.Ready), g.Holds, news, clock(g.Started), cmp.Or(strings.Join(g.Watchers, " "), "-"))
+	}
+	if err := w.Flush(); err != nil || !far {
+		return err
+	}
+	_, err := fmt.Fprintln(to, "\n* not watched from here: only changes are heard of. Its watchers know whether it beats.")
+	return err
+}
+
+// WriteServices prints servers by service.
+func WriteServices(to io.Writer, s *glass.Services) error {
+	fmt.Fprintf(to, "as %s sees it\n\n", s.Asked)
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tSERVER\tENDPOINT\tZONE\tPHASE\tWARM-UP LEFT\tLAST BEAT\tHOME")
+	slices.SortStableFunc(s.Servers, func(a, b glass.Server) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.ID, b.ID))
+	})
+	for _, v := range s.Servers {
+		beat, warm := "unknown", "-"
+		if v.BeatS != nil {
+			beat = age(*v.BeatS)
+		}
+		if v.WarmLeftS > 0 {
+			warm = age(v.WarmLeftS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", v.Service, v.ID, v.Endpoint, v.Zone, v.Phase, warm, beat, cmp.Or(v.Home, "-"))
+	}
+	return w.Flush()
+}
+
+// WriteEpochs prints who does what, and the changes of it, the newest first.
+func WriteEpochs(to io.Writer, e *glass.Epochs) error {
+	if len(e.Epochs) == 0 {
+		_, err := fmt.Fprintf(to, "as %s sees it: no epoch; the core has not agreed, or can't be reached from there\n", e.Asked)
+		return err
+	}
+	fmt.Fprintf(to, "as %s (%s) sees it\n\n", e.Asked, e.Role)
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "KNOWN SINCE\tEPOCH\tPRIMARY\tBACKUP\tWITNESS\tWHAT CHANGED")
+	for i := len(e.Epochs) - 1; i >= 0; i-- {
+		now := e.Epochs[i]
+		what := "first that it saw since its start"
+		if i > 0 {
+			what = changed(e.Epochs[i-1], now)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\n", clock(now.At), now.Epoch, does(now, "primary"), does(now, "backup"), does(now, "witness"), what)
+	}
+	return w.Flush()
+}
+
+func does(e glass.Epoch, what string) string {
+	names := lo.FilterMap(e.Seats, func(s glass.Seat, _ int) (string, bool) { return s.Name, s.Does == what })
+	return cmp.Or(strings.Join(names, " "), "-")
+}
+
+// changed tells in words what one epoch has otherwise than the one before.
+func changed(was, is glass.Epoch) string {
+	duty := func(e glass.Epoch) map[string]glass.Seat {
+		return lo.KeyBy(e.Seats, func(s glass.Seat) string { return s.Addr })
+	}
+	old, now := duty(was), duty(is)
+	var words []string
+	for _, s := range is.Seats {
+		if o, ok := old[s.Addr]; !ok {
+			words = append(words, s.Name+" is new, as "+s.Does)
+		} else if o.Does != s.Does {
+			words = append(words, s.Name+" "+o.Does+" → "+s.Does)
+		}
+	}
+	for _, s := range was.Seats {
+		if _, ok := now[s.Addr]; !ok {
+			words = append(words, s.Name+" has lost its seat")
+		}
+	}
+	return cmp.Or(strings.Join(words, ", "), "none: the same agreed anew")
+}
+
+func yes(is bool) string { return lo.Ternary(is, "yes", "no") }
+
+func clock(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05Z") }
+
+// age is a time for people.
+func age(s float64) string {
+	switch {
+	case s < 10:
+		return fmt.Sprintf("%.1f s", s)
+	case s < 120:
+		return fmt.Sprintf("%.0f s", s)
+	case s < 7200:
+		return fmt.Sprintf("%.0f min", s/60)
+	case s < 172800:
+		return fmt.Sprintf("%.0f h", s/3600)
+	}
+	return fmt.Sprintf("%.0f d", s/86400)
+}
--- a/internal/weave/calls.go
+++ b/internal/weave/calls.go
@@ -33,6 +33,10 @@
 	{"GET", "/api/strikes", "what rules struck at this process", (*Process).strikes},
 	{"DELETE", "/api/rollout/", "a version that is not live yet shall never be", (*Process).withdraw},
 	{"GET", "/api/status", "what this process knows", (*Process).status},
+	{"GET", "/api/members", "the gateways, and who watches whom", (*Process).members},
+	{"GET", "/api/services", "the servers, and how old the news of them is", (*Process).services},
+	{"GET", "/api/epochs", "who does what in agreement, and since when", (*Process).epochs},
+	{"POST", "/api/drain/", "clients shall go elsewhere, or come again", (*Process).drain},
 	{"GET", "/api/log", "its last lines", (*Process).log},
 }
 
@@ -154,16 +158,6 @@
 	ctx.Error("nobody can take it now\n", http.StatusServiceUnavailable)
 }
 
-func (p *Process) status(ctx *fasthttp.RequestCtx, _ string) {
-	body, err := json.MarshalIndent(p.ask(func(call uint64) { p.box.Put(examined{call}) }), "", "  ")
-	if err != nil {
-		ctx.Error(err.Error()+"\n", http.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(body, '\n'))
-}
-
 func (p *Process) log(ctx *fasthttp.RequestCtx, _ string) {
 	ctx.SetBodyString(strings.Join(p.ring.Lines(), "\n") + "\n")
 }
--- a/internal/weave/disk.go
+++ b/internal/weave/disk.go
@@ -127,6 +127,7 @@
 	Name, Mesh string
 	Ready      bool
 	Leaving    bool
+	Draining   bool
 	Version    string
 	Pact       pact.Status
 	Rollout    accord.Status
@@ -136,7 +137,7 @@
 }
 
 func (p *Process) examine() Status {
-	return Status{Name: p.set.NodeName, Mesh: p.self, Ready: p.ready.Load(), Leaving: p.leaving.Load(),
+	return Status{Name: p.set.NodeName, Mesh: p.self, Ready: p.ready.Load(), Leaving: p.leaving.Load(), Draining: p.draining.Load(),
 		Version: fmt.Sprintf("%08x", p.plane.Version()), Pact: p.knot.Pact(), Rollout: p.knot.Rollout(p.now()), Nodes: p.knot.View(), Servers: p.knot.Servers(),
 		Mesh_: p.mesh.Counts.All()}
 }
--- a/internal/weave/serve.go
+++ b/internal/weave/serve.go
@@ -31,6 +31,7 @@
 		if err := p.listen("Ingress", b.Ingress, clients, s); err != nil {
 			return err
 		}
+		p.clients = p.listeners[0]
 	}
 	if b.Readiness != "" {
 		if err := p.listen("Readiness", b.Readiness, 64, transport.NewServer(p.readiness, 0)); err != nil {
@@ -88,8 +89,8 @@
 	}
 	p.closing.Store(true)
 	open := 0
-	for _, ln := range p.listeners[:1] { // clients; who else calls goes elsewhere
-		open += ln.Drain()
+	if p.clients != nil { // who else calls goes elsewhere
+		open = p.clients.Drain()
 	}
 	return open == 0 && p.plane.Open() == 0 || gone > p.set.Bounds.Grace-lastCall
 }
--- /dev/null
+++ b/internal/weave/show.go
@@ -0,0 +1,92 @@
+package weave
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/bond"
+	"asterwell/internal/glass"
+	"asterwell/internal/lore"
+	"asterwell/internal/pact"
+)
+
+// shown asks the loop for something that operators are shown.
+type shown struct {
+	call uint64
+	show func(p *Process) any
+}
+
+// show answers with what the loop makes of the process as it is. The loop copies, and
+// the connection's goroutine writes.
+func (p *Process) show(ctx *fasthttp.RequestCtx, of func(p *Process) any) {
+	a := p.ask(func(call uint64) { p.box.Put(shown{call, of}) })
+	if a == nil {
+		p.busy(ctx)
+		return
+	}
+	body, err := json.MarshalIndent(a, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error()+"\n", http.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+func (p *Process) status(ctx *fasthttp.RequestCtx, _ string) {
+	p.show(ctx, func(p *Process) any { return p.examine() })
+}
+
+func (p *Process) members(ctx *fasthttp.RequestCtx, _ string) {
+	p.show(ctx, func(p *Process) any {
+		all := p.knot.Gateways(p.now())
+		name := named(all)
+		return glass.Members{Asked: p.set.NodeName, Mesh: p.self, Draining: p.draining.Load(),
+			Gateways: lo.Map(all, func(s bond.Sight, _ int) glass.Gateway {
+				return glass.Gateway{Name: s.Name, Zone: s.Zone, Addr: s.Addr, Control: s.Control, Core: s.Member, State: s.State.String(),
+					ForS: s.For.Seconds(), Ready: s.Ready, Started: time.UnixMilli(int64(s.Life)).UTC(), NewsS: s.News.Seconds(),
+					Watched: s.Here, Watchers: lo.Map(s.Watchers, func(a string, _ int) string { return name(a) }),
+					Holds: fmt.Sprintf("%08x", s.Held)}
+			})}
+	})
+}
+
+// named finds the names of addresses.
+func named(all []bond.Sight) func(addr string) string {
+	names := lo.SliceToMap(all, func(s bond.Sight) (string, string) { return s.Addr, s.Name })
+	return func(addr string) string { return cmp.Or(names[addr], addr) }
+}
+
+func (p *Process) services(ctx *fasthttp.RequestCtx, _ string) {
+	p.show(ctx, func(p *Process) any {
+		all := p.knot.Gateways(p.now())
+		name, at := named(all), lo.SliceToMap(all, func(s bond.Sight) (string, string) { return s.Addr, s.Control })
+		return glass.Services{Asked: p.set.NodeName, Mesh: p.self,
+			Servers: lo.Map(p.knot.Services(p.now()), func(s lore.Sight, _ int) glass.Server {
+				v := glass.Server{ID: s.ID, Service: s.Service, Endpoint: s.Addr, Zone: s.Zone, Epoch: s.Epoch, Capacity: s.Capacity,
+					Phase: s.Phase.String(), WarmLeftS: s.WarmLeft.Seconds(), Home: name(s.Home), HomeAt: at[s.Home]}
+				if s.Beat >= 0 {
+					v.BeatS = lo.ToPtr(s.Beat.Seconds())
+				}
+				return v
+			})}
+	})
+}
+
+func (p *Process) epochs(ctx *fasthttp.RequestCtx, _ string) {
+	p.show(ctx, func(p *Process) any {
+		now, today := p.now(), time.Now()
+		return glass.Epochs{Asked: p.set.NodeName, Mesh: p.self, Role: p.knot.Pact().Role,
+			Epochs: lo.Map(p.knot.Epochs(), func(c pact.Change, _ int) glass.Epoch {
+				return glass.Epoch{Epoch: c.Ballot.N, At: today.Add(c.At - now).UTC(), Seats: lo.Map(c.Seats, func(d pact.Duty, _ int) glass.Seat {
+					return glass.Seat{Name: cmp.Or(d.Name, d.Addr), Zone: d.Zone, Addr: d.Addr, Does: d.Does}
+				})}
+			})}
+	})
+}
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -59,17 +59,20 @@
 	keptAt    time.Time
 	plane     *shuttle.Plane
 	listeners []*transport.Listener
+	clients   *transport.Listener // nil: they are not served
 
-	lastCall atomic.Uint64
-	waits    sync.Map // calls under way: their number, and a chan any
-	leaving  atomic.Bool
-	closing  atomic.Bool // it has left for so long that clients should have gone elsewhere
-	ready    atomic.Bool
-	nudged   atomic.Bool
-	short    atomic.Bool // of strikes
-	left     time.Time   // since when it leaves
-	alone    time.Time   // since when nobody else is seen
-	totals   time.Time   // when they were last told
+	lastCall  atomic.Uint64
+	waits     sync.Map // calls under way: their number, and a chan any
+	leaving   atomic.Bool
+	closing   atomic.Bool // it has left for so long that clients should have gone elsewhere
+	ready     atomic.Bool
+	draining  atomic.Bool // an operator has said so
+	nudged    atomic.Bool
+	short     atomic.Bool // of strikes
+	left      time.Time   // since when it leaves
+	drainedAt time.Time   // when a drain began or ended
+	alone     time.Time   // since when nobody else is seen
+	totals    time.Time   // when they were last told
 }
 
 const tick = 50 * time.Millisecond
@@ -131,7 +134,7 @@
 		Faults: knot.Faults{Longest: p.longest(), Judge: p.judge, Disk: p.keptRules(sound)}},
 		p.meter, kept, now)
 	p.plane = shuttle.New(shuttle.Options{Zone: set.Zone, Now: p.now, Sockets: set.BoundsReq.FdLimit / 3, Seed: seed, Pass: p.pass,
-		Leaving: p.leaving.Load, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults()})
+		Leaving: p.away, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults()})
 	p.mesh = mesh.New(mesh.Options[*frame]{Codec: codec, Most: 1000, Tune: tune, Buffer: 2 << 10,
 		Handle: func(_ *mesh.Pipe[*frame], f *frame) { p.box.Put(f) }})
 	if err := p.mesh.Listen(p.self); err != nil {
@@ -200,12 +203,11 @@
 		version uint32
 		by      string
 	}
-	fetched  struct{ call uint64 }
-	examined struct{ call uint64 }
-	written  struct{ seq uint64 }
-	nudge    struct{} // adds to the counters should not wait for the tick
-	changed  struct{} // the settings
-	told     struct{} // to end
+	fetched struct{ call uint64 }
+	written struct{ seq uint64 }
+	nudge   struct{} // adds to the counters should not wait for the tick
+	changed struct{} // the settings
+	told    struct{} // to end
 )
 
 // loop serves until the process has been told to end and all is answered.
@@ -242,8 +244,10 @@
 		p.carry(p.knot.Withdraw(now, m.version, m.by))
 	case fetched:
 		p.carry(p.knot.Get(now, m.call))
-	case examined:
-		p.reply(m.call, p.examine())
+	case shown:
+		p.reply(m.call, m.show(p))
+	case drained:
+		p.reply(m.call, p.drains(m))
 	case written:
 		p.carry(p.knot.Written(now, m.seq))
 	case ruled:
@@ -276,6 +280,7 @@
 		p.say.WithField("ready", ready).Info("readiness")
 	}
 	p.keepList(time.Now())
+	p.idle(time.Now())
 	if at := time.Now(); at.Sub(p.totals) >= totalsEvery {
 		p.totals = at
 		go p.tell()
