--- a/cmd/loom/main.go
+++ b/cmd/loom/main.go
@@ -23,6 +23,8 @@
 			{Name: "run", Usage: "serve, by the settings file that ASTERWELL_CONFIG names", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "settings", Usage: "the settings file", Sources: cli.EnvVars("ASTERWELL_CONFIG"), Required: true}},
 				Action: func(ctx context.Context, c *cli.Command) error { return weave.Run(ctx, c.String("settings")) }},
+			{Name: "status", Usage: "tell what a start would find in a state, and change nothing; the process is stopped", ArgsUsage: "DIR",
+				Action: func(_ context.Context, c *cli.Command) error { return status(c.Args().Slice(), out) }},
 			{Name: "snapshot", Usage: "copy the state of a process that is stopped", ArgsUsage: "DIR FILE",
 				Action: func(_ context.Context, c *cli.Command) error { return snapshot(c.Args().Slice(), out) }},
 			{Name: "restore", Usage: "put a copy in the place of a state; the process is stopped", ArgsUsage: "DIR FILE",
--- a/cmd/loom/main_test.go
+++ b/cmd/loom/main_test.go
@@ -1,25 +1,72 @@
 package main
 
 import (
+	"bytes"
+	"encoding/hex"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"asterwell/internal/pact"
 	"asterwell/internal/vault"
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"loom": main})
+	testscript.Main(m, map[string]func(){"loom": main, "full": full})
 }
 
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata", RequireExplicitExec: true,
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"keep": keep, "hold": hold, "spoil": spoil}})
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"keep": keep, "hold": hold, "spoil": spoil,
+			"flip": flip, "poke": poke}})
+}
+
+// full is loom on a disk that takes no more: files can't grow beyond their first page.
+func full() {
+	signal.Ignore(syscall.SIGXFSZ)
+	if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 4096, Max: 4096}); err != nil {
+		panic(err)
+	}
+	main()
+}
+
+// flip turns one bit of the first place in a file where a text stands: flip FILE TEXT.
+func flip(ts *testscript.TestScript, _ bool, args []string) {
+	path := ts.MkAbs(args[0])
+	text, err := os.ReadFile(path)
+	ts.Check(err)
+	i := bytes.Index(text, []byte(args[1]))
+	if i < 0 {
+		ts.Fatalf("%s is not in %s", args[1], args[0])
+	}
+	text[i] ^= 4
+	ts.Check(os.WriteFile(path, text, 0o644))
+}
+
+// poke writes bytes at a place of a file, and may end it there: poke FILE OFFSET BYTES|end.
+func poke(ts *testscript.TestScript, _ bool, args []string) {
+	path := ts.MkAbs(args[0])
+	at, err := strconv.ParseInt(args[1], 10, 64)
+	ts.Check(err)
+	if args[2] == "end" {
+		ts.Check(os.Truncate(path, at))
+		return
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	ts.Check(err)
+	defer f.Close()
+	bytes, err := hex.DecodeString(args[2])
+	ts.Check(err)
+	_, err = f.WriteAt(bytes, at)
+	ts.Check(err)
 }
 
 // keep saves a configuration in a state: keep DIR VERSION. Saved twice, it has both
@@ -28,8 +75,11 @@
 	v, err := vault.Open(ts.MkAbs(args[0]))
 	ts.Check(err)
 	defer v.Close()
-	body, err := cbor.Marshal(pact.Disk{Life: 1, Kept: pact.Doc{Version: uint32(args[1][0] - '0'), Body: []byte("x")}})
+	body, err := cbor.Marshal(pact.Disk{Life: 1, Kept: pact.Doc{Version: uint32(args[1][0] - '0'), Body: []byte("configuration of " + args[1])}})
 	ts.Check(err)
+	if args[1] == "none" { // of this program's
+		body = []byte("configuration of nobody")
+	}
 	ts.Check(v.Save(record, body))
 	ts.Check(v.Save(record, body))
 }
--- a/cmd/loom/state.go
+++ b/cmd/loom/state.go
@@ -6,16 +6,19 @@
 	"io"
 	"os"
 	"path/filepath"
+	"text/tabwriter"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"asterwell/internal/lore"
 	"asterwell/internal/pact"
 	"asterwell/internal/vault"
 )
 
 const (
 	file   = "vault.db"
-	record = "pact" // as package weave names it
+	record = "pact" // as package weave names them
+	list   = "lore"
 )
 
 // Unfit tells why a state can't be copied or replaced.
@@ -33,6 +36,13 @@
 	if _, err := os.Stat(filepath.Join(dir, file)); err != nil {
 		return &Unfit{dir, "no state: " + file + " is missing"}
 	}
+	found, err := vault.Look(dir) // opening a damaged one would begin to mend it
+	if err != nil {
+		return err
+	}
+	if err := doubts(found); err != nil {
+		return err
+	}
 	v, err := vault.Open(dir)
 	if v != nil {
 		defer v.Close()
@@ -51,6 +61,93 @@
 	return nil
 }
 
+// doubts are all that is not whole in a state.
+func doubts(f *vault.Found) error {
+	var all []error
+	if f.What != "" {
+		all = append(all, &vault.Damaged{Path: f.Path, What: f.What})
+	}
+	for _, r := range f.Records {
+		if r.Err != nil {
+			all = append(all, r.Err)
+		}
+	}
+	return errors.Join(all...)
+}
+
+// status tells what a start would find in a state, and changes nothing.
+func status(args []string, out io.Writer) error {
+	if len(args) != 1 {
+		return fmt.Errorf("needs DIR, not %d arguments", len(args))
+	}
+	dir, err := place(args[0])
+	if err != nil {
+		return err
+	}
+	f, err := vault.Look(dir)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: %d bytes\n", f.Path, f.Bytes)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "RECORD\tSTATE\tHOLDS")
+	seat := "empty, as a newcomer"
+	var strange error
+	for _, r := range f.Records {
+		is, holds := "whole", "-"
+		switch r.Err.(type) {
+		case nil:
+		case *vault.SteppedBack:
+			is = "stepped back"
+		default:
+			is = "lost"
+		}
+		if r.Data != nil {
+			if holds, err = holding(r.Name, r.Data); err != nil {
+				is, holds, strange = "unreadable", "-", errors.Join(strange, err)
+			}
+		}
+		switch {
+		case r.Name != record:
+		case is == "whole":
+			seat = "on what it holds"
+		case is == "unreadable":
+			seat = "not at all"
+		default:
+			seat = "anew, as a newcomer: it may have forgotten what it promised"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\n", r.Name, is, holds)
+	}
+	w.Flush()
+	for _, aside := range f.Aside {
+		fmt.Fprintf(out, "moved aside, damaged: %s\n", aside)
+	}
+	if f.What != "" {
+		seat = "anew, as a newcomer: it may have forgotten what it promised"
+	}
+	fmt.Fprintf(out, "a process starts %s\n", seat)
+	return errors.Join(doubts(f), strange)
+}
+
+// holding sums up a record.
+func holding(name string, data []byte) (string, error) {
+	switch name {
+	case record:
+		var d pact.Disk
+		if err := cbor.Unmarshal(data, &d); err != nil {
+			return "", fmt.Errorf("record %q: %w", name, err)
+		}
+		return fmt.Sprintf("configuration %08x, epoch %d", d.Kept.Version, d.Record.Ballot.N), nil
+	case list:
+		var rows []lore.Row
+		if err := cbor.Unmarshal(data, &rows); err != nil {
+			return "", fmt.Errorf("record %q: %w", name, err)
+		}
+		return fmt.Sprintf("%d servers", len(rows)), nil
+	}
+	return fmt.Sprintf("%d bytes", len(data)), nil
+}
+
 // restore replaces a state. A single machine must not go back: it would break promises
 // that it has given since. One that lost its disk starts empty, and is taken back in.
 func restore(args []string, whole bool, out io.Writer) error {
@@ -97,22 +194,27 @@
 		if name != record {
 			continue
 		}
-		var d pact.Disk
-		if err := cbor.Unmarshal(data, &d); err != nil {
-			return "", fmt.Errorf("record %q: %w", record, err)
+		if sum, err = holding(name, data); err != nil {
+			return "", err
 		}
-		sum = fmt.Sprintf("configuration %08x, epoch %d", d.Kept.Version, d.Record.Ballot.N)
 	}
 	return fmt.Sprintf("%d records, read back: %s", len(names), sum), nil
 }
 
-// places takes DIR and FILE, and refuses a folder that a process has open.
+// places takes DIR and FILE.
 func places(args []string) (dir, path string, err error) {
 	if len(args) != 2 {
 		return "", "", fmt.Errorf("needs DIR and FILE, not %d arguments", len(args))
 	}
-	if dir, err = filepath.Abs(args[0]); err != nil {
-		return "", "", err
+	dir, err = place(args[0])
+	return dir, args[1], err
+}
+
+// place finds a folder, and refuses one that a process has open.
+func place(dir string) (string, error) {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return "", err
 	}
 	if real, err := filepath.EvalSymlinks(dir); err == nil {
 		dir = real
@@ -120,8 +222,8 @@
 	open, _ := filepath.Glob("/proc/[0-9]*/fd/*")
 	for _, fd := range open {
 		if to, err := os.Readlink(fd); err == nil && to == filepath.Join(dir, file) {
-			return "", "", &Unfit{dir, "in use by process " + filepath.Base(filepath.Dir(filepath.Dir(fd))) + ": stop it first"}
+			return "", &Unfit{dir, "in use by process " + filepath.Base(filepath.Dir(filepath.Dir(fd))) + ": stop it first"}
 		}
 	}
-	return dir, args[1], nil
+	return dir, nil
 }
