Let a gateway without a disk ask for the epoch when it knows none

A primary tells its epoch when it begins, to those that it sees by then.

Not taken: beats of the primary to everybody, which cost at rest; having reed ask another gateway, which would hide what the first one believes. While it knows no epoch, and only then, such a gateway asks one process in turn twice a second. Afterwards it hears of epochs as before.

--- a/internal/pact/found.go
+++ b/internal/pact/found.go
@@ -25,7 +25,11 @@
 
 // greet makes a member without a seat in force known.
 func (m *Machine) greet() {
-	if !m.c.Member || m.seated() && m.d.Record.Active {
+	if !m.c.Member {
+		m.inquire()
+		return
+	}
+	if m.seated() && m.d.Record.Active {
 		return
 	}
 	every := helloEvery
@@ -120,3 +124,15 @@
 		m.send(s.Addr, Found{Record: f.rec})
 	}
 }
+
+// inquire: who has no disk and came up after the last epoch has not been told of it.
+func (m *Machine) inquire() {
+	if !m.view.none() || m.now-m.hello < inquireEvery {
+		return
+	}
+	m.hello = m.now
+	if who := m.near(); len(who) > 0 {
+		m.turn++
+		m.send(who[m.turn%len(who)], Ask{})
+	}
+}
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -11,19 +11,20 @@
 )
 
 const (
-	beatEvery   = 200 * time.Millisecond
-	helloEvery  = 150 * time.Millisecond
-	pullEvery   = 300 * time.Millisecond
-	resendEvery = 100 * time.Millisecond
-	sticky      = 600 * time.Millisecond  // a primary heard within it lives
-	silence     = 700 * time.Millisecond  // and is lost after it
-	stall       = 450 * time.Millisecond  // a disk or a writer that takes longer is left out
-	vacant      = 1500 * time.Millisecond // a member silent so long may lose its seat
-	settle      = 600 * time.Millisecond  // no founding while members still come
-	patience    = 800 * time.Millisecond  // an operator's call, ticks included, ends within 900 ms
-	perRank     = 70 * time.Millisecond
-	booking     = 150 * time.Millisecond // keeps candidates from meeting half-way
-	gather      = 25 * time.Millisecond
+	beatEvery    = 200 * time.Millisecond
+	helloEvery   = 150 * time.Millisecond
+	pullEvery    = 300 * time.Millisecond
+	inquireEvery = 500 * time.Millisecond
+	resendEvery  = 100 * time.Millisecond
+	sticky       = 600 * time.Millisecond  // a primary heard within it lives
+	silence      = 700 * time.Millisecond  // and is lost after it
+	stall        = 450 * time.Millisecond  // a disk or a writer that takes longer is left out
+	vacant       = 1500 * time.Millisecond // a member silent so long may lose its seat
+	settle       = 600 * time.Millisecond  // no founding while members still come
+	patience     = 800 * time.Millisecond  // an operator's call, ticks included, ends within 900 ms
+	perRank      = 70 * time.Millisecond
+	booking      = 150 * time.Millisecond // keeps candidates from meeting half-way
+	gather       = 25 * time.Millisecond
 )
 
 // Config is what a process knows about itself.
