Measure recovery by phases: all killed, all power lost, a disk wiped, the primary lost

Only the moment at which all were ready again was measured, after an end of all processes. What takes how long, and what comes back first, was not known, nor anything of single losses under load.

Not taken: times of first occurrence, which count a moment's readiness; cutting power to real disks.

--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -152,7 +152,7 @@
 	srv.Flags().IntVar(&gateways, "gateways", 2, "how many gateways")
 	srv.Flags().Float64Var(&rate, "rate", 300, "tries a second at each gateway")
 	c.AddCommand(srv)
-	c.AddCommand(measureEven(&seed, &gateway, print), measurePolicy(&seed, &gateway, print), measureRollout(&seed, print), measureFaults(&seed, print), measureGrown(&seed, print))
+	c.AddCommand(measureEven(&seed, &gateway, print), measurePolicy(&seed, &gateway, print), measureRollout(&seed, print), measureFaults(&seed, print), measureGrown(&seed, print), measureRecovery(&seed, print))
 	var repo string
 	var most int
 	var only []string
--- a/internal/lab/faultfleet.go
+++ b/internal/lab/faultfleet.go
@@ -39,6 +39,7 @@
 	name, ip string
 	port     int
 	core     bool
+	ran      bool // before: it is no first start any more
 	cmd      *exec.Cmd
 }
 
@@ -168,14 +169,15 @@
 Bind: {Ingress: "%s:%d", Readiness: "%s:%d", ControlPlane: %q}
 PortRange: [%d, %d]
 Bootstrap: [%q, %q, %q]
-Genesis: true
+Genesis: %v
 QuorumMember: %v
 BoundsReq: {CpuFraction: 0.5, CpuCount: 1, MemMb: 184, FdLimit: 2000}
 HeartbeatMs: 300
 FaultBudget: {MachineLosses: 1}
 FaultRules: {LongestS: 600}
 `, n.name, n.ip, zone, n.ip, n.port, n.ip, n.port+1, n.control(), n.port+3, n.port+5,
-		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), n.core)
+		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), !n.ran, n.core)
+	n.ran = true
 	if n.core {
 		text += fmt.Sprintf("StateDir: %q\n", filepath.Join(f.dir, n.name))
 	}
@@ -204,14 +206,7 @@
 			return err
 		}
 	}
-	beats, end := context.WithCancel(context.Background())
-	f.stop = end
-	for i := range 3 {
-		name := fmt.Sprintf("s-%d", i+1)
-		s := httptest.NewServer(f.servers.serve(name))
-		f.http = append(f.http, s)
-		go f.beat(beats, name, string(rune('a'+i)), s.Listener.Addr().String())
-	}
+	f.toys(0)
 	if _, err := f.client().Put(ctx, []byte(faultConfiguration)); err != nil {
 		return err
 	}
@@ -227,6 +222,21 @@
 	return nil
 }
 
+// realToys are the servers.
+const realToys = 3
+
+// toys starts the servers, numbered from after so many.
+func (f *faultFleet) toys(after int) {
+	beats, end := context.WithCancel(context.Background())
+	f.stop = end
+	for i := range realToys {
+		name := fmt.Sprintf("s-%d", after+i+1)
+		s := httptest.NewServer(f.servers.serve(name))
+		f.http = append(f.http, s)
+		go f.beat(beats, name, string(rune('a'+i)), s.Listener.Addr().String())
+	}
+}
+
 func (f *faultFleet) beat(ctx context.Context, name, zone, addr string) {
 	at := ""
 	for seq := 1; ctx.Err() == nil; seq++ {
--- /dev/null
+++ b/internal/lab/recoveryreal.go
@@ -0,0 +1,234 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"asterwell/internal/tell"
+	"asterwell/internal/yarn"
+)
+
+// The course of a real loss. The machine may be busy, so that phases are looked at often,
+// and the times say when they were seen.
+const (
+	realLead  = 2 * time.Second // load before it
+	realAway  = time.Second     // until what is to come back is started
+	realWatch = recoveryBound + 3*time.Second
+	realCalm  = 4 * time.Second // all phases have held for so long: the run ends
+	realLook  = 20 * time.Millisecond
+	realSpan  = 250 * time.Millisecond // of traffic
+)
+
+// realRecovery does losses to processes on loopback, each to a system of its own.
+func realRecovery(o RecoveryOptions, r *Report) error {
+	for _, loss := range yarn.Losses {
+		all := recoveries{where: "real", loss: string(loss), nodes: o.RealNodes}
+		for i := range o.RealRuns {
+			o.Progress(fmt.Sprintf("%d real processes: %s, run %d", o.RealNodes, loss, i+1))
+			ends, err := realLoss(o, loss, r)
+			if err != nil {
+				return err
+			}
+			all.add(ends)
+		}
+		all.tell(r)
+	}
+	return nil
+}
+
+func realLoss(o RecoveryOptions, loss yarn.Loss, r *Report) ([]time.Duration, error) {
+	f, err := newFaultFleet(o.Binary, o.RealNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer f.end()
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer stop()
+	if err := f.up(ctx); err != nil {
+		return nil, fmt.Errorf("%w; the processes say:\n%s", err, f.said())
+	}
+	x := &realRun{faultFleet: f, about: f.nodes}
+	if x.epoch, err = x.primary(ctx); err != nil {
+		return nil, err
+	}
+	var load sync.WaitGroup
+	load.Go(func() { x.sent = f.pace(realLead+realAway+realWatch, "key-other", "others", 2) })
+	time.Sleep(realLead)
+	if err := x.lose(loss); err != nil {
+		return nil, err
+	}
+	ends := x.watch(ctx)
+	load.Wait()
+	a, err := f.client().Get(ctx)
+	r.Rule(err == nil && string(a.Body) == faultConfiguration, "real, %s: the acknowledged configuration is not read back: %v", loss, err)
+	twice := f.servers.twice(faultOthers)
+	r.Rule(twice == 0, "real, %s: %d effectful requests ran twice", loss, twice)
+	return append(ends, x.served()), nil
+}
+
+// realRun is one loss.
+type realRun struct {
+	*faultFleet
+	lead  *faultNode
+	epoch uint64
+	about []*faultNode // that have to come back
+	zero  time.Time    // times count from then: the first process is started
+	sent  []sentOne
+}
+
+// primary finds it.
+func (x *realRun) primary(ctx context.Context) (uint64, error) {
+	s, _, err := x.client().Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if x.lead = x.byMesh(s.Pact.Primary); x.lead == nil {
+		return 0, fmt.Errorf("no process is the primary: %+v", s.Pact)
+	}
+	return s.Pact.Epoch, nil
+}
+
+func (x *realRun) lose(loss yarn.Loss) error {
+	var back []*faultNode
+	switch loss {
+	case yarn.AllKilled, yarn.PowerLost:
+		back = x.nodes
+	case yarn.DiskWiped:
+		i := slices.IndexFunc(x.nodes, func(n *faultNode) bool { return n.core && n != x.lead })
+		back = x.nodes[i : i+1]
+		x.about = back
+	case yarn.PrimaryLost:
+		x.about = slices.DeleteFunc(slices.Clone(x.nodes), func(n *faultNode) bool { return n == x.lead })
+		x.lead.kill()
+		x.zero = time.Now()
+		return nil
+	}
+	if loss == yarn.PowerLost { // the servers' machines have none either
+		x.stop()
+		for _, s := range x.http {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	}
+	for _, n := range back {
+		n.cmd.Process.Kill()
+	}
+	for _, n := range back {
+		n.cmd.Wait()
+	}
+	if loss == yarn.DiskWiped {
+		if err := os.RemoveAll(filepath.Join(x.dir, back[0].name)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(realAway)
+	x.zero = time.Now()
+	for _, n := range back {
+		if err := x.start(n); err != nil {
+			return err
+		}
+		if loss == yarn.PowerLost { // machines do not come up together
+			time.Sleep(2 * realAway / time.Duration(len(back)))
+		}
+	}
+	if loss == yarn.PowerLost {
+		x.toys(len(x.http))
+	}
+	return nil
+}
+
+// watch looks at the processes until all phases but the traffic's have held for a while.
+func (x *realRun) watch(ctx context.Context) []time.Duration {
+	holds := []func([]*tell.Status) bool{x.read, x.agreed, x.known, x.isReady}
+	ends := make([]time.Duration, len(holds))
+	for i := range ends {
+		ends[i] = -1
+	}
+	for since := time.Now(); time.Since(x.zero) < realWatch && time.Since(since) < realCalm; time.Sleep(realLook) {
+		all := x.ask(ctx)
+		for i, ok := range holds {
+			if !ok(all) {
+				ends[i], since = -1, time.Now()
+			} else if ends[i] < 0 {
+				ends[i] = time.Since(x.zero)
+			}
+		}
+	}
+	return ends
+}
+
+// ask has each process's status; nil where there is none.
+func (x *realRun) ask(ctx context.Context) []*tell.Status {
+	all := make([]*tell.Status, len(x.about))
+	var wg sync.WaitGroup
+	for i, n := range x.about {
+		wg.Go(func() { all[i], _, _ = tell.New([]string{n.control()}, 0).Status(ctx) })
+	}
+	wg.Wait()
+	return all
+}
+
+func every(all []*tell.Status, ok func(s *tell.Status) bool) bool {
+	return !slices.ContainsFunc(all, func(s *tell.Status) bool { return s == nil || !ok(s) })
+}
+
+// read: a process answers once it has read its state.
+func (x *realRun) read(all []*tell.Status) bool {
+	return every(all, func(*tell.Status) bool { return true })
+}
+
+// agreed: all have the primary of one later epoch, and a wiped machine its seat.
+func (x *realRun) agreed(all []*tell.Status) bool {
+	return every(all, func(s *tell.Status) bool {
+		return s.Pact.Epoch > x.epoch && s.Pact.Epoch == all[0].Pact.Epoch && s.Pact.Primary != "" &&
+			(len(all) > 1 || s.Pact.Role != "follower")
+	})
+}
+
+func (x *realRun) known(all []*tell.Status) bool {
+	return every(all, func(s *tell.Status) bool {
+		n := 0
+		for _, v := range s.Servers {
+			if v.Phase == "serving" {
+				n++
+			}
+		}
+		return n >= realToys
+	})
+}
+
+func (x *realRun) isReady(all []*tell.Status) bool {
+	return every(all, func(s *tell.Status) bool { return s.Ready })
+}
+
+// served is since when a quarter of each span's requests is served.
+func (x *realRun) served() time.Duration {
+	spans := map[int][2]int{}
+	last := 0
+	for _, s := range x.sent {
+		if d := s.at.Sub(x.zero); d >= 0 {
+			i := int(d / realSpan)
+			w := spans[i]
+			w[0]++
+			if s.status == 200 {
+				w[1]++
+			}
+			spans[i], last = w, max(last, i)
+		}
+	}
+	from := 0
+	for i := range last { // the last one is not whole
+		if w := spans[i]; 4*w[1] < w[0] || w[0] == 0 {
+			from = i + 1
+		}
+	}
+	if from >= last {
+		return -1
+	}
+	return time.Duration(from+1) * realSpan
+}
