--- a/example/system/main.go
+++ b/example/system/main.go
@@ -75,9 +75,21 @@
 		text, _ := os.ReadFile(log.Name())
 		return fmt.Errorf("%w; the processes say:\n%s", err, text)
 	}
-	fmt.Printf("a system of three gateways is up; their settings, states and log are in %s. Ask one:\n\n    %s\n\n"+
-		"and look at them all:\n\n    go run ./cmd/reed --at %s status\n\nCtrl-C ends it.\n",
-		dir, f.curl(f.machines[0]), strings.Join(f.controls(), ","))
+	fmt.Printf(`a system of three gateways is up; their settings, states and log are in %s. Ask one:
+
+    %s
+
+and look at them all:
+
+    go build -o bin/ ./cmd/reed && export REED_AT=%s
+    bin/reed status            # who is there, with which part; reed members tells who watches whom
+    bin/reed services          # the two toy servers, and when they last beat
+    bin/reed epochs            # kill the primary (its process), and see it change
+    bin/reed diff example/system/configuration.json
+    bin/reed drain edge-b      # its answers end their connections now; reed drain --stop edge-b
+
+Ctrl-C ends it.
+`, dir, f.curl(f.machines[0]), strings.Join(f.controls(), ","))
 	<-ctx.Done()
 	fmt.Println("ending")
 	return nil
