Keep in the log of reed the lines that were written at once

reed log showed only lines too small to be written: each one of info and above went to standard error and was not kept, and an error emptied the ring.

The ring keeps every line and notes which ones were written, so that an error brings out each of the others once.

--- a/internal/omen/omen.go
+++ b/internal/omen/omen.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -13,20 +12,26 @@
 	"github.com/apex/log"
 )
 
-// Ring is a handler of apex/log. Lines below the level that is written wait in it.
+// Ring is a handler of apex/log. It keeps the last lines; those below the level that is
+// written wait in it for an error.
 type Ring struct {
 	mu    sync.Mutex
 	out   io.Writer
 	level log.Level // written at once from here on
-	lines []string
+	lines []entry
 	next  int
 	start time.Time
 	name  string
 }
 
+type entry struct {
+	line    string
+	written bool
+}
+
 // NewRing returns one that keeps so many lines.
 func NewRing(out io.Writer, name string, keep int, level log.Level) *Ring {
-	return &Ring{out: out, name: name, level: level, lines: make([]string, keep), start: time.Now()}
+	return &Ring{out: out, name: name, level: level, lines: make([]entry, keep), start: time.Now()}
 }
 
 // HandleLog takes a line. An error writes out what led to it.
@@ -42,30 +47,38 @@
 	if e.Level >= log.ErrorLevel {
 		r.dump()
 	}
-	if e.Level >= r.level {
-		_, err := fmt.Fprintln(r.out, line)
-		return err
-	}
-	r.lines[r.next] = line
+	written := e.Level >= r.level
+	r.lines[r.next] = entry{line, written}
 	r.next = (r.next + 1) % len(r.lines)
-	return nil
+	if !written {
+		return nil
+	}
+	_, err := fmt.Fprintln(r.out, line)
+	return err
 }
 
 // Lines are those kept, the oldest first.
 func (r *Ring) Lines() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.kept()
+	var lines []string
+	for i := range r.lines {
+		if e := r.at(i); e.line != "" {
+			lines = append(lines, e.line)
+		}
+	}
+	return lines
 }
 
-func (r *Ring) kept() []string {
-	all := append(slices.Clone(r.lines[r.next:]), r.lines[:r.next]...)
-	return slices.DeleteFunc(all, func(s string) bool { return s == "" })
-}
+// at counts from the oldest.
+func (r *Ring) at(i int) *entry { return &r.lines[(r.next+i)%len(r.lines)] }
 
+// dump writes out what has not been.
 func (r *Ring) dump() {
-	for _, line := range r.kept() {
-		fmt.Fprintln(r.out, "  |", line)
+	for i := range r.lines {
+		if e := r.at(i); e.line != "" && !e.written {
+			fmt.Fprintln(r.out, "  |", e.line)
+			e.written = true
+		}
 	}
-	clear(r.lines)
 }
