Play a full disk on a real core machine

A file that can't grow was played for loom's copies only. Now a process whose files end at 64 KiB is sent a larger configuration: it is not acknowledged (exit code 4), the log of reed names the disk, the gateway stays ready and answers clients.

--- a/cmd/reed/loom_test.go
+++ b/cmd/reed/loom_test.go
@@ -19,7 +19,7 @@
 )
 
 // process starts a real process of the system, and ends it with the script: process NAME
-// HOST [core]. Its control address is then in $NAME, its clients' one in $NAME_clients.
+// HOST [core [full]]. On a full disk no file grows beyond 64 KiB. Its control address is then in $NAME, its clients' one in $NAME_clients.
 // The first one of a script is the others' seed.
 func process(ts *testscript.TestScript, _ bool, args []string) {
 	name, ip := args[0], args[1]
@@ -46,6 +46,9 @@
 	ts.Check(err)
 	c := exec.Command(self)
 	c.Env = append(os.Environ(), "ASTERWELL_CONFIG="+path, "PROCESS=1")
+	if len(args) > 3 {
+		c.Env = append(c.Env, "FULL=1")
+	}
 	c.Stdout, c.Stderr, c.SysProcAttr = log, log, &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	ts.Check(c.Start())
 	ts.Defer(func() { c.Process.Kill(); c.Wait(); log.Close() })
@@ -60,11 +63,19 @@
 	})
 }
 
-// free finds the first of six ports that can be had on the addresses of scripts.
+// pad makes a file longer by blanks: pad FILE KIB.
+func pad(ts *testscript.TestScript, _ bool, args []string) {
+	var kib int
+	fmt.Sscan(args[1], &kib)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(ts.ReadFile(args[0])+strings.Repeat(" ", kib<<10)), 0o644))
+}
+
+// free finds the first of six ports that can be had on the addresses of scripts, of which no
+// two use the same: they run side by side.
 func free(ts *testscript.TestScript) int {
 next:
 	for port := 13000 + os.Getpid()%500*10; port < 30000; port += 10 {
-		for i := range 12 {
+		for i := range 18 {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", 91+i/6, port+i%6))
 			if err != nil {
 				continue next
--- a/cmd/reed/main_test.go
+++ b/cmd/reed/main_test.go
@@ -6,13 +6,16 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"asterwell/internal/tell"
 	"asterwell/internal/weave"
@@ -20,6 +23,12 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv("PROCESS") != "" { // a script has started it as one
+		if os.Getenv("FULL") != "" { // no file grows beyond 64 KiB
+			signal.Ignore(syscall.SIGXFSZ)
+			if err := unix.Setrlimit(unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: 64 << 10, Max: 64 << 10}); err != nil {
+				panic(err)
+			}
+		}
 		if err := weave.Run(context.Background(), os.Getenv("ASTERWELL_CONFIG")); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -49,7 +58,7 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"gateway": gateway, "exit": exit, "spent": spent,
-			"process": process, "until": until, "beat": beat, "call": call}})
+			"process": process, "pad": pad, "until": until, "beat": beat, "call": call}})
 }
 
 // spent holds the gateways to it that they were asked all they should, and no more.
