--- a/cmd/reed/loom_test.go
+++ b/cmd/reed/loom_test.go
@@ -75,7 +75,7 @@
 func free(ts *testscript.TestScript) int {
 next:
 	for port := 13000 + os.Getpid()%500*10; port < 30000; port += 10 {
-		for i := range 18 {
+		for i := range 24 {
 			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", 91+i/6, port+i%6))
 			if err != nil {
 				continue next
