Join the tools for operators and the measurements of recovery

Recovery plays on the fleet that the exercises share: toys get ids that never come back, an answer that failed takes its time.

--- a/cmd/reed/rollout.go
+++ b/cmd/reed/rollout.go
@@ -17,14 +17,12 @@
 func (r *reed) rolloutCommand() *cli.Command {
 	return &cli.Command{Name: "rollout", Usage: "how the newest configuration is taken up: live, prepared by whom, refused, withdrawn",
 		Action: r.rollout, Commands: []*cli.Command{
-			{Name: "withdraw", Usage: "never let a version be live; one that is stays so", Action: r.withdraw,
-				Description: "Exit codes: 0 withdrawn; 2 no such version is kept; 4 no clear answer, the same again does no harm;\n" +
-					"5 a higher version is kept; 6 it is live already.",
+			{Name: "withdraw", Usage: "never let a version be live; one that is stays so", Action: r.withdraw, ArgsUsage: "VERSION",
 				Arguments: []cli.Argument{&cli.StringArg{Name: "version", UsageText: "VERSION (eight hexadecimal digits)"}}},
 			{Name: "watch", Usage: "show by zone and node how a version is taken up, until it is live or never will be", Action: r.watch,
-				Description: "Exit codes: 0 live; 4 neither when the time is over; 5 a higher version is kept; 6 withdrawn.",
-				Arguments:   []cli.Argument{&cli.StringArg{Name: "version", UsageText: "[VERSION] (left out: the newest)"}},
-				Flags:       []cli.Flag{&cli.DurationFlag{Name: "for", Usage: "how long", Value: time.Minute}}},
+				ArgsUsage: "[VERSION]",
+				Arguments: []cli.Argument{&cli.StringArg{Name: "version", UsageText: "[VERSION] (left out: the newest)"}},
+				Flags:     []cli.Flag{&cli.DurationFlag{Name: "for", Usage: "how long", Value: time.Minute}}},
 		}}
 }
 
--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -44,6 +44,7 @@
 	held  uint32     // the newest version that it has said it holds, in this life
 	mark  uint64     // of node
 	spot  uint64     // its place on the ring
+	since plane.Time // since when it is in its state, for people
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -98,7 +99,9 @@
 		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
 	}
 	m.beat, m.hello, m.try = now, now, now
-	m.put(m.enter(self.Addr), self)
+	me := m.enter(self.Addr)
+	me.since = now
+	m.put(me, self)
 	m.Seeds(now, seeds)
 	return m
 }
@@ -169,6 +172,9 @@
 	m.self.Seq++
 	me := m.nodes[m.self.Addr]
 	m.self.Held, m.saidAt = me.held, m.now
+	if me.node.State != m.self.State {
+		me.since = m.now
+	}
 	m.put(me, m.self)
 	m.late[m.self.Addr] = true
 }
--- a/internal/bond/word.go
+++ b/internal/bond/word.go
@@ -70,7 +70,7 @@
 
 // found: one that we alone had lost is there.
 func (m *Machine) found(e *entry) {
-	e.lost, e.heard, e.asked = false, m.now, 0
+	e.lost, e.heard, e.asked, e.since = false, m.now, 0, m.now
 	m.stale, m.out.Changed = true, true
 }
 
@@ -127,7 +127,7 @@
 			return false
 		}
 		e = m.enter(n.Addr)
-		e.heard = m.now
+		e.heard, e.since = m.now, m.now
 		m.put(e, n)
 		m.stale, m.out.Changed = true, true
 		return true
@@ -147,6 +147,9 @@
 		n = n2
 		e.ended = m.now
 	}
+	if e.lost || e.node.State != n.State || e.node.Life != n.Life {
+		e.since = m.now
+	}
 	m.holds(n.Addr, n.Life, n.Held)
 	if n.Life != e.node.Life {
 		e.held = 0
--- a/internal/lab/faultfleet.go
+++ b/internal/lab/faultfleet.go
@@ -41,6 +41,7 @@
 	name, ip string
 	port     int
 	core     bool
+	ran      bool // before: it is no first start any more
 	cmd      *exec.Cmd
 }
 
@@ -187,14 +188,15 @@
 Bind: {Ingress: "%s:%d", Readiness: "%s:%d", ControlPlane: %q}
 PortRange: [%d, %d]
 Bootstrap: [%q, %q, %q]
-Genesis: true
+Genesis: %v
 QuorumMember: %v
 BoundsReq: {CpuFraction: 0.5, CpuCount: 1, MemMb: 184, FdLimit: 2000}
 HeartbeatMs: 300
 FaultBudget: {MachineLosses: 1}
 FaultRules: {LongestS: 600}
 `, n.name, n.ip, zone, n.ip, n.port, n.ip, n.port+1, n.control(), n.port+3, n.port+5,
-		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), n.core)
+		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), !n.ran, n.core)
+	n.ran = true
 	if n.core {
 		text += fmt.Sprintf("StateDir: %q\n", filepath.Join(f.dir, n.name))
 	}
@@ -221,7 +223,7 @@
 	if err := f.launch(); err != nil {
 		return err
 	}
-	f.toys("toy", 3, f.servers.note)
+	f.toys("toy", realToys, f.servers.note)
 	if _, err := f.client().Put(ctx, faultConfiguration(1, "key-struck", "key-other")); err != nil {
 		return err
 	}
@@ -247,13 +249,16 @@
 	return nil
 }
 
+// realToys are the servers of an exercise.
+const realToys = 3
+
 // toys start servers of a service, which report to the processes until the end.
 func (f *faultFleet) toys(service string, count int, ran func(r *http.Request)) {
 	if f.stop == nil {
 		f.beats, f.stop = context.WithCancel(context.Background())
 	}
 	for i := range count {
-		name := fmt.Sprintf("s-%s-%d", service, i+1)
+		name := fmt.Sprintf("s-%s-%d", service, len(f.http)+1) // an id that has ended never comes back
 		s := httptest.NewServer(toy(name, ran))
 		f.http = append(f.http, s)
 		go f.beat(f.beats, service, name, string(rune('a'+i%3)), s.Listener.Addr().String())
@@ -389,6 +394,9 @@
 					got := l.say(words...)
 					mu.Lock()
 					for w, g := range got {
+						if g.status == 0 { // it ends when its connection does
+							g.took = time.Since(at)
+						}
 						all = append(all, sentOne{words[w].id, n.name, words[w].key, at, g.took, g.status})
 					}
 					mu.Unlock()
--- a/internal/lab/rolloutplay.go
+++ b/internal/lab/rolloutplay.go
@@ -318,7 +318,7 @@
 		"doubled": v.doubled, "lost": v.lost, "refused_and_ran": v.refusedRan, "unanswered": v.unanswered, "split_outcomes": split,
 		"linearizable": linear, "refused_in_turn": t.inTurn, "refused_in_turn_with_faults": inTurn, "refused_unleased": unleased, "held_ms_max": t.held,
 		"live_s_p50": quant(t.calm, 0.5), "live_s_p99": quant(t.calm, 0.99), "live_s_p50_third_down": quant(t.third, 0.5),
-		"live_s_p99_third_down": quant(t.third, 0.99), "live_s_primary_killed": seconds(t.other), "tries": v.sent, "served": v.served,
+		"live_s_p99_third_down": quant(t.third, 0.99), "live_s_primary_killed": allSeconds(t.other), "tries": v.sent, "served": v.served,
 		"refused": v.refused, "unclear": v.unclear, "reads": v.reads, "stuck": t.late, "judged_reads": len(reads),
 		"seconds": l.now().Seconds()} {
 		r.Figure[k] = x
@@ -332,7 +332,7 @@
 	r.Rule(t.inTurn == 0, "%d requests were refused as a turn took too long, with nobody down", t.inTurn)
 }
 
-func seconds(all []time.Duration) []float64 {
+func allSeconds(all []time.Duration) []float64 {
 	var s []float64
 	for _, d := range all {
 		s = append(s, float64(d.Milliseconds())/1e3)
