Let a disk that has stalled before stall again without a change of primary

On a disk shared with other work (syncs of 17 ms, stalls of 0.3 to 2 s) agreement changed its primary again and again. Beats never waited for syncs; the cause is that a primary resigned, or left its backup out, whenever a write had taken 450 ms, while the next primary needs five syncs on disks that are no better.

A member now bears twice the worst that its disk did in the last minute, at most 2.5 s, and tells the primary so in its answers to beats. A disk that never stalled is given up after 450 ms as before. Ruled out: a longer fixed patience, which holds puts up where one disk hangs; candidates backing off, since each change began with a primary that served and gave up.

The switches for faults in agreement are exported for the models that follow.

--- a/internal/pact/candidate.go
+++ b/internal/pact/candidate.go
@@ -269,7 +269,7 @@
 		if !promised(s) {
 			continue
 		}
-		if m.bug != bugAnyData && (b.base.Ballot.above(p.Stamp) || !slices.Contains(b.base.Writers, s.Addr)) {
+		if m.bug != BugAnyData && (b.base.Ballot.above(p.Stamp) || !slices.Contains(b.base.Writers, s.Addr)) {
 			continue
 		}
 		l := latest(p.Kept, p.Next)
@@ -341,7 +341,7 @@
 		return
 	}
 	b.enacted[from] = t.Life
-	yes := func(s Seat) bool { return b.enacted[s.Addr] == s.Life }
+	yes := func(s Seat) bool { return b.enacted[s.Addr] == s.Life || m.bug == BugUnrecorded }
 	if most(b.rec.Set, yes) && most(b.rec.Old, yes) {
 		m.activate()
 	}
--- a/internal/pact/member.go
+++ b/internal/pact/member.go
@@ -85,7 +85,7 @@
 	if m.bid == nil {
 		m.hear(from)
 	}
-	m.send(from, Beaten{Ballot: t.Ballot, Life: m.d.Life, Promised: m.d.Promised, Slow: m.slow(),
+	m.send(from, Beaten{Ballot: t.Ballot, Life: m.d.Life, Promised: m.d.Promised, Slow: m.hangs(), Bears: m.lag.told(m.now),
 		Known: m.d.Record.Active && m.d.Record.Ballot == t.Ballot})
 }
 
@@ -113,7 +113,7 @@
 	}
 	m.top = max(m.top, t.Ballot.N)
 	above := t.Ballot.above(m.d.Promised)
-	if above && !m.willing(from) || m.d.Promised.above(t.Ballot) && m.bug != bugNoPromise {
+	if above && !m.willing(from) || m.d.Promised.above(t.Ballot) && m.bug != BugNoPromise {
 		m.refuse(from, t.Ballot)
 		return
 	}
@@ -141,7 +141,7 @@
 	if life != m.d.Life {
 		return false
 	}
-	if m.d.Promised.above(b) && m.bug != bugNoPromise {
+	if m.d.Promised.above(b) && m.bug != BugNoPromise {
 		m.refuse(from, b)
 		return false
 	}
@@ -176,7 +176,7 @@
 }
 
 func (m *Machine) onAppend(from string, t Append) {
-	if t.Ballot != m.d.Stamp && m.bug != bugNoPromise || !m.obeys(from, t.Ballot, t.Life) {
+	if t.Ballot != m.d.Stamp && m.bug != BugNoPromise || !m.obeys(from, t.Ballot, t.Life) {
 		return
 	}
 	if t.Doc.Above(latest(m.d.Kept, m.d.Next)) {
@@ -186,7 +186,7 @@
 }
 
 func (m *Machine) onConfirm(from string, t Confirm) {
-	if (t.Ballot == m.d.Stamp || m.bug == bugNoPromise) && m.obeys(from, t.Ballot, t.Life) {
+	if (t.Ballot == m.d.Stamp || m.bug == BugNoPromise) && m.obeys(from, t.Ballot, t.Life) {
 		m.send(from, Confirmed(t))
 	}
 }
--- a/internal/pact/message.go
+++ b/internal/pact/message.go
@@ -1,5 +1,7 @@
 package pact
 
+import "time"
+
 // Messages has one of each message that a machine takes; the order is the wire's.
 func Messages() []any {
 	return []any{Hello{}, Found{}, Ask{}, View{}, Beat{}, Beaten{}, Resign{}, Probe{}, Probed{}, Prepare{},
@@ -41,7 +43,9 @@
 	Life     uint64 `cbor:"2,keyasint"`
 	Promised Ballot `cbor:"3,keyasint"`
 	Known    bool   `cbor:"4,keyasint,omitempty"` // the epoch's record is held, and as active
-	Slow     bool   `cbor:"5,keyasint,omitempty"` // the disk has not synced for long
+	Slow     bool   `cbor:"5,keyasint,omitempty"` // the disk has not synced for longer than Bears
+	// Bears is how long it may take, if that is longer than usual.
+	Bears time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Resign says that a primary cannot go on: whoever hears it needs no patience.
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -153,6 +153,7 @@
 	seq     uint64
 	written uint64
 	writes  []pendingWrite
+	lag     lag
 	fresh   []plane.Send // to go out once what this input wrote is synced
 	held    []heldSend
 
@@ -181,18 +182,25 @@
 	turn    int
 	founder founder
 	adopted Doc // the newest handed out to be put in force
-	bug     bug
+	bug     Bug
 }
 
-// bug switches a guard off, to show that the tests miss it.
-type bug uint8
+// Bug switches a guard off, to show that the judges miss it.
+type Bug uint8
 
+// The bugs. Those of disks are the models'.
 const (
-	bugAckEarly  bug = iota + 1 // answer before the backups have it
-	bugNoPromise                // obey primaries that were overtaken
-	bugAnyData                  // take over with whatever data the promises bring
+	BugAckEarly   Bug = iota + 1 // answer before the backups have it
+	BugNoPromise                 // obey primaries that were overtaken
+	BugAnyData                   // take over with whatever data the promises bring
+	BugUnrecorded                // serve an epoch that no majority has recorded
+	BugUnsynced                  // a disk says that it has synced before it has
+	BugAmnesia                   // an empty disk counts as the one that was there
 )
 
+// SetBug switches a guard off.
+func (m *Machine) SetBug(b Bug) { m.bug = b }
+
 // New starts a process. A nil disk is an empty one, or none.
 func New(c Config, d *Disk, now plane.Time) *Machine {
 	h := fnv.New64a()
@@ -280,6 +288,9 @@
 func (m *Machine) Written(now plane.Time, seq uint64) Out {
 	m.now = max(m.now, now)
 	m.written = max(m.written, seq)
+	if len(m.writes) > 0 && m.writes[0].seq <= seq {
+		m.lag.note(m.now, m.now-m.writes[0].at)
+	}
 	m.writes = slices.DeleteFunc(m.writes, func(w pendingWrite) bool { return w.seq <= m.written })
 	rest := m.held[:0:0]
 	for _, h := range m.held {
--- a/internal/pact/primary.go
+++ b/internal/pact/primary.go
@@ -15,7 +15,8 @@
 	beat   plane.Time
 	heard  map[string]plane.Time
 	slow   map[string]bool
-	rival  Ballot // a promise above the epoch that some member gave
+	bears  map[string]span // what a member bears of its disk
+	rival  Ballot          // a promise above the epoch that some member gave
 	rivals plane.Time
 
 	doc      *Doc // on its way to the writers
@@ -52,7 +53,7 @@
 	rec := b.rec
 	rec.Active = true
 	m.d.Record, m.dirty, m.view = rec, true, rec
-	m.lead = &lead{rec: rec, since: m.now, heard: map[string]plane.Time{}, slow: map[string]bool{},
+	m.lead = &lead{rec: rec, since: m.now, heard: map[string]plane.Time{}, slow: map[string]bool{}, bears: map[string]span{},
 		confirmed: map[string]uint64{}, joiners: map[string]joiner{}}
 	for _, s := range rec.Set {
 		m.lead.heard[s.Addr] = m.now
@@ -80,7 +81,7 @@
 		return
 	}
 	hears := func(s Seat) bool { return s.Addr == m.c.Self || m.now-l.heard[s.Addr] < silence }
-	if m.slow() || !most(l.rec.Set, hears) {
+	if m.hangs() || !most(l.rec.Set, hears) {
 		m.resign()
 		return
 	}
@@ -119,7 +120,7 @@
 		if s.Addr == m.c.Self || !slices.Contains(l.rec.Writers, s.Addr) {
 			continue
 		}
-		late := l.doc != nil && !l.appended[s.Addr] && m.now-l.docAt > stall ||
+		late := l.doc != nil && !l.appended[s.Addr] && m.now-l.docAt > max(stall, time.Duration(l.bears[s.Addr])) ||
 			l.roundAt != 0 && l.confirmed[s.Addr] < l.round && m.now-l.roundAt > stall
 		if late || l.slow[s.Addr] {
 			m.shun[s.Addr] = m.now + 2*vacant
@@ -195,7 +196,7 @@
 	if l == nil || !l.rec.has(from, t.Life) || t.Ballot != l.rec.Ballot {
 		return
 	}
-	l.heard[from], l.slow[from] = m.now, t.Slow
+	l.heard[from], l.slow[from], l.bears[from] = m.now, t.Slow, min(span(t.Bears), span(bearable))
 	m.rival(t.Promised)
 	if !t.Known {
 		m.tell(from)
@@ -274,7 +275,7 @@
 	}
 	l.appended[from] = true
 	for _, w := range l.rec.Writers {
-		if !l.appended[w] && (m.bug != bugAckEarly || w == m.c.Self) {
+		if !l.appended[w] && (m.bug != BugAckEarly || w == m.c.Self) {
 			return
 		}
 	}
--- a/internal/yarn/disk.go
+++ b/internal/yarn/disk.go
@@ -11,8 +11,9 @@
 
 // disk is a machine's. It syncs one write at a time, the newest of what has come.
 type disk struct {
-	p    *proc
-	pace time.Duration // of a sync
+	p       *proc
+	pace    time.Duration // of a sync
+	stalled time.Duration // nothing is synced before it
 	synced,
 	under []byte // kept; being written
 	wait  *pact.Write
@@ -40,14 +41,19 @@
 	}
 	seq, spins := d.wait.Seq, d.spins
 	d.busy, d.under, d.wait = true, data, nil
-	w.after(d.pace/2+w.upTo(d.pace), func() {
-		if d.spins != spins {
-			return
+	var done func()
+	done = func() {
+		switch {
+		case d.spins != spins:
+		case d.stalled > w.now:
+			w.after(d.stalled-w.now, done)
+		default:
+			d.synced, d.under, d.busy = data, nil, false
+			d.written(seq, spins)
+			d.next()
 		}
-		d.synced, d.under, d.busy = data, nil, false
-		d.written(seq, spins)
-		d.next()
-	})
+	}
+	w.after(d.pace/2+w.upTo(d.pace), done)
 }
 
 func (d *disk) written(seq uint64, spins int) {
--- a/internal/yarn/play.go
+++ b/internal/yarn/play.go
@@ -34,6 +34,7 @@
 	Events, Messages                    int
 	Requests, Served, Refused, Reads    int
 	Spared                              int     // spans in which a tenant had to get what is its own
+	Epochs, Changes                     int     // begun since the first; by another machine than before
 	Fill                                float64 // the most of a quota's bound that was used
 	Acks, Leaves, Takeovers, Recoveries Times
 }
--- a/internal/yarn/rules.go
+++ b/internal/yarn/rules.go
@@ -11,6 +11,8 @@
 type rules struct {
 	lostLead   time.Duration // when the last primary was taken away; 0: one serves
 	lostEpoch  uint64
+	epoch      uint64        // the newest that served, and
+	serves     *proc         // who does
 	herd       bool          // most processes were away
 	back       time.Duration // and all are back since; 0: not
 	settledFor time.Duration // since when the core is settled, and no link is in trouble
@@ -27,6 +29,7 @@
 	w.checkConfig()
 	w.checkCalls()
 	w.checkQuota()
+	w.countLeads()
 	w.checkLead()
 	w.checkService()
 }
@@ -115,6 +118,22 @@
 	return at
 }
 
+// countLeads counts epochs and changes of primary.
+func (w *world) countLeads() {
+	r := &w.rules
+	p := w.leader()
+	if p == nil || p.k.Pact().Epoch <= r.epoch {
+		return
+	}
+	if r.serves != nil {
+		w.stats.Epochs++
+		if p != r.serves {
+			w.stats.Changes++
+		}
+	}
+	r.epoch, r.serves = p.k.Pact().Epoch, p
+}
+
 // checkLead measures takeovers.
 func (w *world) checkLead() {
 	if w.rules.lostLead == 0 {
--- a/internal/yarn/script.go
+++ b/internal/yarn/script.go
@@ -27,6 +27,7 @@
 		{"tenant NAME RATE BURST OFFERED", (*world).doTenant},
 		{"run TIME", func(w *world, a *args) error { w.run(a.time()); return a.err }},
 		{"put VERSION [at P]", (*world).doPut},
+		{"puts VERSION COUNT EVERY", (*world).doPuts},
 		{"race VERSION VERSION", (*world).doRace},
 		{"repeat VERSION", (*world).doRepeat},
 		{"bad VERSION", func(w *world, a *args) error { w.bad(a.version()); return a.err }},
@@ -43,6 +44,7 @@
 		}},
 		{"lossy P PART [for TIME]", (*world).doLossy},
 		{"slow P TIMES [for TIME]", (*world).doSlow},
+		{"busy P SYNC STALLS [shared] [for TIME]", (*world).doBusy},
 		{"step P TIME", (*world).doStep},
 		{"term P [for TIME]", (*world).doTerm},
 		{"replace P [planned]", (*world).doReplace},
@@ -53,7 +55,7 @@
 		{"release SERVICE GAP", (*world).doRelease},
 		{"hot TENANT TIMES for TIME", (*world).doHot},
 		{"read P", func(w *world, a *args) error { return w.each(a, "", w.read, nil) }},
-		{"expect acked V | everywhere V | leader | listed N | unlisted S | ready, [within TIME]", (*world).doExpect},
+		{"expect acked V | everywhere V | leader | listed N | unlisted S | changes N | ready, [within TIME]", (*world).doExpect},
 	}
 }
 
@@ -468,6 +470,60 @@
 	return w.each(b, "has a slow disk", set(time.Duration(x*float64(5*ms))), set(5*ms))
 }
 
+// doBusy: a disk shared with other work. A record takes four syncs, and so many times a
+// minute all on the disk stands still for 0.3 to 2 s; shared: at the same moments on all.
+func (w *world) doBusy(a *args) error {
+	d, names, pace, times := a.span(), a.next(), a.time(), a.number()
+	shared := len(a.words) > 0 && a.words[0] == "shared"
+	a.words = nil
+	all := w.who(&args{words: []string{names}})
+	if a.err != nil || times <= 0 {
+		return a.err
+	}
+	end := w.now + d
+	var stall func(who []*proc)
+	stall = func(who []*proc) {
+		if d > 0 && w.now >= end {
+			return
+		}
+		until := w.now + 300*ms + w.upTo(1700*ms)
+		for _, p := range who {
+			if p.disk != nil {
+				p.disk.stalled = until
+			}
+		}
+		w.after(until-w.now+w.upTo(time.Duration(2*float64(time.Minute)/times)), func() { stall(who) })
+	}
+	first := func() time.Duration { return w.upTo(time.Duration(float64(time.Minute) / times)) }
+	if shared {
+		w.after(first(), func() { stall(all) })
+	} else {
+		for _, p := range all {
+			w.after(first(), func() { stall([]*proc{p}) })
+		}
+	}
+	b := &args{words: []string{names}}
+	if d > 0 {
+		b.words = append(b.words, "for", d.String())
+	}
+	set := func(pace time.Duration) func(p *proc) {
+		return func(p *proc) {
+			if p.disk != nil {
+				p.disk.pace = pace
+			}
+		}
+	}
+	return w.each(b, "has a busy disk", set(4*pace), set(5*ms))
+}
+
+func (w *world) doPuts(a *args) error {
+	first, n, every := a.version(), a.number(), a.time()
+	for i := range int(n) {
+		w.after(time.Duration(i)*every, func() { w.send(w.write(first+uint32(i)), nil, 100*ms) })
+	}
+	return a.err
+}
+
 func (w *world) doStep(a *args) error {
 	names, d := a.next(), a.time()
 	return w.each(&args{words: []string{names}, err: a.err}, "", func(p *proc) { p.wall += d; w.hit(p) }, nil)
@@ -633,6 +689,9 @@
 		holds = all(func(p *proc) bool { return p.version >= v })
 	case "leader":
 		holds = func() bool { p := w.leader(); return p != nil && !p.frozen() && w.rules.lostLead == 0 }
+	case "changes": // of epoch, at the most, so far
+		n := int(a.number())
+		holds = func() bool { return w.stats.Epochs <= n }
 	case "ready":
 		holds = all(func(p *proc) bool { return p.k.Ready() })
 	case "listed":
