--- a/internal/lab/mutants_test.go
+++ b/internal/lab/mutants_test.go
@@ -32,19 +32,21 @@
 	}
 }
 
-// Those of the cluster's world.
-func TestClusterMutantsFit(t *testing.T) {
-	files, err := filepath.Glob("../cluster/world/testdata/mutants/*.txt")
-	if err != nil || len(files) < 6 {
-		t.Fatalf("%d mutants, %v", len(files), err)
-	}
-	for _, f := range files {
-		m, err := ReadMutant(f)
-		if err == nil {
-			_, err = m.overlay("../..", t.TempDir())
+// Those of the cluster's world, and of the whole system's.
+func TestOtherMutantsFit(t *testing.T) {
+	for dir, least := range map[string]int{"../cluster/world": 6, "../yarn": 1} {
+		files, err := filepath.Glob(filepath.Join(dir, "testdata/mutants/*.txt"))
+		if err != nil || len(files) < least {
+			t.Fatalf("%s: %d mutants, %v", dir, len(files), err)
 		}
-		if err != nil {
-			t.Error(err)
+		for _, f := range files {
+			m, err := ReadMutant(f)
+			if err == nil {
+				_, err = m.overlay("../..", t.TempDir())
+			}
+			if err != nil {
+				t.Error(err)
+			}
 		}
 	}
 }
--- a/internal/pact/doc.go
+++ b/internal/pact/doc.go
@@ -30,5 +30,7 @@
 //
 // Files: record.go epochs and majorities; pact.go the machine's shell; member.go what a member
 // accepts; candidate.go the way to an epoch; primary.go serving and changing the set; found.go
-// the first epoch and newcomers; client.go operators' calls; spread.go the way to all processes.
+// the first epoch and newcomers; client.go operators' calls; spread.go the way to all processes;
+// lag.go what is borne of a disk. For the proof of it: explore.go all states of a small core, cell.go a machine
+// in it, code.go which states are the same, walk.go drawn schedules of larger cores.
 package pact
--- a/internal/yarn/draw.go
+++ b/internal/yarn/draw.go
@@ -71,6 +71,10 @@
 	{"replace_with_reuse", false, false, func(d *drawer) { d.say("reuse s%d %s", d.server(), d.service()) }},
 	{"roll_term", false, true, (*drawer).roll},
 	{"scale_in", false, false, func(d *drawer) { d.leave(); d.leave() }},
+	{"node_cut hot", false, false, func(d *drawer) {
+		d.say("cut %s rest for %s", d.edge(), d.time(4, 8))
+		d.say("hot t%d %.1f for %s", 1+d.rng.IntN(2), 5+3*d.rng.Float64(), d.time(4, 7))
+	}},
 	{"seed_turnover", false, false, func(d *drawer) { d.say("seeds %s,%s", d.edge(), d.member0()) }},
 	{"srv_crash", false, false, func(d *drawer) { d.say("crash s%d", d.server()) }},
 	{"replace_core", true, true, (*drawer).replace},
