Ask for signs of life by a known message, and only of those that answer

A new kind of message makes an older process hang up the connection, each 100 ms while both versions run. The question is an answer with a mark now, of which older ones take no notice, and adds say whether their gateway answers: one that doesn't is not asked and never held for missing. Questions don't end a detour.

TestSight fails without the mark's check and without what is forgotten after a freeze.

--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -121,7 +121,7 @@
 	case of == ofKnot:
 		k.via(now, from, msg.(Via))
 	case of == ofToll:
-		if _, ok := msg.(toll.Answer); ok {
+		if a, ok := msg.(toll.Answer); ok && !a.Ask {
 			delete(k.round, from)
 		}
 		k.send(k.counter.Take(now, from, msg))
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -98,7 +98,7 @@
 			k.send([]plane.Send{s})
 		}
 	case v.Ask:
-		for _, s := range k.meter.Take(now, v.From, toll.Ask{}) {
+		for _, s := range k.meter.Take(now, v.From, toll.Answer{Ask: true}) {
 			if a, ok := s.Msg.(toll.Add); ok {
 				k.send([]plane.Send{{To: v.By, Msg: Via{From: k.self, To: v.From, Add: &a}}})
 			}
--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -87,14 +87,14 @@
 // of these it doesn't hear.
 func (c *Counter) Nodes(gateways []string) { c.sights.names(gateways) }
 
-// Blind reports whether a gateway leaves an Ask unanswered, so that another way to it
+// Blind reports whether a gateway leaves a question unanswered, so that another way to it
 // should be tried.
 func (c *Counter) Blind(now plane.Time, gateway string) bool { return c.sights.blind(now, gateway) }
 
 // Take sums an add, and answers if it is to be answered.
 func (c *Counter) Take(now plane.Time, from string, msg any) []plane.Send {
-	if _, ok := msg.(Ask); ok {
-		c.sights.hear(now, from, false, false)
+	if ask, ok := msg.(Answer); ok && ask.Ask {
+		c.sights.sign(now, from, true)
 		return nil
 	}
 	a, ok := msg.(Add)
@@ -106,7 +106,7 @@
 		c.heard, c.since, c.thawed = true, now, thawed
 	}
 	c.heardAt = now
-	c.sights.hear(now, from, len(a.Items) > 0, a.Near)
+	c.sights.hear(now, from, a)
 	if c.lastFrom[0].gateway != from {
 		c.lastFrom[1] = c.lastFrom[0]
 	}
--- a/internal/toll/message.go
+++ b/internal/toll/message.go
@@ -12,6 +12,7 @@
 	Items  []Item     `cbor:"5,keyasint"`
 	Echo   bool       `cbor:"6,keyasint,omitempty"` // only a sign of life is wanted
 	Near   bool       `cbor:"7,keyasint,omitempty"` // a tenant is near its limit: who is out of sight matters
+	Signs  bool       `cbor:"8,keyasint,omitempty"` // the gateway answers where it is asked for a sign of life
 }
 
 // Item is one gateway's sum in one name. Units are thousandths.
@@ -35,6 +36,9 @@
 	Company bool `cbor:"5,keyasint,omitempty"`
 	// Missing is how many of the gateways that there should be are out of the holder's sight.
 	Missing uint32 `cbor:"6,keyasint,omitempty"`
+	// Ask: this is no answer, but wants a sign of life, an Add without items. A process that
+	// doesn't know it takes no notice; one that met a new kind of message would hang up.
+	Ask bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Total is what a holder knows of one name.
@@ -47,8 +51,5 @@
 	Sure   bool   `cbor:"6,keyasint,omitempty"` // the holder has listened for long enough to know Level
 }
 
-// Ask wants a sign of life of a gateway: an Add without items.
-type Ask struct{}
-
 // Messages lists what the machines of this package receive; the order stays.
-func Messages() []any { return []any{Add{}, Answer{}, Ask{}} }
+func Messages() []any { return []any{Add{}, Answer{}} }
--- a/internal/toll/sight.go
+++ b/internal/toll/sight.go
@@ -18,7 +18,10 @@
 }
 
 // sight is of one gateway. asked is the first time since the last sign; 0: not asked.
-type sight struct{ heard, asked plane.Time }
+type sight struct {
+	heard, asked plane.Time
+	signs        bool // it answers
+}
 
 // names takes the gateways there are, the two holders first.
 func (s *sights) names(nodes []string) {
@@ -30,19 +33,23 @@
 	s.seen = next
 }
 
-func (s *sights) hear(now plane.Time, from string, told, near bool) {
-	s.stood(now)
-	if _, ok := s.seen[from]; ok {
-		s.seen[from] = sight{heard: now}
-	}
-	if told && from != s.self {
+func (s *sights) hear(now plane.Time, from string, a Add) {
+	s.sign(now, from, a.Signs)
+	if len(a.Items) > 0 && from != s.self {
 		s.usedAt = now
 	}
-	if near {
+	if a.Near {
 		s.watchAt = now
 	}
 }
 
+func (s *sights) sign(now plane.Time, from string, signs bool) {
+	s.stood(now)
+	if _, ok := s.seen[from]; ok {
+		s.seen[from] = sight{heard: now, signs: signs}
+	}
+}
+
 // fellow is the other holder, if this process is one.
 func (s *sights) fellow() string {
 	switch {
@@ -61,7 +68,8 @@
 		return
 	}
 	for n, v := range s.seen {
-		s.seen[n] = sight{heard: v.heard}
+		v.asked = 0
+		s.seen[n] = v
 	}
 }
 
@@ -84,16 +92,18 @@
 	for _, n := range s.nodes {
 		v := s.seen[n]
 		if !watching && !(used && n == fellow) {
-			s.seen[n] = sight{heard: v.heard}
+			v.asked = 0
+			s.seen[n] = v
 			continue
 		}
-		if n == s.self || now-v.heard < askGap || v.asked != 0 && !again {
+		if n == s.self || !v.signs || now-v.heard < askGap || v.asked != 0 && !again {
 			continue
 		}
 		if v.asked == 0 {
-			s.seen[n] = sight{heard: v.heard, asked: now}
+			v.asked = now
+			s.seen[n] = v
 		}
-		out = append(out, plane.Send{To: n, Msg: Ask{}})
+		out = append(out, plane.Send{To: n, Msg: Answer{Ask: true}})
 	}
 	if again {
 		s.repeatAt = now
@@ -113,7 +123,7 @@
 		return 0
 	}
 	for _, v := range s.seen {
-		if v.asked != 0 && now-v.asked >= lostGap {
+		if v.signs && v.asked != 0 && now-v.asked >= lostGap {
 			n++
 		}
 	}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -52,7 +52,7 @@
 		}
 		s.spareAt, s.refill = now, false
 		out = append(out, plane.Send{To: s.addr, Msg: Add{
-			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Near: now-m.nearAt < nearGap,
+			Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Near: now-m.nearAt < nearGap, Signs: true,
 			Items: items}})
 	}
 	for _, e := range m.order {
@@ -109,10 +109,10 @@
 
 // Take hears an answer of a holder.
 func (m *Meter) Take(now plane.Time, from string, msg any) []plane.Send {
-	if _, ok := msg.(Ask); ok {
-		return []plane.Send{{To: from, Msg: Add{Life: m.life, Period: m.period, Stamp: now}}}
-	}
 	a, ok := msg.(Answer)
+	if ok && a.Ask {
+		return []plane.Send{{To: from, Msg: Add{Life: m.life, Period: m.period, Stamp: now, Signs: true}}}
+	}
 	i := m.slot(from)
 	if !ok || i < 0 || a.Life != m.life || a.Stamp > now {
 		return nil
