--- a/internal/yarn/loss.go
+++ b/internal/yarn/loss.go
@@ -169,7 +169,7 @@
 			alive++
 		}
 	}
-	return alive >= r.servers && r.all(func(p *proc) bool { return serving(p) >= alive })
+	return alive >= r.servers && r.all(func(p *proc) bool { return len(p.serves) >= alive })
 }
 
 func (r *recoverer) ready() bool { return r.all(func(p *proc) bool { return p.k.Ready() }) }
