--- a/internal/creed/diff.go
+++ b/internal/creed/diff.go
@@ -158,10 +158,14 @@
 		Mode     string
 		Confirm  any
 		WithinMs float64 `json:",omitempty"`
-	}{"each", "all", math.Round(r.Within.Seconds() * 1e3)}
+		Reads    string  `json:",omitempty"`
+	}{"each", "all", math.Round(r.Within.Seconds() * 1e3), ""}
 	if r.Together {
 		text.Mode = "together"
 	}
+	if r.Reads {
+		text.Reads = "live"
+	}
 	if r.Confirm > 0 {
 		text.Confirm = r.Confirm
 	}
