--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -25,11 +25,12 @@
 // name is a gateway's view of one counter name.
 type name struct {
 	period uint64
-	sum    uint64 // passed here
-	acked  uint64 // of that, known to a holder
-	others uint64 // the most that any holder has said
-	based  bool   // others can be measured from here
-	read   bool   // a holder has answered for it
+	sum    uint64  // passed here
+	acked  uint64  // of that, known to a holder
+	others uint64  // the most that any holder has said
+	based  bool    // others can be measured from here
+	read   bool    // a holder has answered for it
+	most   float64 // of a name that none answered for, as much can be new; 0: all
 }
 
 // entry is one tenant at one gateway.
@@ -189,8 +190,9 @@
 		e.old = name{}
 	case prev:
 		e.old = e.cur
-		// Another holder's, that this gateway was only told of: all of it would seem new.
-		e.old.based = e.cur.based && e.cur.read
+		if !e.cur.read { // maybe another holder's, of long ago: what is new of it came since the last read
+			e.old.most = e.limit.Rate * (now - e.readAt + settle).Seconds()
+		}
 	default:
 		next.sum += e.cur.sum - e.cur.acked
 		e.old = name{}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -36,6 +36,9 @@
 		if echo {
 			gap = easeGap
 		}
+		if now-m.nearAt < nearGap && m.nearAt != 0 { // others may read the other holder: it must know as much
+			gap = leastGap
+		}
 		switch {
 		case s.addr == "":
 			continue
@@ -165,7 +168,7 @@
 	c.others, c.based, c.read = max(c.others, t.Others), true, true
 	if !m.first(now, e, t, stamp) && e.seen {
 		e.learn(now, n)
-		if fresh && now-m.readAt >= trustGap && (m.lostAt == 0 || now-m.lostAt >= chargeGap) {
+		if fresh && now-stamp <= freshGap && now-m.readAt >= trustGap && (m.lostAt == 0 || now-m.lostAt >= chargeGap) {
 			e.ease(now, float64(t.Level)/milli)
 		}
 	}
@@ -194,7 +197,11 @@
 	}
 	o.acked = max(o.acked, min(t.Mine, o.sum))
 	if o.based && e.seen && t.Others > o.others {
-		e.learn(now, float64(t.Others-o.others)/milli)
+		n := float64(t.Others-o.others) / milli
+		if o.most > 0 {
+			n, o.most = min(n, o.most), max(1e-9, o.most-n)
+		}
+		e.learn(now, n)
 	}
 	o.others = max(o.others, t.Others)
 	if now-m.periodAt >= settle && o.acked >= o.sum {
