--- a/internal/bane/call.go
+++ b/internal/bane/call.go
@@ -37,7 +37,7 @@
 	LeftS  float64 `cbor:"2,keyasint"`
 	Budget int     `cbor:"3,keyasint"`
 	Given  int     `cbor:"4,keyasint"` // strikes handed out
-	Used   int     `cbor:"5,keyasint"` // and known to have struck, by processes heard of in this term
+	Used   int     `cbor:"5,keyasint"` // strikes on record
 }
 
 // Answer ends a call.
@@ -56,7 +56,7 @@
 	m.now = max(m.now, now)
 	c := &call{f: Forward{ID: id, Salt: m.salt, Op: op, Doc: doc}, at: m.now, sent: m.now}
 	m.calls = append(m.calls, c)
-	m.send(m.place.Primary, c.f)
+	m.send(m.primary(), c.f)
 	return m.end()
 }
 
@@ -78,7 +78,7 @@
 		}
 		if m.now-c.sent >= againEvery {
 			c.sent = m.now
-			m.send(m.place.Primary, c.f)
+			m.send(m.primary(), c.f)
 		}
 		return false
 	})
--- a/internal/bane/world/world.go
+++ b/internal/bane/world/world.go
@@ -57,8 +57,12 @@
 	booted  time.Duration
 	up      bool
 	blind   bool // it hears nothing of agreement: an old primary goes on
+	unaware bool // it started after the last election, and agreement has told it nothing
+	old     bool // of a version that doesn't put strikes on record
 	thaws   time.Duration
 	disk    []byte
+	log     []bane.Entry  // beside it
+	synced  time.Duration // when the last write will be: they come in their order
 	Strikes int
 	calls   map[uint64]func(bane.Answer)
 	last    uint64
@@ -112,7 +116,7 @@
 func (p *Proc) frozen() bool { return p.thaws > p.w.now }
 
 func (p *Proc) boot() {
-	p.up, p.thaws, p.blind = true, 0, false
+	p.up, p.thaws, p.blind, p.unaware = true, 0, false, !p.member && p.life > 0
 	p.life++
 	p.booted = p.w.now
 	p.start, p.calls = p.w.now-time.Duration(p.w.rng.Int64N(int64(time.Hour))), map[uint64]func(bane.Answer){}
@@ -124,7 +128,7 @@
 		}
 	}
 	p.judge = bane.NewJudge()
-	p.m = bane.New(bane.Config{Self: p.addr, Life: p.number(), Seed: p.w.rng.Uint64(), Member: p.member, Longest: Longest, Bug: p.w.bug},
+	p.m = bane.New(bane.Config{Self: p.addr, Name: p.Name, Life: p.number(), Seed: p.w.rng.Uint64(), Member: p.member, Longest: Longest, Bug: p.w.bug},
 		p.judge, d, p.clock())
 	life := p.life
 	p.w.after(0, func() { p.tick(life) })
@@ -171,7 +175,7 @@
 		}
 	}
 	p.m.Nodes(nodes)
-	if leader := w.by[w.primary]; !p.blind && (p == leader || !w.apart(p, leader, 0)) {
+	if leader := w.by[w.primary]; !p.blind && !p.unaware && (p == leader || !w.apart(p, leader, 0)) {
 		p.m.Place(bane.Place{N: w.epoch, Primary: w.primary, Leads: p == leader, Members: w.members})
 	}
 }
@@ -183,10 +187,11 @@
 		if err != nil {
 			panic(err)
 		}
-		seq := out.Write.Seq
-		w.after(2*ms+w.upTo(8*ms), func() {
+		seq, notes := out.Write.Seq, out.Write.Notes
+		p.synced = max(p.synced, w.now+2*ms+w.upTo(8*ms))
+		w.after(p.synced-w.now, func() {
 			if p.up && p.life == life {
-				p.disk = data
+				p.disk, p.log = data, append(p.log, notes...)
 				p.input(func() bane.Out { return p.m.Written(p.clock(), seq) })
 			}
 		})
@@ -203,6 +208,10 @@
 			d += w.upTo(300 * ms)
 		}
 		msg := s.Msg
+		if a, ok := msg.(bane.Ask); ok && p.old {
+			a.Form = 0
+			msg = a
+		}
 		w.after(d, func() {
 			if to.life == reach && !w.severed(p, to) {
 				to.input(func() bane.Out { return to.m.Take(to.clock(), p.addr, msg) })
@@ -265,7 +274,12 @@
 func (w *World) Freeze(p *Proc, d time.Duration) { p.thaws = w.now + d }
 
 // Lead makes a process the primary of the next epoch.
-func (w *World) Lead(p *Proc) { w.epoch, w.primary, w.changed = w.epoch+1, p.addr, w.now }
+func (w *World) Lead(p *Proc) {
+	w.epoch, w.primary, w.changed = w.epoch+1, p.addr, w.now
+	for _, o := range w.procs {
+		o.unaware = false
+	}
+}
 
 // Leader is the primary.
 func (w *World) Leader() *Proc { return w.by[w.primary] }
--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -1,11 +1,14 @@
 package bond
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"asterwell/internal/plane"
 )
 
@@ -19,12 +22,15 @@
 	helloAlone = 300 * time.Millisecond
 	helloLost  = 500 * time.Millisecond
 	forget     = 30 * time.Second
+	wipeEvery  = time.Second
 	doubtFor   = 500 * time.Millisecond
 	swapEvery  = 100 * time.Millisecond
 	mostKnown  = 256
 	mostTries  = 16
-	mostSwift  = 8 // rumours passed on at once between two ticks; the rest go together
-	others     = 2 // random ones beside the watchers that a rumour goes to
+	mostSwift  = 8               // rumours passed on at once between two ticks; the rest go together
+	others     = 2               // random ones beside the watchers that a rumour goes to
+	heldFor    = time.Second     // a version held so long is told to all,
+	heldLate   = 5 * time.Second // and one where nothing was told for so long
 )
 
 // entry is a node with what is known of it here alone.
@@ -35,6 +41,10 @@
 	asked int        // times since then
 	via   string     // who last reached it when we couldn't
 	ended plane.Time // since when it is gone
+	held  uint32     // the newest version that it has said it holds, in this life
+	mark  uint64     // of node
+	spot  uint64     // its place on the ring
+	since plane.Time // since when it is in its state, for people
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -51,11 +61,15 @@
 	seeds []string
 	known map[string]bool // addresses from disk, and of forgotten nodes
 	nodes map[string]*entry
+	all   []*entry // the same by address,
+	round []*entry // and by their places on the ring
+	sum   uint64   // the marks of those not gone
 	doubt map[string]doubt
 
 	ring    []string // live ones by their hash, self among them
 	stale   bool
-	watched map[string]bool
+	watched []string // by the ring
+	after   []string // our watchers
 
 	born    plane.Time
 	now     plane.Time
@@ -65,9 +79,12 @@
 	hello   plane.Time
 	try     plane.Time
 	swapped plane.Time
+	wipe    plane.Time
 	told    map[string]plane.Time // when it was last told that it is held for gone
 	swift   int
 	late    map[string]bool // addresses whose news waits for the tick
+	heldAt  plane.Time      // since when our version is held
+	saidAt  plane.Time      // when all were last told of our entry
 	out     Out
 }
 
@@ -78,11 +95,13 @@
 	m := &Machine{
 		self: self, rand: rand.New(rand.NewPCG(seed, 0xb0d)),
 		known: map[string]bool{}, nodes: map[string]*entry{}, doubt: map[string]doubt{},
-		watched: map[string]bool{}, told: map[string]plane.Time{}, late: map[string]bool{},
+		told: map[string]plane.Time{}, late: map[string]bool{},
 		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
 	}
 	m.beat, m.hello, m.try = now, now, now
-	m.nodes[self.Addr] = &entry{node: self}
+	me := m.enter(self.Addr)
+	me.since = now
+	m.put(me, self)
 	m.Seeds(now, seeds)
 	return m
 }
@@ -117,11 +136,19 @@
 	return m.take()
 }
 
-// SetHeld notes the configuration's version held here; the next tick spreads it.
+// SetHeld notes the configuration's version held here. The watchers hear it with the
+// next tick's beat, so that one who lacks it has whom to ask; all others only need it
+// for people, and are told seldom: else each version costs each node a rumour of each.
 func (m *Machine) SetHeld(v uint32) {
-	if m.self.Held != v {
-		m.self.Held = v
-		m.renew()
+	if me := m.nodes[m.self.Addr]; me.held != v {
+		me.held, m.heldAt, m.beat = v, m.now, m.now
+	}
+}
+
+// lag tells all what is held here, once it has been for a while.
+func (m *Machine) lag() {
+	if m.nodes[m.self.Addr].held != m.self.Held && (m.now-m.heldAt >= heldFor || m.now-m.saidAt >= heldLate) {
+		m.say()
 	}
 }
 
@@ -129,30 +156,77 @@
 func (m *Machine) SetReady(ready bool) {
 	if m.self.Ready != ready {
 		m.self.Ready = ready
-		m.renew()
+		m.say()
 	}
 }
 
-// renew gives our own entry its next version, and leaves it to be told.
+// renew is for when our entry is another.
 func (m *Machine) renew() {
-	m.self.Seq++
-	m.nodes[m.self.Addr].node = m.self
-	m.late[m.self.Addr] = true
+	m.say()
 	m.out.Changed = true
 	m.stale = true
 }
 
+// say gives our own entry its next version, and leaves it to be told.
+func (m *Machine) say() {
+	m.self.Seq++
+	me := m.nodes[m.self.Addr]
+	m.self.Held, m.saidAt = me.held, m.now
+	if me.node.State != m.self.State {
+		me.since = m.now
+	}
+	m.put(me, m.self)
+	m.late[m.self.Addr] = true
+}
+
+// enter makes an entry for an address that has none.
+func (m *Machine) enter(addr string) *entry {
+	e := &entry{node: Node{Addr: addr, State: Gone}, spot: xxhash.Sum64String(addr)}
+	i, _ := slices.BinarySearchFunc(m.all, addr, byAddr)
+	j, _ := slices.BinarySearchFunc(m.round, e, bySpot)
+	m.nodes[addr], m.all, m.round = e, slices.Insert(m.all, i, e), slices.Insert(m.round, j, e)
+	return e
+}
+
+// put takes a word into an entry.
+func (m *Machine) put(e *entry, n Node) {
+	if e.node.State != Gone {
+		m.sum ^= e.mark
+	}
+	e.node, e.mark = n, n.mark()
+	if n.State != Gone {
+		m.sum ^= e.mark
+	}
+}
+
+// remove forgets an entry that is gone or lost.
+func (m *Machine) remove(e *entry) {
+	if e.node.State != Gone {
+		m.sum ^= e.mark
+	}
+	i, _ := slices.BinarySearchFunc(m.all, e.node.Addr, byAddr)
+	j, _ := slices.BinarySearchFunc(m.round, e, bySpot)
+	m.all, m.round = slices.Delete(m.all, i, i+1), slices.Delete(m.round, j, j+1)
+	delete(m.nodes, e.node.Addr)
+}
+
+func byAddr(e *entry, addr string) int { return strings.Compare(e.node.Addr, addr) }
+
+func bySpot(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.spot, b.spot), cmp.Compare(a.node.Addr, b.node.Addr))
+}
+
 // View is every node, the gone ones too until they are forgotten, sorted by address.
 func (m *Machine) View() []Node {
-	v := make([]Node, 0, len(m.nodes))
-	for _, e := range m.nodes {
+	v := make([]Node, 0, len(m.all))
+	for _, e := range m.all {
 		n := e.node
+		n.Held = max(n.Held, e.held)
 		if e.lost {
 			n.State = Gone
 		}
 		v = append(v, n)
 	}
-	slices.SortFunc(v, func(a, b Node) int { return strings.Compare(a.Addr, b.Addr) })
 	return v
 }
 
@@ -185,6 +259,7 @@
 	m.settle()
 	m.watch()
 	m.resolve()
+	m.lag()
 	m.tell()
 	if now >= m.beat {
 		m.beat = now + beatEvery
@@ -200,7 +275,7 @@
 // thaw: the silence was ours, so every wait begins again.
 func (m *Machine) thaw() {
 	m.heard = m.now
-	for _, e := range m.nodes {
+	for _, e := range m.all {
 		e.heard, e.asked = m.now, 0
 	}
 	for a, d := range m.doubt {
@@ -210,15 +285,9 @@
 	m.beat, m.hello, m.try = m.now, m.now, m.now
 }
 
-func (m *Machine) sign() Beat { return Beat{m.self.Life, m.self.Seq, m.hash()} }
+func (m *Machine) sign() Beat {
+	return Beat{m.self.Life, m.self.Seq, m.hash(), m.nodes[m.self.Addr].held}
+}
 
 // hash covers all nodes not gone. What is lost to us alone counts as it was.
-func (m *Machine) hash() uint64 {
-	var h uint64
-	for _, e := range m.nodes {
-		if e.node.State != Gone {
-			h ^= e.node.mark()
-		}
-	}
-	return h
-}
+func (m *Machine) hash() uint64 { return m.sum }
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -1,11 +1,8 @@
 package bond
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // offsets on the ring at which a node's watchers stand.
@@ -17,28 +14,17 @@
 		return
 	}
 	m.stale = false
-	type spot struct {
-		hash uint64
-		addr string
-	}
-	var spots []spot
-	for a, e := range m.nodes {
+	m.ring = m.ring[:0]
+	for _, e := range m.round {
 		if e.live() {
-			spots = append(spots, spot{xxhash.Sum64String(a), a})
+			m.ring = append(m.ring, e.node.Addr)
 		}
 	}
-	slices.SortFunc(spots, func(a, b spot) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.addr, b.addr))
-	})
-	m.ring = m.ring[:0]
-	for _, s := range spots {
-		m.ring = append(m.ring, s.addr)
-	}
 	before := m.watched
-	m.watched = map[string]bool{}
-	for _, a := range m.around(-1) {
-		m.watched[a] = true
-		if !before[a] {
+	m.after, m.watched = m.around(1), m.around(-1)
+	slices.SortFunc(m.watched, func(a, b string) int { return bySpot(m.nodes[a], m.nodes[b]) })
+	for _, a := range m.watched {
+		if !slices.Contains(before, a) {
 			e := m.nodes[a] // others may have missed it already: it is asked soon
 			e.heard, e.asked = max(e.heard, m.now-askAfter), 0
 		}
@@ -46,13 +32,16 @@
 }
 
 // around is the nodes at the offsets after (1) or before (-1) us.
-func (m *Machine) around(way int) []string {
+func (m *Machine) around(way int) []string { return m.beside(m.self.Addr, way) }
+
+// beside is the same for any live node.
+func (m *Machine) beside(node string, way int) []string {
 	n := len(m.ring)
-	at := slices.Index(m.ring, m.self.Addr)
+	at, _ := slices.BinarySearchFunc(m.ring, m.nodes[node], func(a string, e *entry) int { return bySpot(m.nodes[a], e) })
 	var found []string
 	for _, o := range offsets {
 		a := m.ring[((at+way*o)%n+n)%n]
-		if a != m.self.Addr && !slices.Contains(found, a) {
+		if a != node && !slices.Contains(found, a) {
 			found = append(found, a)
 		}
 	}
@@ -61,7 +50,7 @@
 
 func (m *Machine) watchers() []string {
 	m.settle()
-	return m.around(1)
+	return slices.Clip(m.after)
 }
 
 // some picks up to n random live others that are not in but.
@@ -89,11 +78,8 @@
 		}
 		return
 	}
-	for _, a := range m.ring {
+	for _, a := range m.watched {
 		e := m.nodes[a]
-		if !m.watched[a] || e == nil {
-			continue
-		}
 		switch silent := m.now - e.heard; {
 		case silent > goneAfter && m.now-m.heard < askAfter:
 			n := e.node
@@ -137,7 +123,7 @@
 func (m *Machine) lose(addr string) {
 	e := m.nodes[addr]
 	if !e.lost && e.node.State != Gone {
-		e.lost, e.ended = true, m.now
+		e.lost, e.ended, e.since = true, m.now, m.now
 		m.stale, m.out.Changed = true, true
 		m.out.Silent = append(m.out.Silent, addr)
 	}
@@ -179,12 +165,11 @@
 
 func (m *Machine) gone() []string {
 	var found []string
-	for a, e := range m.nodes {
+	for _, e := range m.all {
 		if !e.live() {
-			found = append(found, a)
+			found = append(found, e.node.Addr)
 		}
 	}
-	slices.Sort(found)
 	return found
 }
 
@@ -211,9 +196,13 @@
 
 // expire forgets the gone.
 func (m *Machine) expire() {
+	if m.now < m.wipe {
+		return
+	}
+	m.wipe = m.now + wipeEvery
 	for _, a := range m.gone() {
 		if m.now-m.nodes[a].ended > forget {
-			delete(m.nodes, a)
+			m.remove(m.nodes[a])
 			m.remember(a)
 			m.out.Changed = true
 		}
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -4,7 +4,6 @@
 package knot
 
 import (
-	"cmp"
 	"reflect"
 	"slices"
 	"time"
@@ -60,15 +59,16 @@
 	Send    []plane.Send // some may be for this process itself
 	Write   *pact.Write
 	Replies []Reply
-	Adopt   *creed.Table // to be in force here
-	Refused error        // a configuration that is kept and can't be in force here
-	Doc     *pact.Doc    // the text of either
-	Gate    bool         // Gate has changed
-	Serve   bool         // Servers has changed
-	Members bool         // View has changed, and
-	Shares  Gateways     // this with it
-	Rules   *bane.Write  // of fault rules
-	News    string       // of them, for the log
+	Adopt   *creed.Table  // to be in force here
+	Refused error         // a configuration that is kept and can't be in force here
+	Doc     *pact.Doc     // the text of either
+	Gate    bool          // Gate has changed
+	Serve   bool          // Servers has changed,
+	Changes []lore.Server // by these
+	Members bool          // View has changed, and
+	Shares  Gateways      // this with it
+	Rules   *bane.Write   // of fault rules
+	News    string        // of them, for the log
 }
 
 // Knot is one process's machines.
@@ -84,9 +84,12 @@
 	bane    *bane.Machine
 	round   map[string]detour // to holders
 	turn    int
+	swift   int  // changes of membership taken in since the tick
+	late    bool // there are more
 
 	version uint32
 	leaving bool
+	drained bool
 	ready   bool
 	out     Out
 }
@@ -121,7 +124,7 @@
 	case of == ofKnot:
 		k.via(now, from, msg.(Via))
 	case of == ofToll:
-		if _, ok := msg.(toll.Answer); ok {
+		if a, ok := msg.(toll.Answer); ok && !a.Ask {
 			delete(k.round, from)
 		}
 		k.send(k.counter.Take(now, from, msg))
@@ -132,16 +135,19 @@
 
 // Tick lets time pass.
 func (k *Knot) Tick(now plane.Time) Out {
-	k.bonded(now, k.bond.Tick(now))
+	k.swift = 0
+	out := k.bond.Tick(now)
+	out.Changed = out.Changed || k.late
+	k.bonded(now, out)
 	k.learnt(k.lore.Tick(now))
 	k.agreed(now, k.pact.Tick(now))
 	k.together(now, k.accord.Tick(now))
-	k.counter.Tick(now)
+	k.look(now, k.counter.Tick(now))
 	k.count(now)
 	if k.bane.Awake() {
 		k.ruled(func() bane.Out { return k.bane.Tick(now) })
 	}
-	if ready := !k.leaving && k.version > 0 && k.lore.Filled(); ready != k.ready {
+	if ready := !k.leaving && !k.drained && k.version > 0 && k.lore.Filled(); ready != k.ready {
 		k.ready = ready
 		k.bond.SetReady(ready)
 	}
@@ -195,6 +201,10 @@
 	return k.end()
 }
 
+// Drain says that clients should go elsewhere for as long as it is on. The next tick
+// tells it.
+func (k *Knot) Drain(on bool) { k.drained = on }
+
 // Seeds replaces the addresses to turn to.
 func (k *Knot) Seeds(now plane.Time, seeds []string) {
 	k.bond.Seeds(now, seeds)
@@ -216,6 +226,15 @@
 // Servers is every server known.
 func (k *Knot) Servers() []lore.Server { return k.lore.Servers() }
 
+// Gateways is every process with what is known of it here.
+func (k *Knot) Gateways(now plane.Time) []bond.Sight { return k.bond.Sights(now) }
+
+// Services is every server with what is known of it here.
+func (k *Knot) Services(now plane.Time) []lore.Sight { return k.lore.Sights(now) }
+
+// Epochs are those that this process has seen, the newest last.
+func (k *Knot) Epochs() []pact.Change { return k.pact.Past() }
+
 // Pact tells how agreement stands.
 func (k *Knot) Pact() pact.Status { return k.pact.Status() }
 
@@ -227,13 +246,26 @@
 
 func (k *Knot) send(out []plane.Send) { k.out.Send = append(k.out.Send, out...) }
 
+// mostSwift is how many changes of membership are taken in at once between two ticks;
+// more of them, as where all start, go together. Each is a look at all nodes.
+const mostSwift = 2
+
 // bonded carries out what membership wants.
 func (k *Knot) bonded(now plane.Time, out bond.Out) {
 	k.send(out.Send)
+	for _, h := range out.Holds {
+		k.pact.Holds(h.Addr, h.Held)
+	}
 	if !out.Changed {
 		return
 	}
-	view, up := k.bond.View(), k.bond.Up()
+	if k.swift++; k.swift > mostSwift {
+		k.late = true
+		return
+	}
+	k.late = false
+	view := k.bond.View()
+	up := lo.Filter(view, func(n bond.Node, _ int) bool { return n.State == bond.Up })
 	k.learnt(k.lore.Nodes(now, view)) // who leaves still serves, and must hear of servers
 	k.pact.Peers(now, lo.Map(view, func(n bond.Node, _ int) pact.Peer {
 		return pact.Peer{Addr: n.Addr, Name: n.Name, Zone: n.Zone, Member: n.Member, Up: n.State == bond.Up, Held: n.Held}
@@ -246,18 +278,24 @@
 		return bane.Node{Addr: n.Addr, Life: n.Life}, n.State != bond.Gone
 	}))
 	k.out.Shares = Gateways{len(up), slices.IndexFunc(up, func(n bond.Node) bool { return n.Addr == k.self })}
-	holders := lo.Map(slices.SortedFunc(slices.Values(up), inOrder), func(n bond.Node, _ int) string { return n.Addr })
-	k.counter.Nodes(now, len(up), holders)
+	holders := inOrder(up)
+	k.counter.Nodes(holders)
 	k.meter.Nodes(now, len(up), holders)
 }
 
-// inOrder is the agreed order for duties that one process does: those with a disk
-// first, since they have more of a processor and are the last to be taken away.
-func inOrder(a, b bond.Node) int {
-	if a.Member != b.Member {
-		return lo.Ternary(a.Member, -1, 1)
+// inOrder is the agreed order for duties that one process does, of processes by their
+// addresses: those with a disk first, since they have more of a processor and are the
+// last to be taken away.
+func inOrder(up []bond.Node) []string {
+	all := make([]string, 0, len(up))
+	for _, members := range []bool{true, false} {
+		for i := range up {
+			if up[i].Member == members {
+				all = append(all, up[i].Addr)
+			}
+		}
 	}
-	return cmp.Compare(a.Addr, b.Addr)
+	return all
 }
 
 // agreed carries out what agreement wants.
@@ -300,4 +338,5 @@
 		k.out.Replies = append(k.out.Replies, Reply{a.Call, a})
 	}
 	k.out.Serve = k.out.Serve || len(out.Changes) > 0
+	k.out.Changes = append(k.out.Changes, out.Changes...)
 }
--- a/internal/lab/faultfleet.go
+++ b/internal/lab/faultfleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -31,14 +30,18 @@
 	http        []*httptest.Server
 	version     uint32
 	acked       time.Time
+	beats       context.Context // of the servers
 	stop        context.CancelFunc
 	run         int
+	mu          sync.Mutex
+	lines       map[string][]*line // by whose they are, for each process
 }
 
 type faultNode struct {
 	name, ip string
 	port     int
 	core     bool
+	ran      bool // before: it is no first start any more
 	cmd      *exec.Cmd
 }
 
@@ -52,13 +55,21 @@
 	faultOthers = "shipper-10" // its name begins with the struck one's
 )
 
-var faultConfiguration = `{"Epoch": "00000001",
+// faultConfiguration says whose the keys are.
+func faultConfiguration(epoch int, struck, other string) []byte {
+	return []byte(fmt.Sprintf(`{"Epoch": "%08x",
  "BoundsReq": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderReadMs": 3000, "KeepaliveMs": 15000},
- "Principals": [{"Name": "` + faultStruck + `", "Credentials": ["key-struck"], "Rank": 1, "RatePerS": 5000, "BurstSize": 5000},
-  {"Name": "` + faultOthers + `", "Credentials": ["key-other"], "Rank": 1, "RatePerS": 5000, "BurstSize": 5000}],
- "Sockets": [{"Authority": "toy.example", "Policy": [{"Name": "renominate", "RouteClass": "effectful", "TargetMs": 300, "Rank": 1,
-  "Anonymous": false, "Predicate": {"PathPrefix": "/"}, "Effect": {"Backend": "toy", "DeadlineMs": 2000, "Tries": 1}}]}],
- "Pools": [{"Name": "toy", "ProbePath": "/probe", "MaxConns": 100, "Protocol": "h1", "Encrypted": false}]}`
+ "Principals": [{"Name": "`+faultStruck+`", "Credentials": [%q], "Rank": 1, "RatePerS": 5000, "BurstSize": 5000},
+  {"Name": "`+faultOthers+`", "Credentials": [%q], "Rank": 1, "RatePerS": 5000, "BurstSize": 5000}],
+ "Sockets": [{"Authority": "toy.example", "Policy": [`+faultRoute("renominate")+`,
+  `+faultRoute("defer")+`]}],
+ "Pools": [{"Name": "toy", "ProbePath": "/probe", "MaxConns": 100, "Protocol": "h1", "Encrypted": false}]}`, epoch, struck, other))
+}
+
+func faultRoute(name string) string {
+	return `{"Name": "` + name + `", "RouteClass": "effectful", "TargetMs": 300, "Rank": 1, "Anonymous": false,
+   "Predicate": {"PathPrefix": "/` + name + `"}, "Effect": {"Backend": "toy", "DeadlineMs": 2000, "Tries": 1}}`
+}
 
 // counts is what the servers ran.
 type counts struct {
@@ -92,7 +103,18 @@
 	return n
 }
 
-func (c *counts) serve(name string) http.HandlerFunc {
+// note counts a request that runs.
+func (c *counts) note(r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ids[r.Header.Get("X-Tenant-Name")+" "+id]++
+	c.by[id]++
+	c.all++
+}
+
+// toy is a server that tells what runs.
+func toy(name string, ran func(r *http.Request)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/probe" {
 			return
@@ -105,27 +127,25 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		c.mu.Lock()
-		c.ids[r.Header.Get("X-Tenant-Name")+" "+id]++
-		c.by[id]++
-		c.all++
-		c.mu.Unlock()
+		ran(r)
 		fmt.Fprintf(w, "%s ran", id)
 	}
 }
 
-func newFaultFleet(binary string, nodes int) (*faultFleet, error) {
+// newFaultFleet makes a fleet with its files in a folder below one; empty: the temporary one.
+func newFaultFleet(binary string, nodes int, below string) (*faultFleet, error) {
 	if nodes < 3 || nodes > 60 {
 		return nil, fmt.Errorf("--nodes must be from 3 to 60, not %d", nodes)
 	}
 	if _, err := os.Stat(binary); err != nil {
 		return nil, fmt.Errorf("loom: %w", err)
 	}
-	dir, err := os.MkdirTemp("", "asterwell-faults-")
+	dir, err := os.MkdirTemp(below, "asterwell-fleet-")
 	if err != nil {
 		return nil, err
 	}
-	f := &faultFleet{dir: dir, binary: binary, servers: &counts{ids: map[string]int{}, by: map[string]int{}}}
+	f := &faultFleet{dir: dir, binary: binary, lines: map[string][]*line{},
+		servers: &counts{ids: map[string]int{}, by: map[string]int{}}}
 	if f.log, err = os.Create(filepath.Join(dir, "log")); err != nil {
 		return nil, err
 	}
@@ -168,14 +188,15 @@
 Bind: {Ingress: "%s:%d", Readiness: "%s:%d", ControlPlane: %q}
 PortRange: [%d, %d]
 Bootstrap: [%q, %q, %q]
-Genesis: true
+Genesis: %v
 QuorumMember: %v
 BoundsReq: {CpuFraction: 0.5, CpuCount: 1, MemMb: 184, FdLimit: 2000}
 HeartbeatMs: 300
 FaultBudget: {MachineLosses: 1}
 FaultRules: {LongestS: 600}
 `, n.name, n.ip, zone, n.ip, n.port, n.ip, n.port+1, n.control(), n.port+3, n.port+5,
-		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), n.core)
+		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), !n.ran, n.core)
+	n.ran = true
 	if n.core {
 		text += fmt.Sprintf("StateDir: %q\n", filepath.Join(f.dir, n.name))
 	}
@@ -199,24 +220,15 @@
 func (f *faultFleet) up(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, time.Minute)
 	defer stop()
-	for _, n := range f.nodes {
-		if err := f.start(n); err != nil {
-			return err
-		}
-	}
-	beats, end := context.WithCancel(context.Background())
-	f.stop = end
-	for i := range 3 {
-		name := fmt.Sprintf("s-%d", i+1)
-		s := httptest.NewServer(f.servers.serve(name))
-		f.http = append(f.http, s)
-		go f.beat(beats, name, string(rune('a'+i)), s.Listener.Addr().String())
+	if err := f.launch(); err != nil {
+		return err
 	}
-	if _, err := f.client().Put(ctx, []byte(faultConfiguration)); err != nil {
+	f.toys("toy", realToys, f.servers.note)
+	if _, err := f.client().Put(ctx, faultConfiguration(1, "key-struck", "key-other")); err != nil {
 		return err
 	}
 	for _, n := range f.nodes {
-		for f.ask(n, http.DefaultClient, "key-other", fmt.Sprint("up-", n.name, time.Now().UnixNano())) != 200 {
+		for f.ask(n, "key-other", fmt.Sprint("up-", n.name, time.Now().UnixNano())) != 200 {
 			if ctx.Err() != nil {
 				return fmt.Errorf("%s does not serve", n.name)
 			}
@@ -227,18 +239,47 @@
 	return nil
 }
 
-func (f *faultFleet) beat(ctx context.Context, name, zone, addr string) {
-	at := ""
+// launch starts all processes.
+func (f *faultFleet) launch() error {
+	for _, n := range f.nodes {
+		if err := f.start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// realToys are the servers of an exercise.
+const realToys = 3
+
+// toys start servers of a service, which report to the processes until the end.
+func (f *faultFleet) toys(service string, count int, ran func(r *http.Request)) {
+	if f.stop == nil {
+		f.beats, f.stop = context.WithCancel(context.Background())
+	}
+	for i := range count {
+		name := fmt.Sprintf("s-%s-%d", service, len(f.http)+1) // an id that has ended never comes back
+		s := httptest.NewServer(toy(name, ran))
+		f.http = append(f.http, s)
+		go f.beat(f.beats, service, name, string(rune('a'+i%3)), s.Listener.Addr().String())
+	}
+}
+
+// beatWithin is how long a process may take for a beat: one that stands still says nothing.
+const beatWithin = 500 * time.Millisecond
+
+func (f *faultFleet) beat(ctx context.Context, service, name, zone, addr string) {
+	at, client := "", &http.Client{Timeout: beatWithin}
 	for seq := 1; ctx.Err() == nil; seq++ {
 		if at == "" {
 			at = f.nodes[seq%3].control()
 		}
 		body, _ := json.Marshal(map[string]any{"Endpoint": addr,
-			"SelfInfo":    map[string]any{"Backend": "toy", "Epoch": "v1", "Zone": zone, "Capacity": 50},
+			"SelfInfo":    map[string]any{"Backend": service, "Epoch": "v1", "Zone": zone, "Capacity": 50},
 			"HealthState": map[string]any{"Phase": "serving", "Sequence": seq, "WarmupLeftMs": 0}})
 		q, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+at+"/api/members/"+name, bytes.NewReader(body))
 		at = ""
-		if a, err := http.DefaultClient.Do(q); err == nil {
+		if a, err := client.Do(q); err == nil {
 			var said struct{ HeartbeatTarget string }
 			json.NewDecoder(a.Body).Decode(&said)
 			a.Body.Close()
@@ -261,6 +302,11 @@
 			n.kill()
 		}
 	}
+	for _, all := range f.lines {
+		for _, l := range all {
+			l.hangUp()
+		}
+	}
 	for _, s := range f.http {
 		s.Close()
 	}
@@ -286,25 +332,6 @@
 	return nil
 }
 
-func (f *faultFleet) ask(n *faultNode, c *http.Client, key, id string) int {
-	q, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/x", n.ip, n.port), strings.NewReader("body"))
-	if err != nil {
-		return 0
-	}
-	q.Host = "toy.example"
-	q.Header.Set("Authorization", "Bearer "+key)
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", "800")
-	q.Header.Set("X-Tenant-Name", faultStruck) // a forgery: who is struck is told by the key
-	a, err := c.Do(q)
-	if err != nil {
-		return 0
-	}
-	defer a.Body.Close()
-	io.Copy(io.Discard, a.Body)
-	return a.StatusCode
-}
-
 // load is what became of the others' requests.
 type load struct {
 	sent, ok int
@@ -313,14 +340,13 @@
 
 func (l load) served() float64 { return float64(l.ok) / float64(max(l.sent, 1)) }
 
-// others sends the other tenant's requests to all processes for a while.
-func (f *faultFleet) others(d time.Duration) load {
-	all := f.pace(d, "key-other", "other", 2)
+// loadOf sums up what became of requests.
+func loadOf(all []sentOne) load {
 	l := load{sent: len(all)}
 	var took []time.Duration
 	for _, s := range all {
 		took = append(took, s.took)
-		if s.status == 200 {
+		if s.status == http.StatusOK {
 			l.ok++
 		}
 	}
@@ -331,38 +357,50 @@
 	return l
 }
 
+// others sends the other tenant's requests to all processes for a while.
+func (f *faultFleet) others(d time.Duration) load {
+	return loadOf(f.pace(d, spanGap, "other", 2, "key-other"))
+}
+
 type sentOne struct {
-	id, node string
-	at       time.Time
-	took     time.Duration
-	status   int
+	id, node, key string
+	at            time.Time
+	took          time.Duration
+	status        int
 }
 
 // struck sends the struck tenant's requests to all processes for a while.
 func (f *faultFleet) struck(d time.Duration, what string) []sentOne {
-	return f.pace(d, "key-struck", what, 4)
+	return f.pace(d, faultGap, what, 4, "key-struck")
 }
 
-// pace keeps a few callers busy at each process, one request each at a time.
-func (f *faultFleet) pace(d time.Duration, key, what string, callers int) (all []sentOne) {
+// pace keeps a few callers busy at each process, on connections that stay. Each of them sends
+// a request for each key at once, in one pipeline, and waits for the answers.
+func (f *faultFleet) pace(d, gap time.Duration, what string, callers int, keys ...string) (all []sentOne) {
 	f.run++
 	run := f.run
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for _, n := range f.nodes {
-		for k := range callers {
+		for k, l := range f.linesOf(n, fmt.Sprint(keys), callers) {
 			wg.Go(func() {
-				c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}
-				defer c.CloseIdleConnections()
 				for i := 0; time.Now().Before(end); i++ {
-					s := sentOne{id: fmt.Sprintf("%s-%d-%s-%d-%d", what, run, n.name, k, i), node: n.name, at: time.Now()}
-					s.status = f.ask(n, c, key, s.id)
-					s.took = time.Since(s.at)
+					var words []word
+					for w, key := range keys {
+						words = append(words, word{key, "renominate", fmt.Sprintf("%s-%d-%s-%d-%d-%d", what, run, n.name, k, i, w)})
+					}
+					at := time.Now()
+					got := l.say(words...)
 					mu.Lock()
-					all = append(all, s)
+					for w, g := range got {
+						if g.status == 0 { // it ends when its connection does
+							g.took = time.Since(at)
+						}
+						all = append(all, sentOne{words[w].id, n.name, words[w].key, at, g.took, g.status})
+					}
 					mu.Unlock()
-					time.Sleep(faultGap)
+					time.Sleep(gap)
 				}
 			})
 		}
--- a/internal/pact/message.go
+++ b/internal/pact/message.go
@@ -1,10 +1,12 @@
 package pact
 
+import "time"
+
 // Messages has one of each message that a machine takes; the order is the wire's.
 func Messages() []any {
 	return []any{Hello{}, Found{}, Ask{}, View{}, Beat{}, Beaten{}, Resign{}, Probe{}, Probed{}, Prepare{},
 		Promise{}, Refuse{}, Copy{}, Copied{}, Enact{}, Enacted{}, Append{}, Appended{}, Confirm{}, Confirmed{},
-		Forward{}, Answered{}, Push{}, Pull{}}
+		Forward{}, Answered{}, Push{}, Pull{}, Amended{}}
 }
 
 // Hello says that a member has no seat, or one that is not in force yet.
@@ -41,7 +43,9 @@
 	Life     uint64 `cbor:"2,keyasint"`
 	Promised Ballot `cbor:"3,keyasint"`
 	Known    bool   `cbor:"4,keyasint,omitempty"` // the epoch's record is held, and as active
-	Slow     bool   `cbor:"5,keyasint,omitempty"` // the disk has not synced for long
+	Slow     bool   `cbor:"5,keyasint,omitempty"` // the disk has not synced for longer than Bears
+	// Bears is how long it may take, if that is longer than usual.
+	Bears time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Resign says that a primary cannot go on: whoever hears it needs no patience.
@@ -167,6 +171,13 @@
 	On  []string `cbor:"2,keyasint,omitempty"` // whom the taker passes it on to
 }
 
+// Amended carries a committed amendment that has nothing beside it, for those that hold
+// what it amends: on a slow link the whole document would hold up all behind it.
+type Amended struct {
+	Version uint32 `cbor:"1,keyasint"`
+	Rev     uint32 `cbor:"2,keyasint"`
+}
+
 // Pull asks for a committed document newer than the one held.
 type Pull struct {
 	Held uint32 `cbor:"1,keyasint,omitempty"`
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -11,19 +11,20 @@
 )
 
 const (
-	beatEvery   = 200 * time.Millisecond
-	helloEvery  = 150 * time.Millisecond
-	pullEvery   = 300 * time.Millisecond
-	resendEvery = 100 * time.Millisecond
-	sticky      = 600 * time.Millisecond  // a primary heard within it lives
-	silence     = 700 * time.Millisecond  // and is lost after it
-	stall       = 450 * time.Millisecond  // a disk or a writer that takes longer is left out
-	vacant      = 1500 * time.Millisecond // a member silent so long may lose its seat
-	settle      = 600 * time.Millisecond  // no founding while members still come
-	patience    = 800 * time.Millisecond  // an operator's call, ticks included, ends within 900 ms
-	perRank     = 70 * time.Millisecond
-	booking     = 150 * time.Millisecond // keeps candidates from meeting half-way
-	gather      = 25 * time.Millisecond
+	beatEvery    = 200 * time.Millisecond
+	helloEvery   = 150 * time.Millisecond
+	pullEvery    = 300 * time.Millisecond
+	inquireEvery = 500 * time.Millisecond
+	resendEvery  = 100 * time.Millisecond
+	sticky       = 600 * time.Millisecond  // a primary heard within it lives
+	silence      = 700 * time.Millisecond  // and is lost after it
+	stall        = 450 * time.Millisecond  // a disk or a writer that takes longer is left out
+	vacant       = 1500 * time.Millisecond // a member silent so long may lose its seat
+	settle       = 600 * time.Millisecond  // no founding while members still come
+	patience     = 800 * time.Millisecond  // an operator's call, ticks included, ends within 900 ms
+	perRank      = 70 * time.Millisecond
+	booking      = 150 * time.Millisecond // keeps candidates from meeting half-way
+	gather       = 25 * time.Millisecond
 )
 
 // Config is what a process knows about itself.
@@ -153,11 +154,13 @@
 	seq     uint64
 	written uint64
 	writes  []pendingWrite
+	lag     lag
 	fresh   []plane.Send // to go out once what this input wrote is synced
 	held    []heldSend
 
 	seeds  []string
 	peers  []Peer
+	most   uint32 // the highest version that one of them has
 	view   Record // the newest active one known
 	told   uint32 // highest committed version heard of
 	teller string
@@ -181,18 +184,26 @@
 	turn    int
 	founder founder
 	adopted Doc // the newest handed out to be put in force
-	bug     bug
+	past    []Change
+	bug     Bug
 }
 
-// bug switches a guard off, to show that the tests miss it.
-type bug uint8
+// Bug switches a guard off, to show that the judges miss it.
+type Bug uint8
 
+// The bugs. Those of disks are the models'.
 const (
-	bugAckEarly  bug = iota + 1 // answer before the backups have it
-	bugNoPromise                // obey primaries that were overtaken
-	bugAnyData                  // take over with whatever data the promises bring
+	BugAckEarly  Bug = iota + 1 // answer before the backups have it
+	BugNoPromise                // obey primaries that were overtaken
+	BugAnyData                  // take over with whatever data the promises bring
+	BugAlone                    // take over without the witnesses' promises and records
+	BugUnsynced                 // a disk says that it has synced before it has
+	BugAmnesia                  // an empty disk counts as the one that was there
 )
 
+// SetBug switches a guard off.
+func (m *Machine) SetBug(b Bug) { m.bug = b }
+
 // New starts a process. A nil disk is an empty one, or none.
 func New(c Config, d *Disk, now plane.Time) *Machine {
 	h := fnv.New64a()
@@ -249,9 +260,20 @@
 	return s
 }
 
-// Peers takes the membership's view, which may be wrong.
+// Peers takes the membership's view, which may be wrong, and keeps it.
 func (m *Machine) Peers(now plane.Time, peers []Peer) {
-	m.now, m.peers = max(m.now, now), slices.Clone(peers)
+	m.now, m.peers, m.most = max(m.now, now), peers, 0
+	for _, p := range peers {
+		m.most = max(m.most, p.Held)
+	}
+}
+
+// Holds notes which version a process has.
+func (m *Machine) Holds(addr string, version uint32) {
+	if i := slices.IndexFunc(m.peers, func(p Peer) bool { return p.Addr == addr }); i >= 0 {
+		m.peers[i].Held = max(m.peers[i].Held, version)
+		m.most = max(m.most, version)
+	}
 }
 
 // Seeds replaces the addresses to turn to.
@@ -280,6 +302,9 @@
 func (m *Machine) Written(now plane.Time, seq uint64) Out {
 	m.now = max(m.now, now)
 	m.written = max(m.written, seq)
+	if len(m.writes) > 0 && m.writes[0].seq <= seq {
+		m.lag.note(m.now, m.now-m.writes[0].at)
+	}
 	m.writes = slices.DeleteFunc(m.writes, func(w pendingWrite) bool { return w.seq <= m.written })
 	rest := m.held[:0:0]
 	for _, h := range m.held {
@@ -322,6 +347,10 @@
 		for _, to := range t.On {
 			m.send(to, Push{Doc: t.Doc})
 		}
+	case Amended:
+		if kept := m.d.Kept; kept.Version == t.Version {
+			m.commit(Doc{Version: t.Version, Rev: t.Rev, Body: kept.Body})
+		}
 	case Pull:
 		if m.d.Kept.Version > t.Held {
 			m.send(from, Push{Doc: m.d.Kept})
@@ -411,6 +440,7 @@
 			}
 		}
 		if len(m.loop) == 0 {
+			m.remember()
 			if m.d.Kept.Above(m.adopted) {
 				m.adopted, m.out.Adopt = m.d.Kept, m.Held()
 			}
--- a/internal/toll/message.go
+++ b/internal/toll/message.go
@@ -11,6 +11,8 @@
 	Read   bool       `cbor:"4,keyasint,omitempty"` // an answer is wanted
 	Items  []Item     `cbor:"5,keyasint"`
 	Echo   bool       `cbor:"6,keyasint,omitempty"` // only a sign of life is wanted
+	Near   bool       `cbor:"7,keyasint,omitempty"` // a tenant is near its limit: who is out of sight matters
+	Signs  bool       `cbor:"8,keyasint,omitempty"` // the gateway answers where it is asked for a sign of life
 }
 
 // Item is one gateway's sum in one name. Units are thousandths.
@@ -21,6 +23,7 @@
 	Fresh  uint64 `cbor:"4,keyasint,omitempty"` // new to the holder, if nothing was lost
 	Gap    uint64 `cbor:"5,keyasint,omitempty"` // microseconds a unit, for the level
 	Used   uint64 `cbor:"6,keyasint,omitempty"` // of the burst, as the gateway sees it, and 1; 0: not seen
+	Near   bool   `cbor:"7,keyasint,omitempty"` // it is near its limit, and small for so many gateways
 }
 
 // Answer gives the sums of the names that an Add has named.
@@ -31,6 +34,11 @@
 	Totals []Total    `cbor:"4,keyasint"`
 	// Company says that the holder has heard other gateways lately.
 	Company bool `cbor:"5,keyasint,omitempty"`
+	// Missing is how many of the gateways that there should be are out of the holder's sight.
+	Missing uint32 `cbor:"6,keyasint,omitempty"`
+	// Ask: this is no answer, but wants a sign of life, an Add without items. A process that
+	// doesn't know it takes no notice; one that met a new kind of message would hang up.
+	Ask bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Total is what a holder knows of one name.
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -55,22 +55,26 @@
 	rules     *actor.Box[*bane.Write]
 	judge     *bane.Judge
 	ban       *ban // nil: no fault rules
+	tape      *tape
 	dirty     bool
 	keptAt    time.Time
 	plane     *shuttle.Plane
 	listeners []*transport.Listener
+	clients   *transport.Listener // nil: they are not served
 
-	lastCall atomic.Uint64
-	waits    sync.Map // calls under way: their number, and a chan any
-	leaving  atomic.Bool
-	closing  atomic.Bool // it has left for so long that clients should have gone elsewhere
-	leave    leave
-	ready    atomic.Bool
-	nudged   atomic.Bool
-	short    atomic.Bool // of strikes
-	left     time.Time   // since when it leaves
-	alone    time.Time   // since when nobody else is seen
-	totals   time.Time   // when they were last told
+	lastCall  atomic.Uint64
+	waits     sync.Map // calls under way: their number, and a chan any
+	leaving   atomic.Bool
+	closing   atomic.Bool // it has left for so long that clients should have gone elsewhere
+	leave     leave
+	ready     atomic.Bool
+	draining  atomic.Bool // an operator has said so
+	nudged    atomic.Bool
+	short     atomic.Bool // of strikes
+	left      time.Time   // since when it leaves
+	drainedAt time.Time   // when a drain began or ended
+	alone     time.Time   // since when nobody else is seen
+	totals    time.Time   // when they were last told
 }
 
 const tick = 50 * time.Millisecond
@@ -110,7 +114,7 @@
 	debug.SetGCPercent(25)
 	debug.SetMemoryLimit(int64(set.BoundsReq.MemMb) << 20 * 6 / 10)
 	p := &Process{path: path, set: set, start: time.Now(), box: actor.NewBox[any](nil), disk: actor.NewBox[*pact.Write](nil), rows: actor.NewBox[[]lore.Row](nil),
-		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(),
+		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(), tape: &tape{},
 		self: meshAddr(set.IpAddr, set)}
 	p.ring = omen.NewRing(os.Stderr, set.NodeName, 256, log.InfoLevel)
 	p.say = &log.Logger{Handler: p.ring, Level: log.DebugLevel}
@@ -132,7 +136,7 @@
 		Faults: knot.Faults{Longest: p.longest(), Judge: p.judge, Disk: p.keptRules(sound)}},
 		p.meter, kept, now)
 	p.plane = shuttle.New(shuttle.Options{Zone: set.Zone, Now: p.now, Sockets: set.BoundsReq.FdLimit / 3, Seed: seed, Pass: p.pass,
-		Leaving: p.leaving.Load, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults()})
+		Leaving: p.away, Closing: p.closing.Load, RetryRatio: set.Bounds.RetryRatio, RetrySlack: set.Bounds.RetrySlack, ColdFor: 3 * time.Second, Faults: p.faults(life)})
 	p.mesh = mesh.New(mesh.Options[*frame]{Codec: codec, Most: 1000, Tune: tune, Buffer: 2 << 10,
 		Handle: func(_ *mesh.Pipe[*frame], f *frame) { p.box.Put(f) }})
 	if err := p.mesh.Listen(p.self); err != nil {
@@ -198,15 +202,15 @@
 		doc  pact.Doc
 	}
 	withdrawn struct {
+		call    uint64
 		version uint32
 		by      string
 	}
-	fetched  struct{ call uint64 }
-	examined struct{ call uint64 }
-	written  struct{ seq uint64 }
-	nudge    struct{} // adds to the counters should not wait for the tick
-	changed  struct{} // the settings
-	told     struct{} // to end
+	fetched struct{ call uint64 }
+	written struct{ seq uint64 }
+	nudge   struct{} // adds to the counters should not wait for the tick
+	changed struct{} // the settings
+	told    struct{} // to end
 )
 
 // loop serves until the process has been told to end and all is answered.
@@ -240,11 +244,13 @@
 	case proposed:
 		p.carry(p.knot.Put(now, m.call, m.doc))
 	case withdrawn:
-		p.carry(p.knot.Withdraw(now, m.version, m.by))
+		p.carry(p.knot.Withdraw(now, m.call, m.version, m.by))
 	case fetched:
 		p.carry(p.knot.Get(now, m.call))
-	case examined:
-		p.reply(m.call, p.examine())
+	case shown:
+		p.reply(m.call, m.show(p))
+	case drained:
+		p.reply(m.call, p.drains(m))
 	case written:
 		p.carry(p.knot.Written(now, m.seq))
 	case ruled:
@@ -277,6 +283,7 @@
 		p.say.WithField("ready", ready).Info("readiness")
 	}
 	p.keepList(time.Now())
+	p.idle(time.Now())
 	if at := time.Now(); at.Sub(p.totals) >= totalsEvery {
 		p.totals = at
 		go p.tell()
--- a/internal/yarn/grown.go
+++ b/internal/yarn/grown.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"time"
 
 	"asterwell/internal/creed"
@@ -26,9 +27,8 @@
 		f.Core, f.Losses = 3, 1
 	case nodes <= 60:
 		f.Core = 6
-	}
-	if nodes > 60 {
-		f.Storm = 6 * time.Second // at the same pace; each second takes three real ones
+	case nodes > 100:
+		f.Storm = 10 * time.Second // at the same pace
 	}
 	switch nodes {
 	case 11:
@@ -53,6 +53,7 @@
 
 // The storm's and the traffic's measures.
 const (
+	joinSpan  = 4 * time.Second // within it the servers come; what is measured begins later
 	stormBody = 40 << 10
 	stormPace = 500 * ms
 	stormSpan = 30 * time.Second // half of all servers are replaced within it
@@ -62,6 +63,8 @@
 // Grow plays a fleet: at rest, in traffic, in a storm of configurations while half of
 // the servers are replaced, and after the end of all its processes.
 func Grow(f Fleet) Grown {
+	runtime.LockOSThread() // its processor time is measured
+	defer runtime.UnlockOSThread()
 	w := newWorld(f.Seed*8+1, Sound, nil)
 	g := &grower{Grown: Grown{Fleet: f}, w: w, began: time.Now()}
 	g.play()
@@ -86,9 +89,6 @@
 	w.losses = f.Losses
 	newGauge(w)
 	services := min(8, max(3, f.Nodes/8))
-	for i := range f.Servers {
-		w.serve(fmt.Sprintf("svc%d", i%services+1), "")
-	}
 	tenants := min(85, max(3, f.Nodes))
 	offer := each * float64(f.Nodes) / float64(tenants)
 	for i := range tenants {
@@ -96,6 +96,12 @@
 	}
 	w.still = true
 	w.run(time.Second)
+	for i := range f.Servers {
+		w.after(time.Duration(i)*joinSpan/time.Duration(f.Servers), func() { w.serve(fmt.Sprintf("svc%d", i%services+1), "") })
+	}
+	if !g.pass("servers come", joinSpan) {
+		return
+	}
 	g.put()
 	if !g.pass("start", 9*time.Second) || !g.measure("rest", f.Rest, &g.AtRest) {
 		return
@@ -119,20 +125,26 @@
 	g.recover()
 }
 
-// pass lets time pass, in seconds, as long as there is some.
+// pass lets time pass, as long as there is real time left.
 func (g *grower) pass(what string, d time.Duration) bool {
-	if g.Progress != nil {
-		g.Progress(fmt.Sprintf("%d nodes: %s", g.Nodes, what))
-	}
-	for ; d > 0 && g.w.stats.Broken == ""; d -= time.Second {
-		g.w.run(min(d, time.Second))
+	g.tell(what)
+	for ; d > 0 && g.w.stats.Broken == ""; d -= 20 * ms {
+		g.w.run(min(d, 20*ms))
 		if g.Late = g.Within > 0 && time.Since(g.began) > g.Within; g.Late {
+			g.tell("left out in " + what)
 			return false
 		}
 	}
 	return g.w.stats.Broken == ""
 }
 
+func (g *grower) tell(what string) {
+	if g.Progress != nil {
+		g.Progress(fmt.Sprintf("%d nodes: %s, at %v, %d messages, %v", g.Nodes, what, g.w.now.Round(ms), g.w.stats.Messages,
+			time.Since(g.began).Round(time.Second)))
+	}
+}
+
 func (g *grower) measure(what string, d time.Duration, to *Rates) bool {
 	g.w.gauge.begin()
 	ok := g.pass(what, d)
--- a/internal/yarn/rules.go
+++ b/internal/yarn/rules.go
@@ -3,14 +3,14 @@
 import (
 	"slices"
 	"time"
-
-	"asterwell/internal/lore"
 )
 
 // rules is what the judge keeps between two looks.
 type rules struct {
 	lostLead   time.Duration // when the last primary was taken away; 0: one serves
 	lostEpoch  uint64
+	epoch      uint64        // the newest that served, and
+	serves     *proc         // who does
 	herd       bool          // most processes were away
 	back       time.Duration // and all are back since; 0: not
 	settledFor time.Duration // since when the core is settled, and no link is in trouble
@@ -27,6 +27,7 @@
 	w.checkConfig()
 	w.checkCalls()
 	w.checkQuota()
+	w.countLeads()
 	w.checkLead()
 	w.checkService()
 }
@@ -45,6 +46,7 @@
 			outer = o
 		}
 	}
+	calm := must != nil && w.calm(contact+5*time.Second)
 	for _, p := range w.procs {
 		switch {
 		case must != nil && w.inTouch(p) && p.version < must.version:
@@ -52,7 +54,7 @@
 		case outer != nil && p.up && !p.frozen() && w.now-w.since(p) >= contact && p.version < outer.version:
 			w.breaks("CONFIG", "%s serves version %d %v after %d was acknowledged, the core unsettled", p.name, p.version,
 				w.now-outer.at, outer.version)
-		case must != nil && w.inTouch(p) && w.calm(contact+5*time.Second) && !p.leaving && !p.k.Ready():
+		case calm && w.inTouch(p) && !p.leaving && !p.k.Ready():
 			w.breaks("READY", "%s has all, and does not say that it is ready", p.name)
 		}
 	}
@@ -115,6 +117,22 @@
 	return at
 }
 
+// countLeads counts epochs and changes of primary.
+func (w *world) countLeads() {
+	r := &w.rules
+	p := w.leader()
+	if p == nil || p.k.Pact().Epoch <= r.epoch {
+		return
+	}
+	if r.serves != nil {
+		w.stats.Epochs++
+		if p != r.serves {
+			w.stats.Changes++
+		}
+	}
+	r.epoch, r.serves = p.k.Pact().Epoch, p
+}
+
 // checkLead measures takeovers.
 func (w *world) checkLead() {
 	if w.rules.lostLead == 0 {
@@ -185,10 +203,8 @@
 			continue
 		}
 		var known []string
-		for _, s := range p.list {
-			if s.Phase == lore.Serving {
-				known = append(known, s.ID)
-			}
+		for s := range p.serves {
+			known = append(known, s.id)
 		}
 		slices.Sort(known)
 		if !slices.Equal(known, alive) {
--- a/internal/yarn/world.go
+++ b/internal/yarn/world.go
@@ -1,7 +1,6 @@
 package yarn
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -33,7 +32,6 @@
 	seeds  []string
 	losses int
 	cuts   map[[2]string]time.Duration // from, to: since when
-	sent   map[[2]string]time.Duration // when the last message comes
 	lists  []lagged                    // of processes that serve control, as callers see them
 
 	orders  map[uint32]*order
@@ -44,6 +42,8 @@
 	byID    map[string]*server
 	tenants []*tenant
 	window  window
+	offered []string // services with a server that serves; nil: to be found
+	ready   []*proc  // room for front
 
 	touch touch
 	rules rules
@@ -56,7 +56,6 @@
 func newWorld(seed uint64, bug Bug, trace func(string)) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 0x7a21)), bug: bug, wire: seed%8 == 0, trace: trace, sum: xxhash.New(),
 		byAddr: map[string]*proc{}, byName: map[string]*proc{}, cuts: map[[2]string]time.Duration{},
-		sent:   map[[2]string]time.Duration{},
 		orders: map[uint32]*order{}, byID: map[string]*server{}}
 	w.stats.Seed = seed
 	return w
@@ -64,7 +63,7 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.order++
-	heap.Push(&w.queue, plane.Event{At: w.now + d, Order: w.order, Do: do})
+	w.queue.Add(plane.Event{At: w.now + d, Order: w.order, Do: do})
 }
 
 func (w *world) every(d time.Duration, do func()) {
@@ -75,7 +74,7 @@
 func (w *world) run(d time.Duration) {
 	end := w.now + d
 	for len(w.queue) > 0 && w.queue[0].At <= end && w.stats.Broken == "" {
-		e := heap.Pop(&w.queue).(plane.Event)
+		e := w.queue.Next()
 		w.now = e.At
 		w.stats.Events++
 		e.Do()
