Look for ways round a counter's holder four times a second, not with each add

Need: when power is lost on the grown site, links of 2 Mbit/s are full for 3 s; 77 of the 258 kB that each gateway then sends are adds going round holders whose answers are merely late on the same links: each look sends four messages more. Ruled out: the wait for connections (0.8 s for 0.3, no gain), the processor (--no-cpu, the same). Change: a look at most every 0.25 s for a holder, kept over an answer that comes straight.

--- a/cmd/asterlab/rollout.go
+++ b/cmd/asterlab/rollout.go
@@ -30,6 +30,7 @@
 	c.Flags().IntVar(&o.Seeds, "seeds", 300, "with drawn faults")
 	c.Flags().IntVar(&o.States, "states", 200000, "of a small model that is not visited as a whole")
 	c.Flags().BoolVar(&on, "real", false, "real processes of loom on loopback, under load, instead of simulated ones")
+	c.Flags().StringVar(&real.Folder, "folder", "", "for --real: where the core keeps its state; empty: the temporary folder")
 	c.Flags().StringVar(&real.Binary, "loom", beside("loom"), "the system's binary, for --real")
 	c.Flags().IntVar(&real.Processes, "processes", 9, "for --real: 6 to 9, of which three are the core")
 	c.Flags().DurationVar(&real.Within, "time", 75*time.Second, "for --real: no part begins or goes on after that; the judge takes some seconds more")
--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -82,7 +82,7 @@
 	meter   Meter
 	counter *toll.Counter
 	bane    *bane.Machine
-	round   map[string]detour // to holders
+	round   map[string]*detour // to holders
 	turn    int
 	swift   int  // changes of membership taken in since the tick
 	late    bool // there are more
@@ -97,7 +97,7 @@
 // New starts a process. A nil disk is an empty one, or none.
 func New(c Config, meter Meter, disk *pact.Disk, now plane.Time) *Knot {
 	return &Knot{
-		self: c.Self, meter: meter, bane: c.faults(now), counter: toll.NewCounter(c.Self, c.Life), round: map[string]detour{},
+		self: c.Self, meter: meter, bane: c.faults(now), counter: toll.NewCounter(c.Self, c.Life), round: map[string]*detour{},
 		bond: bond.New(bond.Node{Addr: c.Self, Name: c.Name, Zone: c.Zone, Control: c.Control, Member: c.Member,
 			Life: c.Life}, c.Seeds, c.Seed, now),
 		lore: lore.New(c.Self, c.Zone, c.Heartbeat, c.Seed, now),
@@ -125,7 +125,9 @@
 		k.via(now, from, msg.(Via))
 	case of == ofToll:
 		if a, ok := msg.(toll.Answer); ok && !a.Ask {
-			delete(k.round, from)
+			if d := k.round[from]; d != nil {
+				d.straight()
+			}
 		}
 		k.send(k.counter.Take(now, from, msg))
 		k.send(k.meter.Take(now, from, msg))
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -26,13 +26,28 @@
 
 // detour is a way round to one holder.
 type detour struct {
-	by   string
-	till plane.Time // an answer that came straight ends it sooner
+	by    string
+	till  plane.Time // an answer that came straight ends it sooner
+	tried plane.Time // when a way was last looked for
 }
 
+// may reports whether to look for a way now. Answers that are late on a full link look
+// like none, and each look costs four messages on links as full.
+func (d *detour) may(now plane.Time) bool {
+	if d.tried > 0 && now-d.tried < lookGap {
+		return false
+	}
+	d.tried = now
+	return true
+}
+
+// straight ends a way round: its end has answered by itself.
+func (d *detour) straight() { d.by, d.till = "", 0 }
+
 const (
 	detourFor = 3 * time.Second
 	detours   = 2 // tried at once
+	lookGap   = 250 * time.Millisecond
 )
 
 // count sends what the meter wants told, and round what keeps silent. A holder that
@@ -45,14 +60,25 @@
 		if !ok || s.To == k.self {
 			continue
 		}
-		if d := k.round[s.To]; d.till > now {
+		d := k.detour(s.To)
+		if d.till > now {
 			k.send([]plane.Send{{To: d.by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
-		} else if k.meter.Mute(now, s.To) {
+		} else if k.meter.Mute(now, s.To) && d.may(now) {
 			k.around(s.To, Via{From: k.self, To: s.To, Add: &add})
 		}
 	}
 }
 
+// detour is what is known of ways round to a holder.
+func (k *Knot) detour(holder string) *detour {
+	d := k.round[holder]
+	if d == nil {
+		d = &detour{}
+		k.round[holder] = d
+	}
+	return d
+}
+
 // look asks for the signs of life that the counter wants.
 func (k *Knot) look(now plane.Time, asks []plane.Send) {
 	k.send(asks)
@@ -104,7 +130,8 @@
 			}
 		}
 	case v.Answer != nil:
-		k.round[v.From] = detour{by: v.By, till: now + detourFor}
+		d := k.detour(v.From)
+		d.by, d.till = v.By, now+detourFor
 		k.send(k.meter.Take(now, v.From, *v.Answer))
 	}
 }
--- a/internal/lab/rolloutreal.go
+++ b/internal/lab/rolloutreal.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 
 // RealOptions of the same with real processes.
 type RealOptions struct {
+	Folder    string // for the state of the core; "": the temporary one
 	Binary    string // loom
 	Seed      uint64
 	Processes int
@@ -111,9 +111,9 @@
 	if o.Processes < 6 || o.Processes > 9 {
 		return nil, fmt.Errorf("--processes must be from 6 to 9, not %d", o.Processes)
 	}
-	below, on := "", "the temporary folder"
-	if s, err := os.Stat("/dev/shm"); err == nil && s.IsDir() {
-		below, on = "/dev/shm", "/dev/shm (memory)"
+	below, on := o.Folder, o.Folder
+	if below == "" {
+		on = "the temporary folder"
 	}
 	f, err := newFaultFleet(o.Binary, o.Processes, below)
 	if err != nil {
