Let the judge of rollouts go by a node's latest word, not the last to arrive

In the tests of loom a state is kept while nothing is started beside it: a child holds the lock between fork and exec, and scripts side by side met it.

--- a/cmd/loom/main_test.go
+++ b/cmd/loom/main_test.go
@@ -72,6 +72,8 @@
 // keep saves a configuration in a state: keep DIR VERSION. Saved twice, it has both
 // generations.
 func keep(ts *testscript.TestScript, _ bool, args []string) {
+	syscall.ForkLock.RLock() // else what another script starts holds the state's lock until it is another program
+	defer syscall.ForkLock.RUnlock()
 	v, err := vault.Open(ts.MkAbs(args[0]))
 	ts.Check(err)
 	defer v.Close()
--- a/internal/accord/world/judge.go
+++ b/internal/accord/world/judge.go
@@ -11,6 +11,7 @@
 // word is what a node has last said to a primary.
 type word struct {
 	life    int
+	id, seq uint64
 	change  uint64
 	refused bool
 	at      time.Duration
@@ -103,7 +104,10 @@
 func (w *World) came(from string, to *Proc, msg any) {
 	if a, ok := msg.(accord.Ask); ok && !to.frozen() {
 		p := w.byAddr[from]
-		w.words[p.name] = word{p.life, a.Checked, a.Refusal != "", w.now}
+		if x := w.words[p.name]; x.id == a.ID && x.seq > a.Seq {
+			return // overtaken on the way
+		}
+		w.words[p.name] = word{p.life, a.ID, a.Seq, a.Checked, a.Refusal != "", w.now}
 	}
 }
 
