--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -47,7 +47,7 @@
 const (
 	detourFor = 3 * time.Second
 	detours   = 2 // tried at once
-	lookGap   = 250 * time.Millisecond
+	lookGap   = 100 * time.Millisecond
 )
 
 // count sends what the meter wants told, and round what keeps silent. A holder that
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -18,7 +18,7 @@
 		}
 		d.straight()
 	}
-	if looks < 3 || looks > 5 {
+	if looks < 8 || looks > 11 {
 		t.Errorf("%d looks in a second", looks)
 	}
 }
