--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -427,11 +427,12 @@
 
 func (a *Answers) end(f Final) {
 	a.mu.Lock()
-	a.final, a.have = f, true
-	if a.left {
+	defer a.mu.Unlock()
+	if a.left { // there is one answer, and it is told by now
 		Drop(f.Answer)
+		return
 	}
-	a.mu.Unlock()
+	a.final, a.have = f, true
 	a.bell.Ring()
 }
 
