Wait in the drained list's scenario until the gateway has taken the list up

Need: TestSRVScenarios/the_list_drains failed now and then under load, cause not found until now: nothing in the script waits for the gateway to take up the list that drains a server, so that on a busy machine the request still went to it. Ruled out: the rule of membership (its own tests hold); time limits of the script. Change: the next question to discovery, from=2, is waited for.

--- a/internal/program/srv_test.go
+++ b/internal/program/srv_test.go
@@ -282,6 +282,7 @@
 			answered close
 			wait 2300ms
 			discovery1 send "$draining"
+			discovery1 expect "from=2"
 			answered close
 			client1 send "$submit1"
 			two1 expect "\r\n\r\nbody"
