Gateway in service: answers by name, idle lanes sleep, parts of the fleet kept

Change: an answer is a call's only if it repeats the call's name and its connection has not carried that name before (transport.Trips, Call.Owns); heads within heads and bodies without a length are spoilt where asked for (Strict); a lane's core with nothing under way sleeps and plays the beats it missed at their own times (routing.rest); weights of the fleet's part are kept between surveys; a turn of policy asks again whether enough still hold a lease when the hold ends (Conduct.Still); porcupine gets three minutes, not one, on a busy machine. Ruled out: ids alone (a late copy of a former answer bears the same one), a longer beat for idle lanes (decides otherwise).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"asterwell/internal/aperture"
 	"asterwell/internal/health"
 	"asterwell/internal/limit"
 	"asterwell/internal/turn"
@@ -32,6 +33,7 @@
 	byID      map[uint32]*backend
 	fleet     []*backend // in order of id
 	ring      []*backend // in an order that all gateways have, zones taking turns
+	cover     aperture.Part
 	reach     int        // how many of them it uses
 	twins     int        // processes that are this gateway
 	turns     turn.Clock // that they take
@@ -147,7 +149,7 @@
 	if set.Subscribe {
 		act.Watch(true)
 	}
-	act.SetTimer(b.beat, "beat")
+	act.SetTimer(b.beat, Beat)
 	return b, nil
 }
 
@@ -409,11 +411,11 @@
 // Timer takes a timer that has fired.
 func (b *Balancer) Timer(now time.Duration, token string) {
 	kind, digits, _ := strings.Cut(token, " ")
-	id, _ := strconv.ParseUint(digits, 10, 32)
+	id, _ := strconv.ParseUint("0"+digits, 10, 32) // a beat has none: no error is made of it
 	r := b.reqs[uint32(id)]
 	switch {
-	case kind == "beat":
-		b.act.SetTimer(b.beat, "beat")
+	case kind == Beat:
+		b.act.SetTimer(b.beat, Beat)
 		b.housekeep(now)
 	case kind == "watch":
 		b.act.Watch(true)
--- a/choice/servers.go
+++ b/choice/servers.go
@@ -84,23 +84,20 @@
 	if want > 1.25*has || want < 0.6*has {
 		b.reach = int(math.Ceil(want))
 	}
-	weights := make([]float64, len(b.ring))
+	weights := b.cover.Weights(len(b.ring))
+	b.stuck, b.mass, b.whole = 0, 0, 0
 	for i, be := range b.ring {
 		if be.listed {
+			b.whole += b.size(be)
 			weights[i] = b.size(be) * b.warmth(now, be)
 		}
 	}
-	b.stuck, b.mass, b.whole = 0, 0, 0
-	lives := func(i int) bool { return !b.ring[i].Out() }
-	part := aperture.Cover(b.set.Index, weights, lives, float64(b.reach))
+	part := b.cover.Cover(b.set.Index, func(i int) bool { return !b.ring[i].Out() }, float64(b.reach))
 	for i, be := range b.ring {
 		if be.part = part[i]; be.Out() {
 			b.stuck += len(be.outs)
 		}
 		b.mass += b.size(be) * be.part
-		if be.listed {
-			b.whole += b.size(be)
-		}
 	}
 }
 
--- a/internal/aperture/aperture.go
+++ b/internal/aperture/aperture.go
@@ -88,3 +88,39 @@
 	}
 	return share
 }
+
+// Part is a gateway's part of a ring as it was last worked out. Without news of its nodes it is worked
+// out from the same weights again and again, at each beat of each service: what is the same is not redone.
+type Part struct {
+	gateway       int
+	want          float64
+	weights, next []float64
+	usable        []bool
+	share         []float64
+}
+
+// Weights are n of no weight, for the caller to fill in and give to Cover.
+func (p *Part) Weights(n int) []float64 {
+	p.next = slices.Grow(p.next[:0], n)[:n]
+	clear(p.next)
+	return p.next
+}
+
+// Cover is what the function of that name says of the weights that the caller has filled in. It is not to
+// be changed, and good until the next call.
+func (p *Part) Cover(gateway int, usable func(i int) bool, want float64) []float64 {
+	same := p.share != nil && gateway == p.gateway && want == p.want && slices.Equal(p.weights, p.next)
+	for i := 0; same && i < len(p.next); i++ {
+		same = usable(i) == p.usable[i]
+	}
+	if same {
+		return p.share
+	}
+	p.gateway, p.want, p.usable = gateway, want, p.usable[:0]
+	p.share = Cover(gateway, p.next, usable, want)
+	for i := range p.next {
+		p.usable = append(p.usable, usable(i))
+	}
+	p.weights, p.next = p.next, p.weights
+	return p.share
+}
--- a/internal/field/cluster.go
+++ b/internal/field/cluster.go
@@ -468,6 +468,9 @@
 	return most
 }
 
+// checkFor is how long a history may be held against a register: beside other work it may have a small part of a core.
+const checkFor = 3 * time.Minute
+
 // check holds what gateways answered against the register's history.
 func (m *marking) check(r *Cluster) {
 	f := m.f
@@ -542,7 +545,7 @@
 	for _, a := range m.marks {
 		ops = append(ops, porcupine.Operation{ClientId: 0, Input: input{k: a.k}, Output: a.known, Call: int64(a.from), Return: int64(a.to)})
 	}
-	r.Linearizable = string(porcupine.CheckOperationsTimeout(register, ops, time.Minute))
+	r.Linearizable = string(porcupine.CheckOperationsTimeout(register, ops, checkFor))
 	if r.Linearizable == string(porcupine.Illegal) {
 		f.breaks("policy", "the register is not linearizable: %d operations", len(ops))
 	}
--- a/internal/policy/conduct.go
+++ b/internal/policy/conduct.go
@@ -103,6 +103,9 @@
 	// Enough says whether as many have checked the change as it needs; until then nobody
 	// is fenced for it and nothing turns. Nil: all that hold a lease are.
 	Enough func() bool
+	// Still says the same at the end of a hold: leases may have run out meanwhile, and who has
+	// none is not waited for. Nil: it is not asked.
+	Still func() bool
 
 	// What the last turn took, for those that measure.
 	Held time.Duration
@@ -337,17 +340,18 @@
 	}
 }
 
-// hold waits for all that hold a lease to say that they decide nothing.
+// hold waits for all that hold a lease to say that they decide nothing. A leader that stood
+// still finds that nobody has one any more: nobody is missing then, and nobody has said a word.
 func (c *Conduct) hold(now time.Duration) {
-	missing := false
+	missing, late := false, now-c.at > c.terms.HoldWithin
 	c.each(func(id uint64, m *member) {
 		missing = missing || m.until > now && m.Held != c.round
 	})
 	switch {
-	case !missing:
+	case !missing && (c.Still == nil || !late && c.Still()):
 		c.stage = Turning // at stays: all of it is held
 		c.out.Propose = append(c.out.Propose, Command{Kind: Turn, ID: c.change})
-	case now-c.at > c.terms.HoldWithin:
+	case !missing || late:
 		// Serving goes on by the old version. Who said nothing has to say anew that it is there.
 		c.each(func(id uint64, m *member) {
 			if m.until > now && m.Held != c.round {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -204,6 +204,43 @@
 	}
 }
 
+// A leader that stands still in a hold finds no lease running any more: that nobody is missing is
+// no agreement. With Still unasked it turns.
+func TestHoldWithoutLeases(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		f := newFleet(t, 5)
+		enough := func() (all bool) {
+			n := 0
+			for _, m := range f.c.members {
+				if m.until > f.now && m.Checked == 7 {
+					n++
+				}
+			}
+			return n == 5
+		}
+		if f.c.Enough = enough; asked {
+			f.c.Still = enough
+		}
+		f.propose(7)
+		for f.c.stage != Holding {
+			for id := uint64(1); id <= 5; id++ {
+				if r := f.holders[id].Tick(f.now); r != nil {
+					r.Checked = 7
+					f.c.Renew(f.now, id, *r)
+				}
+			}
+			f.c.Confirmed(f.now)
+			f.c.Out()
+			f.now += time.Millisecond
+		}
+		f.now += 5 * time.Second
+		f.c.Tick(f.now)
+		if turned := f.c.stage == Turning; turned == asked {
+			t.Errorf("asked at the end of the hold: %v, turned: %v", asked, turned)
+		}
+	}
+}
+
 // An answer to what was asked before a hold gives no lease after it.
 func TestLateGrant(t *testing.T) {
 	h := NewHolder(DefaultTerms, "a", "", "")
--- a/internal/protocol/answers_test.go
+++ b/internal/protocol/answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"asterwell/internal/routing"
 )
 
@@ -15,3 +17,21 @@
 		t.Errorf("the answer turned into %v", a.final.Kind)
 	}
 }
+
+// failing is a core that fails what it is given.
+type failing struct{}
+
+func (failing) Submit(r *routing.Request) { r.Reply.Failed(false) }
+func (failing) Sent(*routing.Request)     {}
+func (failing) Gone(*routing.Request)     {}
+
+// Of two requests with one id at a time the second is told so; those without an id are nobody's twins.
+func TestTwins(t *testing.T) {
+	ids := NewIDs()
+	for id, want := range map[string]Kind{"a": Twice, "b": Failed, "": Failed} {
+		ids.open = map[string]bool{"a": true, "": true}
+		if f := Await(&fasthttp.RequestCtx{}, failing{}, ids, id, &routing.Request{Reply: &Answers{}}); f.Kind != want {
+			t.Errorf("%q: kind %d, want %d", id, f.Kind, want)
+		}
+	}
+}
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -76,6 +76,7 @@
 	limit   time.Duration
 	copied  func(piece []byte, last bool) // nil: nobody copies it
 
+	over  bool        // the client's goroutine has read all of it
 	begun atomic.Bool // nothing can be sent again
 	mu    sync.Mutex
 	want  bool
@@ -177,6 +178,7 @@
 			continue
 		}
 		piece := u.framed(buf, room, n, last)
+		u.over = last
 		if u.copied != nil {
 			u.copied(piece, last)
 		}
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -22,9 +22,10 @@
 	body        []byte
 	rest        *upload // what follows it; nil: nothing
 	err         error   // the body did not come
-	echo        []byte  // what an answer to it repeats, if the dialect says so
+	name        *name   // that its answer repeats; nil: the dialect has none
 	Transparent bool    // any whole answer but a fault of the server is the client's
 	Final       bool    // that too: no other server may be asked
+	Times       *Times  // nil: nobody measures
 }
 
 // Dialect is what a deployment's servers say in headers.
@@ -33,7 +34,7 @@
 	Millis   bool     // it is in milliseconds, else in seconds
 	NotRun   string   // in an answer: the request has not run
 	Any      bool     // whatever the answer's status; else with 503 and 504
-	Echo     string   // an answer repeats the request's, and one with another is somebody else's; "": it does not
+	Echo     string   // an answer repeats the request's; one with another, or without, is somebody else's; "": they don't
 	Target   string   // names the one server that may run the request; "": none does
 	Drop     []string // further headers of clients that end here
 }
@@ -95,14 +96,17 @@
 func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) *Call {
 	h := &ctx.Request.Header
 	c := &Call{head: make([]byte, 0, 512)}
+	if d.Echo != "" {
+		c.name = &name{header: d.Echo}
+	}
 	c.head = append(c.head, h.Method()...)
 	c.head = append(c.head, ' ')
 	c.head = append(c.head, h.RequestURI()...)
 	c.head = append(c.head, " HTTP/1.1\r\n"...)
 	for key, value := range h.All() {
 		see(key, value)
-		if d.Echo != "" && is(key, d.Echo) {
-			c.echo = append([]byte(nil), value...)
+		if c.name != nil && is(key, d.Echo) {
+			c.name.value = append([]byte(nil), value...)
 		}
 		if !d.drops(key) {
 			c.head = append(append(append(append(c.head, key...), ": "...), value...), '\r', '\n')
@@ -121,6 +125,38 @@
 	return c
 }
 
+// name is what tells a request from all others that are under way.
+type name struct {
+	header string
+	value  []byte
+	trips  transport.Trips
+}
+
+// Owns reports whether an answer is to this request: it repeats its name, and no other. One
+// to a request without a name has none.
+func (c *Call) Owns(answer *fasthttp.Response) bool {
+	if c.name == nil {
+		return true
+	}
+	mine := len(c.name.value) == 0
+	for key, value := range answer.Header.All() {
+		if is(key, c.name.header) {
+			if mine = bytes.Equal(value, c.name.value); !mine {
+				return false
+			}
+		}
+	}
+	return mine
+}
+
+// Trips are the connections that it has gone by.
+func (c *Call) Trips() *transport.Trips {
+	if c.name == nil {
+		return nil
+	}
+	return &c.name.trips
+}
+
 // Upload is what follows the beginning that wire returns. Only the first who asks gets it.
 func (c *Call) Upload() transport.Upload {
 	switch {
--- /dev/null
+++ b/internal/protocol/call_test.go
@@ -0,0 +1,47 @@
+package protocol
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// An answer is a request's own if it repeats its name and no other; the spelling of the
+// header's name is the server's.
+func TestOwns(t *testing.T) {
+	d := &Dialect{Deadline: "X-Left", Echo: "X-Name"}
+	for _, c := range []struct {
+		dialect *Dialect
+		mine    string
+		answer  []string
+		want    bool
+	}{
+		{d, "a", []string{"X-Name", "a"}, true},
+		{d, "a", []string{"x-name", "a"}, true},
+		{d, "a", []string{"X-Name", "b"}, false},
+		{d, "a", nil, false},
+		{d, "a", []string{"X-Name", "a", "x-name", "b"}, false}, // two answers run into each other
+		{d, "a", []string{"X-Name", "b", "x-name", "a"}, false},
+		{d, "", nil, true},
+		{d, "", []string{"X-Name", "b"}, false},
+		{Platform, "a", []string{"X-Name", "b"}, true}, // answers have no names there
+	} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod("GET")
+		if c.mine != "" {
+			ctx.Request.Header.Set("X-Name", c.mine)
+		}
+		call := c.dialect.NewCall(&ctx, func(_, _ []byte) {})
+		a := &fasthttp.Response{}
+		a.Header.DisableNormalizing()
+		for i := 0; i < len(c.answer); i += 2 {
+			a.Header.Set(c.answer[i], c.answer[i+1])
+		}
+		if got := call.Owns(a); got != c.want {
+			t.Errorf("%q answered with %q: %v", c.mine, c.answer, got)
+		}
+		if k := call.Copied(func(int) bool { return true }).Call(); k.Trips() != call.Trips() || k.Owns(a) != c.want {
+			t.Errorf("%q: its copy has another name", c.mine)
+		}
+	}
+}
--- a/internal/protocol/copy.go
+++ b/internal/protocol/copy.go
@@ -48,7 +48,7 @@
 	if k.over || !k.whole {
 		return nil
 	}
-	c := &Call{head: k.of.head, body: k.of.body, echo: k.of.echo, Transparent: k.of.Transparent, Final: k.of.Final}
+	c := &Call{head: k.of.head, body: k.of.body, name: k.of.name, Transparent: k.of.Transparent, Final: k.of.Final}
 	if k.of.rest != nil {
 		c.body = k.rest
 		if len(k.of.body) > 0 {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -96,6 +96,7 @@
 // Send begins an attempt.
 func (f *Fleet) Send(id uint32, a routing.Attempt, call any, left time.Duration) {
 	if s := f.servers[id]; s != nil && s.peer != nil {
+		call.(*Call).Times.Mark(Picked)
 		s.peer.Send(a, f.Dialect.wire(call.(*Call), s.name, left), call)
 		return
 	}
@@ -147,6 +148,7 @@
 		return
 	}
 	call := r.Note.(*Call)
+	call.Times.Mark(Answered)
 	status := f.Dialect.outcome(r.End, r.Answer, call)
 	var load *choice.Load
 	if r.Answer != nil && f.reports {
@@ -167,7 +169,7 @@
 		return choice.ConnectFailed
 	case transport.Broken:
 		return choice.Reset
-	case transport.Spoilt: // whoever sent that is there
+	case transport.Spoilt: // whoever sent that is there; it may be the answer to another request, which proves nothing
 		return choice.Error
 	}
 	status := answer.StatusCode()
@@ -176,8 +178,6 @@
 		return choice.ConnectFailed
 	case d.Any && d.says(answer, d.NotRun, "1"):
 		return choice.Full
-	case len(call.echo) > 0 && !d.says(answer, d.Echo, string(call.echo)): // to some other request
-		return choice.Error
 	case status == fasthttp.StatusOK:
 		return choice.OK
 	case status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout:
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -488,10 +488,12 @@
 // or for the client's end. Servers tell requests by their ids, so that there
 // must not be two with one.
 func Await(ctx *fasthttp.RequestCtx, core Core, ids *IDs, id string, r *routing.Request) Final {
-	if !ids.take(id) {
-		return Final{Kind: Twice}
+	if id != "" { // those without one are nobody's twins
+		if !ids.take(id) {
+			return Final{Kind: Twice}
+		}
+		defer ids.give(id)
 	}
-	defer ids.give(id)
 	a := r.Reply.(*Answers)
 	c, ok := ctx.Conn().(*transport.ClientConn)
 	if !ok { // no connection that could end
@@ -507,6 +509,11 @@
 	if call, ok := r.Call.(*Call); ok && call.rest != nil {
 		rest = call.rest
 		rest.ring = c.Bell().Ring
+		defer func() {
+			if !rest.over { // what follows it can't be found: who has sent more must hear that it was not read
+				ctx.SetConnectionClose()
+			}
+		}()
 	}
 	core.Submit(r)
 	if rest != nil && !a.uploads(c, core, r, rest) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -159,6 +159,7 @@
 	listed     map[uint32]bool
 	counted    time.Duration // when view was brought up to date
 	view       view
+	rest
 }
 
 // view is what others may read at any time, without the core's turn.
@@ -229,7 +230,7 @@
 func New(set choice.Settings, seed uint64, now func() time.Duration, hands Hands) (*Core, error) {
 	c := &Core{box: actor.NewBox[message](hands.World), now: now, hands: hands, open: map[uint32]*open{},
 		probes: map[uint32]probe{}, counts: map[string]time.Duration{}, up: map[uint32]bool{},
-		listed: map[uint32]bool{}}
+		listed: map[uint32]bool{}, rest: newRest(set, seed)}
 	if c.probeLimit = set.ConnectTimeout; c.probeLimit <= 0 {
 		c.probeLimit = time.Second
 	}
@@ -273,9 +274,15 @@
 
 func (halt) apply(c *Core, _ time.Duration) { c.halted = true }
 
-// wait is how long the core may sleep: until the next timer.
+// wait is how long the core may sleep: until the next timer that does something.
 func (c *Core) wait() time.Duration {
-	if len(c.timers) == 0 {
+	for len(c.timers) > 0 && c.lapsed(c.timers[0]) {
+		heap.Pop(&c.timers)
+	}
+	switch {
+	case c.asleep:
+		return max(0, c.until-c.now())
+	case len(c.timers) == 0:
 		return time.Second
 	}
 	return max(0, min(c.timers[0].at-c.now(), time.Second))
@@ -283,19 +290,25 @@
 
 // turn takes what has come within the wait, and all timers that are due.
 func (c *Core) turn(wait time.Duration) {
-	for _, m := range c.box.Take(wait) {
+	got := c.box.Take(wait)
+	now := c.now()
+	beaten := c.asleep
+	c.catchUp(now)
+	for _, m := range got {
 		m.apply(c, c.now())
 		c.settle()
 	}
-	now := c.now()
+	now = c.now()
 	for len(c.timers) > 0 && c.timers[0].at <= now {
 		t := heap.Pop(&c.timers).(timer)
 		t.fire(c, now)
 		c.settle()
+		beaten = beaten || t.token == choice.Beat
 	}
 	if now-c.counted >= viewEvery {
 		c.survey(now)
 	}
+	c.doze(now, beaten)
 }
 
 // settle tells the module the ends of what it cancelled.
@@ -661,7 +674,11 @@
 }
 
 func (x *actions) SetTimer(after time.Duration, token string) {
-	(*Core)(x).after(after, timer{kind: moduleTimer, token: token})
+	c := (*Core)(x)
+	if token == choice.Beat {
+		c.beat = after
+	}
+	c.after(after, timer{kind: moduleTimer, token: token, id: of(token)})
 }
 
 func (x *actions) Watch(on bool) { x.hands.Watcher.Watch(on) }
@@ -688,7 +705,11 @@
 
 func (c *Core) after(d time.Duration, t timer) {
 	c.seq++
-	t.at, t.seq = c.now()+d, c.seq
+	if t.seq = c.seq; c.played > 0 {
+		t.at = c.played + d
+	} else {
+		t.at = c.now() + d
+	}
 	heap.Push(&c.timers, t)
 }
 
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -49,23 +49,26 @@
 		t.Fatal("no schedules", err)
 	}
 	for _, file := range files {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		p, err := ReadPlan(text)
-		if err != nil {
-			t.Fatal(file, err)
-		}
-		r := Run(p, nil, 0)
-		if r.Broken != "" {
-			t.Errorf("%s: %s after %v: %s", file, r.Broken, r.At, r.Detail)
-		}
-		for _, f := range p.Faults {
-			if r.Seen["fault "+f.Kind] == 0 {
-				t.Errorf("%s: %s never came", file, f.Kind)
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
+			p, err := ReadPlan(text)
+			if err != nil {
+				t.Fatal(file, err)
+			}
+			r := Run(p, nil, 0)
+			if r.Broken != "" {
+				t.Errorf("%s: %s after %v: %s", file, r.Broken, r.At, r.Detail)
+			}
+			for _, f := range p.Faults {
+				if r.Seen["fault "+f.Kind] == 0 {
+					t.Errorf("%s: %s never came", file, f.Kind)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -69,8 +69,12 @@
 	until time.Time   // for the first byte of an answer; 0: no limit
 	begun bool        // it has come, so that the rest should follow
 
-	last     bool          // the head under way announces the connection's end
-	streams  bool          // long answers are read by whoever they are for
+	last    bool // the head under way announces the connection's end
+	streams bool // long answers are read by whoever they are for
+	// A body without a length is no answer: one whose server is killed in its middle ends just so.
+	// Nor is a head that another begins in: a late answer was cut off, and the one behind it would
+	// lend its name to the other's status.
+	strict   bool
 	patience time.Duration // without a byte, once it has begun; 0: as usual
 }
 
@@ -151,7 +155,7 @@
 		return c.br.Buffered() > 0, nil
 	}
 	length := resp.Header.ContentLength()
-	if length == -2 && (!c.streams || !c.last) { // one that breaks would look whole
+	if length == -2 && (!c.streams || !c.last || c.strict) { // one that breaks would look whole
 		return false, fmt.Errorf("%w: a body without a length", errSpoilt)
 	}
 	if c.streams && (length < 0 || length > Held) {
@@ -188,7 +192,7 @@
 		}
 		seen, _ := c.br.Peek(c.br.Buffered())
 		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
-			if TwoLengths(seen[:end]) {
+			if TwoLengths(seen[:end]) || c.strict && twoHeads(seen[:end]) {
 				return errSpoilt
 			}
 			c.last = announces(seen[:end])
@@ -213,6 +217,20 @@
 	return length && transfer
 }
 
+// twoHeads reports whether a status line stands within a head.
+func twoHeads(head []byte) bool {
+	const begins = "HTTP/1."
+	for rest := head[min(1, len(head)):]; ; {
+		i := bytes.Index(rest, []byte(begins))
+		if i < 0 {
+			return false
+		}
+		if rest = rest[i+len(begins):]; len(rest) > 3 && rest[1] == ' ' && '1' <= rest[2] && rest[2] <= '5' {
+			return true
+		}
+	}
+}
+
 // announces reports whether a head says that the connection ends behind the message.
 func announces(head []byte) bool {
 	for line := range bytes.SplitSeq(head, []byte("\n")) {
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"log"
@@ -41,8 +42,21 @@
 	Keep    *Keep         // an unused connection is closed after this, well before the server does
 	Sockets *Sockets
 	Wrote   func(note any) // hears of each exchange whose last byte has been written; nil: nobody does
+	Strict  bool           // an answer whose end or beginning is in doubt is spoilt: see Conn.strict
+	Bug     Bug
 }
 
+// Bug switches a guard off, to show that the judges miss it.
+type Bug uint8
+
+// The guards.
+const (
+	BugAnyName Bug = iota + 1 // whatever comes is taken for the answer
+	BugSameWay                // a name may go by one connection twice
+	BugUnsent                 // a break of a used connection counts as not sent
+	BugNoDoubt                // where an answer begins and ends is not doubted
+)
+
 // Peer is the actor that owns all connections to one server. Each carries one
 // exchange at a time; an idle one is reused newest first, so that the others
 // age and close.
@@ -72,6 +86,7 @@
 
 	uploads Upload // under way
 	half    bool   // its last request did not go out whole
+	number  uint64 // in this process, that no other connection has had
 }
 
 type order[K comparable] struct {
@@ -188,6 +203,9 @@
 		if l.open && now.Sub(l.since) < settled {
 			continue
 		}
+		if p.opt.Bug != BugSameWay && tripsOf(o.note).has(l.number) {
+			continue // a late copy of its former answer would bear its name
+		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if l.open && now.Sub(l.since) < p.opt.Keep.Limit(now) && l.conn.Quiet() {
 			p.write(l, o)
@@ -220,8 +238,8 @@
 		}
 		return
 	}
-	l := &link[K]{conn: m.conn, open: true}
-	l.conn.streams = true
+	l := &link[K]{conn: m.conn, open: true, number: lastConn.Add(1)}
+	l.conn.streams, l.conn.strict = true, p.opt.Strict && p.opt.Bug != BugNoDoubt
 	p.opt.World.Go(func() {
 		for {
 			resp := fasthttp.AcquireResponse()
@@ -263,6 +281,7 @@
 		p.done(Result[K]{o.key, o.note, NotSent, nil})
 		return
 	}
+	tripsOf(o.note).add(l.number)
 	l.under, l.wrote, l.idled = o, p.now(), 0
 	if !l.since.IsZero() {
 		l.idled = l.wrote.Sub(l.since)
@@ -285,14 +304,17 @@
 		l.uploads.Stop()
 		l.half, m.extra = true, true
 	}
+	if o != nil && m.err == nil && p.opt.Bug != BugAnyName && !owns(o.note, m.resp) {
+		m.err = errForeign
+	}
 	if m.stream {
 		p.streams++
-		if o != nil && o.note != nil {
+		if o != nil && o.note != nil && m.err == nil {
 			delete(p.busy, o.key)
 			p.done(Result[K]{o.key, o.note, Answered, m.resp})
 			return
 		}
-		m.err = errSpoilt // for a probe, or for nobody
+		m.err = cmp.Or(m.err, errSpoilt) // for a probe, or for nobody
 	}
 	if m.extra || m.err != nil || m.resp.ConnectionClose() || o == nil {
 		p.close(l) // an answer that nobody asked for is no good sign either
@@ -313,7 +335,7 @@
 	case errors.Is(m.err, errSpoilt):
 		log.Printf("event=spoilt server=%s error=%q", p.addr, m.err)
 		p.done(Result[K]{o.key, o.note, Spoilt, nil})
-	case m.err != nil && !o.whole.Load():
+	case m.err != nil && (!o.whole.Load() || p.opt.Bug == BugUnsent && l.idled > 0):
 		p.done(Result[K]{o.key, o.note, NotSent, nil})
 	case m.err != nil:
 		p.done(Result[K]{o.key, o.note, Broken, nil})
