--- a/internal/bond/links/links.go
+++ b/internal/bond/links/links.go
@@ -29,6 +29,7 @@
 	at       plane.Time
 	from, to string
 	msg      any // nil: a tick
+	size     int
 	life     int
 	no       int
 }
@@ -48,7 +49,10 @@
 	Loss   float64
 	Cut    func(from, to string) bool
 	Fail   func(err error)
-	Bytes  map[string]int // sent, by process
+	Bytes  map[string]int                      // sent, by process
+	Late   func(from, to string) time.Duration // beyond Delay; nil: none
+	Cost   func(bytes int) time.Duration       // of a message, 0 bytes for a tick, on a machine that all share; nil: none
+	Got    map[string]int                      // bytes that came, by process
 
 	rand   *rand.Rand
 	hosts  map[string]*host
@@ -60,7 +64,7 @@
 
 // New is a net without processes.
 func New(seed uint64, fail func(error)) *Net {
-	return &Net{Delay: time.Millisecond, Jitter: time.Millisecond, Fail: fail, Bytes: map[string]int{},
+	return &Net{Delay: time.Millisecond, Jitter: time.Millisecond, Fail: fail, Bytes: map[string]int{}, Got: map[string]int{},
 		Cut:  func(string, string) bool { return false },
 		rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*host{}, kinds: map[string]int{},
 		length: map[string]int{}}
@@ -113,7 +117,10 @@
 			continue
 		}
 		at := n.Now + n.Delay + time.Duration(n.rand.Int64N(int64(n.Jitter)+1))
-		n.add(event{at: at, from: from, to: s.To, msg: copied.Elem().Interface()})
+		if n.Late != nil {
+			at += n.Late(from, s.To)
+		}
+		n.add(event{at: at, from: from, to: s.To, msg: copied.Elem().Interface(), size: len(b) + frame})
 	}
 }
 
@@ -132,11 +139,14 @@
 		n.Now = max(n.Now, e.at)
 		n.step(e)
 	}
-	n.Now = end
+	n.Now = max(n.Now, end)
 }
 
 func (n *Net) step(e event) {
 	h := n.hosts[e.to]
+	if n.Cost != nil {
+		n.Now += n.Cost(e.size)
+	}
 	switch {
 	case h == nil || h.actor == nil || e.msg == nil && e.life != h.life:
 	case h.frozen:
@@ -145,6 +155,7 @@
 		n.Post(e.to, h.actor.Tick(n.Now))
 		n.add(event{at: n.Now + pace, to: e.to, life: h.life})
 	default:
+		n.Got[e.to] += e.size
 		n.Post(e.to, h.actor.Take(n.Now, e.from, e.msg))
 	}
 }
--- a/internal/bond/machine.go
+++ b/internal/bond/machine.go
@@ -27,24 +27,41 @@
 	swapEvery  = 100 * time.Millisecond
 	mostKnown  = 256
 	mostTries  = 16
-	mostSwift  = 8               // rumours passed on at once between two ticks; the rest go together
-	others     = 2               // random ones beside the watchers that a rumour goes to
-	heldFor    = time.Second     // a version held so long is told to all,
-	heldLate   = 5 * time.Second // and one where nothing was told for so long
+	mostSwift  = 8                      // rumours passed on at once between two rounds; the rest go together
+	others     = 2                      // random ones beside the watchers that a rumour goes to
+	drawEvery  = 10 * time.Millisecond  // and how long they stay the same, for each process known
+	heldFor    = time.Second            // a version held so long is told to all,
+	heldLate   = 5 * time.Second        // and one where nothing was told for so long
+	tick       = 50 * time.Millisecond  // at which Tick is called
+	lateAfter  = 100 * time.Millisecond // a tick that comes so late stops the detector's clock
+	mostGiven  = 2048                   // entries given to others at once, and a quarter as many a second;
+	leastGiven = 24                     // so many always, from which the way to others is found
+	enough     = 3                      // who told us the same; then the others know it too
+)
+
+// What follows the size of the fleet, for each process known. At a hundred little of it is felt.
+const (
+	roundFor   = 350 * time.Microsecond // between two rounds of news, less the pace of ticks
+	settleFor  = 500 * time.Microsecond // news is under way: tables that differ are left alone
+	pauseFor   = 5 * time.Millisecond   // the longest between two exchanges of tables
+	heldForOne = 10 * time.Millisecond  // held so long
+	newWatch   = time.Millisecond       // more time for the first sign of one newly watched, beyond
+	fewer      = 100                    // so many, with which also less news goes at once
 )
 
 // entry is a node with what is known of it here alone.
 type entry struct {
 	node  Node
-	lost  bool       // held for gone because we ourselves are cut off: not told to anyone
-	heard plane.Time // of a watched one: the last sign, or the start of the wait
-	asked int        // times since then
-	via   string     // who last reached it when we couldn't
-	ended plane.Time // since when it is gone
-	held  uint32     // the newest version that it has said it holds, in this life
-	mark  uint64     // of node
-	spot  uint64     // its place on the ring
-	since plane.Time // since when it is in its state, for people
+	lost  bool          // held for gone because we ourselves are cut off: not told to anyone
+	heard plane.Time    // of a watched one: the last sign, or the start of the wait
+	stood time.Duration // Machine.stood then
+	asked int           // times since then
+	via   string        // who last reached it when we couldn't
+	ended plane.Time    // since when it is gone
+	held  uint32        // the newest version that it has said it holds, in this life
+	mark  uint64        // of node
+	spot  uint64        // its place on the ring
+	since plane.Time    // since when it is in its state, for people
 }
 
 func (e *entry) live() bool { return e.node.State != Gone && !e.lost }
@@ -61,9 +78,10 @@
 	seeds []string
 	known map[string]bool // addresses from disk, and of forgotten nodes
 	nodes map[string]*entry
-	all   []*entry // the same by address,
-	round []*entry // and by their places on the ring
-	sum   uint64   // the marks of those not gone
+	all   []*entry          // the same by address,
+	round []*entry          // and by their places on the ring
+	parts [mostParts]uint32 // sum, by parts
+	sum   uint64            // the marks of those not gone
 	doubt map[string]doubt
 
 	ring    []string // live ones by their hash, self among them
@@ -71,32 +89,41 @@
 	watched []string // by the ring
 	after   []string // our watchers
 
+	drew  []string   // others that news goes to,
+	drawn plane.Time // since then
+
 	born    plane.Time
 	now     plane.Time
 	ticked  plane.Time
-	heard   plane.Time // last message of anyone
-	beat    plane.Time // next ones
+	heard   plane.Time    // last message of anyone
+	stood   time.Duration // how long the detector's clock has stood still because we were late
+	stoodAt time.Duration // the same at heard
+	beat    plane.Time    // next ones
 	hello   plane.Time
 	try     plane.Time
 	swapped plane.Time
+	pause   time.Duration // from then to the next exchange
+	altered plane.Time    // when the table last changed
+	given   float64       // entries that may be given now
 	wipe    plane.Time
 	told    map[string]plane.Time // when it was last told that it is held for gone
 	swift   int
-	late    map[string]bool // addresses whose news waits for the tick
-	heldAt  plane.Time      // since when our version is held
-	saidAt  plane.Time      // when all were last told of our entry
+	late    map[string]*news // by address, what waits to be told
+	rumour  plane.Time       // when news was last told together
+	heldAt  plane.Time       // since when our version is held
+	saidAt  plane.Time       // when all were last told of our entry
 	out     Out
 }
 
 // New starts with nothing but seeds. A start's Life should be higher than those before
 // it; where it isn't, the others' memory of the old one mends that.
 func New(self Node, seeds []string, seed uint64, now plane.Time) *Machine {
-	self.State, self.Seq = Up, max(self.Seq, 1)
+	self.State, self.Seq, self.Form = Up, max(self.Seq, 1), formPacked
 	m := &Machine{
 		self: self, rand: rand.New(rand.NewPCG(seed, 0xb0d)),
 		known: map[string]bool{}, nodes: map[string]*entry{}, doubt: map[string]doubt{},
-		told: map[string]plane.Time{}, late: map[string]bool{},
-		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, stale: true,
+		told: map[string]plane.Time{}, late: map[string]*news{},
+		born: now, now: now, ticked: now, heard: now, swapped: now - swapEvery, pause: swapEvery, stale: true, swift: mostSwift, given: mostGiven,
 	}
 	m.beat, m.hello, m.try = now, now, now
 	me := m.enter(self.Addr)
@@ -136,6 +163,14 @@
 	return m.take()
 }
 
+// share is what one does of a work that the fleet shares, where one of a hundred does so much.
+func (m *Machine) share(of float64) float64 { return of * fewer / float64(max(fewer, len(m.ring))) }
+
+// each is a span that grows with the fleet, from a least one on.
+func (m *Machine) each(least, one time.Duration) time.Duration {
+	return max(least, time.Duration(len(m.ring))*one)
+}
+
 // SetHeld notes the configuration's version held here. The watchers hear it with the
 // next tick's beat, so that one who lacks it has whom to ask; all others only need it
 // for people, and are told seldom: else each version costs each node a rumour of each.
@@ -147,7 +182,7 @@
 
 // lag tells all what is held here, once it has been for a while.
 func (m *Machine) lag() {
-	if m.nodes[m.self.Addr].held != m.self.Held && (m.now-m.heldAt >= heldFor || m.now-m.saidAt >= heldLate) {
+	if m.nodes[m.self.Addr].held != m.self.Held && (m.now-m.heldAt >= m.each(heldFor, heldForOne) || m.now-m.saidAt >= m.each(heldLate, 5*heldForOne)) {
 		m.say()
 	}
 }
@@ -175,8 +210,9 @@
 	if me.node.State != m.self.State {
 		me.since = m.now
 	}
+	brief := me.node.Life == m.self.Life
 	m.put(me, m.self)
-	m.late[m.self.Addr] = true
+	m.later(m.self.Addr, brief, "")
 }
 
 // enter makes an entry for an address that has none.
@@ -190,20 +226,23 @@
 
 // put takes a word into an entry.
 func (m *Machine) put(e *entry, n Node) {
-	if e.node.State != Gone {
-		m.sum ^= e.mark
-	}
+	m.flip(e)
 	e.node, e.mark = n, n.mark()
-	if n.State != Gone {
+	m.flip(e)
+	m.altered = m.now
+}
+
+// flip takes an entry into the sums, or out of them.
+func (m *Machine) flip(e *entry) {
+	if e.node.State != Gone {
 		m.sum ^= e.mark
+		m.parts[part(e, mostParts)] ^= uint32(e.mark)
 	}
 }
 
 // remove forgets an entry that is gone or lost.
 func (m *Machine) remove(e *entry) {
-	if e.node.State != Gone {
-		m.sum ^= e.mark
-	}
+	m.flip(e)
 	i, _ := slices.BinarySearchFunc(m.all, e.node.Addr, byAddr)
 	j, _ := slices.BinarySearchFunc(m.round, e, bySpot)
 	m.all, m.round = slices.Delete(m.all, i, i+1), slices.Delete(m.round, j, j+1)
@@ -230,6 +269,19 @@
 	return v
 }
 
+// Alone reports whether no more than one is up.
+func (m *Machine) Alone() bool {
+	up := 0
+	for _, e := range m.all {
+		if !e.lost && e.node.State == Up {
+			if up++; up > 1 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Up is the nodes that are up and not leaving, sorted by address.
 func (m *Machine) Up() []Node {
 	return slices.DeleteFunc(m.View(), func(n Node) bool { return n.State != Up })
@@ -254,13 +306,18 @@
 	if now-m.ticked > ownGap {
 		m.thaw()
 	}
+	m.stood += max(0, now-m.ticked-lateAfter)
+	m.given = min(m.share(mostGiven), m.given+(now-m.ticked).Seconds()*m.share(mostGiven)/4)
 	m.ticked = now
-	m.swift = 0
 	m.settle()
 	m.watch()
 	m.resolve()
 	m.lag()
-	m.tell()
+	if now-m.rumour >= m.each(0, roundFor)-tick {
+		m.rumour = now
+		m.swift = min(mostSwift, m.swift+max(1, int(m.share(mostSwift))))
+		m.tell()
+	}
 	if now >= m.beat {
 		m.beat = now + beatEvery
 		for _, w := range m.watchers() {
@@ -274,9 +331,9 @@
 
 // thaw: the silence was ours, so every wait begins again.
 func (m *Machine) thaw() {
-	m.heard = m.now
+	m.heard, m.stoodAt = m.now, m.stood
 	for _, e := range m.all {
-		e.heard, e.asked = m.now, 0
+		m.hear(e, m.now)
 	}
 	for a, d := range m.doubt {
 		d.till = m.now + doubtFor
@@ -285,6 +342,16 @@
 	m.beat, m.hello, m.try = m.now, m.now, m.now
 }
 
+// hear begins a node's wait anew.
+func (m *Machine) hear(e *entry, at plane.Time) { e.heard, e.stood, e.asked = at, m.stood, 0 }
+
+// silent is for how long a node has said nothing, by the detector's clock: it stands still while we
+// are late, as what came meanwhile may wait to be read.
+func (m *Machine) silent(e *entry) time.Duration { return m.now - e.heard - (m.stood - e.stood) }
+
+// quiet is the same of all.
+func (m *Machine) quiet() time.Duration { return m.now - m.heard - (m.stood - m.stoodAt) }
+
 func (m *Machine) sign() Beat {
 	return Beat{m.self.Life, m.self.Seq, m.hash(), m.nodes[m.self.Addr].held}
 }
--- a/internal/bond/node.go
+++ b/internal/bond/node.go
@@ -1,6 +1,7 @@
 // Package bond knows which processes of the system there are. Each one sends
-// heartbeats to a few watchers that its place on a ring names; a watcher that
-// misses them spreads the word, and whoever lives takes it back.
+// heartbeats to a few watchers that its place on a ring names (a failure detector); a
+// watcher that misses them spreads the word (gossip), and whoever lives takes it back with
+// its next incarnation. Tables that differ are mended by anti-entropy.
 package bond
 
 import (
@@ -36,8 +37,11 @@
 	State   State  `cbor:"8,keyasint,omitempty"`
 	Ready   bool   `cbor:"9,keyasint,omitempty"`
 	Held    uint32 `cbor:"10,keyasint,omitempty"`
+	Form    uint8  `cbor:"11,keyasint,omitempty"` // formPacked: it reads packs and sums of parts
 }
 
+const formPacked = 1
+
 // Hold is a configuration's version that a node holds.
 type Hold struct {
 	Addr string
@@ -58,7 +62,7 @@
 
 // like: it differs from another word of the same life only in what people look at.
 func (n Node) like(o Node) bool {
-	n.Seq, n.Held, n.Ready = o.Seq, o.Held, o.Ready
+	n.Seq, n.Held, n.Ready, n.Form = o.Seq, o.Held, o.Ready, o.Form
 	return n == o
 }
 
@@ -89,16 +93,23 @@
 	// Rumour is news, passed on once by everyone to whom it is news.
 	Rumour struct {
 		Nodes []Node `cbor:"1,keyasint"`
+		Pack  []byte `cbor:"2,keyasint,omitempty"` // instead, for whoever reads it
 	}
 	// Index lists a table: for each node four bytes of its address's hash and four of
-	// its version's.
+	// its version's. Where the table is large, first the digests of its parts go, and the
+	// answer lists those that differ.
 	Index struct {
 		Rows []byte `cbor:"1,keyasint"`
+		Sums []byte `cbor:"2,keyasint,omitempty"` // four bytes for each part
+		Only []byte `cbor:"3,keyasint,omitempty"` // a bit for each part that Rows cover, and the length of the parts' number in bits; none: all
+		Form uint8  `cbor:"4,keyasint,omitempty"` // of its sender
 	}
 	// Diff has the entries that an Index lacks, and asks for those that it has newer.
 	Diff struct {
 		Nodes []Node   `cbor:"1,keyasint,omitempty"`
 		Want  []uint32 `cbor:"2,keyasint,omitempty"`
+		Pack  []byte   `cbor:"3,keyasint,omitempty"` // instead of Nodes, for whoever reads it
+		Form  uint8    `cbor:"4,keyasint,omitempty"`
 	}
 	// Ping asks for a Beat, or, for another watcher, for a Pong that the asked one
 	// hands on: links between two processes may be cut while both live.
--- /dev/null
+++ b/internal/bond/pack.go
@@ -0,0 +1,140 @@
+package bond
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// A pack is entries by front coding: of each string only what differs from the one before, of
+// numbers the difference. An entry takes a quarter of what it takes in cbor where many travel
+// together, and less where it is brief: without what a life never changes, for those who have
+// met that life.
+const (
+	flagMember = 1 << (2 + iota)
+	flagReady
+	flagBrief
+	flagPacked // Node.Form
+)
+
+var errPack = errors.New("a damaged pack of nodes")
+
+// packed is a node in a pack.
+type packed struct {
+	Node
+	brief bool
+}
+
+func pack(nodes []packed) []byte {
+	var b []byte
+	var last Node
+	for _, n := range nodes {
+		flags := byte(min(n.State, Gone))
+		for flag, is := range map[byte]bool{flagMember: n.Member, flagReady: n.Ready, flagBrief: n.brief, flagPacked: n.Form > 0} {
+			if is {
+				flags |= flag
+			}
+		}
+		b = append(b, flags)
+		b = putText(b, last.Addr, n.Addr)
+		b = binary.AppendVarint(b, int64(n.Life-last.Life))
+		b = binary.AppendUvarint(b, n.Seq)
+		b = binary.AppendVarint(b, int64(n.Held)-int64(last.Held))
+		if n.brief {
+			n.Name, n.Zone = last.Name, last.Zone
+		} else {
+			b = putText(b, last.Name, n.Name)
+			b = putText(b, last.Zone, n.Zone)
+			b = putText(b, n.Addr, n.Control)
+		}
+		last = n.Node
+	}
+	return b
+}
+
+func unpack(b []byte) (nodes []packed, err error) {
+	r := reader{b: b}
+	var last Node
+	for len(r.b) > 0 && r.err == nil {
+		flags := r.byte()
+		n := packed{brief: flags&flagBrief != 0}
+		n.State, n.Member, n.Ready = State(flags&3), flags&flagMember != 0, flags&flagReady != 0
+		if flags&flagPacked != 0 {
+			n.Form = formPacked
+		}
+		n.Addr = r.text(last.Addr)
+		n.Life = last.Life + uint64(r.varint())
+		n.Seq = r.uvarint()
+		n.Held = uint32(int64(last.Held) + r.varint())
+		if n.brief {
+			n.Name, n.Zone = last.Name, last.Zone
+		} else {
+			n.Name, n.Zone, n.Control = r.text(last.Name), r.text(last.Zone), r.text(n.Addr)
+		}
+		if r.err == nil {
+			last = n.Node
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes, r.err
+}
+
+// putText adds how much the text has in common with another at its start and its end, and the rest.
+func putText(b []byte, with, s string) []byte {
+	head, tail := 0, 0
+	for most := min(len(with), len(s), 255); head < most && with[head] == s[head]; {
+		head++
+	}
+	for most := min(len(with), len(s), 255+head) - head; tail < most && with[len(with)-1-tail] == s[len(s)-1-tail]; {
+		tail++
+	}
+	b = binary.AppendUvarint(b, uint64(head))
+	b = binary.AppendUvarint(b, uint64(tail))
+	b = binary.AppendUvarint(b, uint64(len(s)-head-tail))
+	return append(b, s[head:len(s)-tail]...)
+}
+
+type reader struct {
+	b   []byte
+	err error
+}
+
+func (r *reader) byte() byte {
+	if len(r.b) == 0 {
+		r.err = errPack
+		return 0
+	}
+	c := r.b[0]
+	r.b = r.b[1:]
+	return c
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.b, r.err = nil, errPack
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) varint() int64 {
+	v, n := binary.Varint(r.b)
+	if n <= 0 {
+		r.b, r.err = nil, errPack
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) text(with string) string {
+	head, tail, size := r.uvarint(), r.uvarint(), r.uvarint()
+	if r.err != nil || head > uint64(len(with)) || tail > uint64(len(with))-head || size > uint64(len(r.b)) {
+		r.b, r.err = nil, errPack
+		return ""
+	}
+	s := with[:head] + string(r.b[:size]) + with[uint64(len(with))-tail:]
+	r.b = r.b[size:]
+	return s
+}
--- a/internal/bond/ring.go
+++ b/internal/bond/ring.go
@@ -26,11 +26,17 @@
 	for _, a := range m.watched {
 		if !slices.Contains(before, a) {
 			e := m.nodes[a] // others may have missed it already: it is asked soon
-			e.heard, e.asked = max(e.heard, m.now-askAfter), 0
+			m.hear(e, max(e.heard, m.now-askAfter+m.extra()))
 		}
 	}
 }
 
+// extra is the time that one newly watched has beyond that. In a large fleet somebody is newly
+// watched all the time, and a question that is answered late must not be a loss each time.
+func (m *Machine) extra() time.Duration {
+	return min(askAfter, time.Duration(max(0, len(m.ring)-fewer))*newWatch)
+}
+
 // around is the nodes at the offsets after (1) or before (-1) us.
 func (m *Machine) around(way int) []string { return m.beside(m.self.Addr, way) }
 
@@ -57,6 +63,14 @@
 func (m *Machine) some(n int, but []string) []string {
 	m.settle()
 	var found []string
+	if few := 2 * (n + len(but) + 1); len(m.ring) > 2*few {
+		for range few {
+			if a := m.ring[m.rand.IntN(len(m.ring))]; len(found) < n && a != m.self.Addr && !slices.Contains(but, a) && !slices.Contains(found, a) {
+				found = append(found, a)
+			}
+		}
+		return found
+	}
 	for _, i := range m.rand.Perm(len(m.ring)) {
 		if a := m.ring[i]; len(found) < n && a != m.self.Addr && !slices.Contains(but, a) {
 			found = append(found, a)
@@ -65,11 +79,24 @@
 	return found
 }
 
+// beyond is the others that news goes to beside the watchers. They are drawn anew now and then and
+// not each time: each time would be a connection to each in turn.
+func (m *Machine) beyond(but []string) []string {
+	bad := func(a string) bool {
+		e := m.nodes[a]
+		return e == nil || !e.live() || slices.Contains(but, a)
+	}
+	if m.now-m.drawn >= m.each(0, drawEvery) || len(m.drew) < others || slices.ContainsFunc(m.drew, bad) {
+		m.drawn, m.drew = m.now, m.some(others, but)
+	}
+	return m.drew
+}
+
 // watch asks those who are silent, and gives up those who stay so. Where nobody at
 // all is heard it is rather we who are cut off: then nothing is told, and while it
 // may be so we wait.
 func (m *Machine) watch() {
-	cut := m.now-m.heard > goneAfter
+	cut := m.quiet() > goneAfter
 	if cut {
 		for _, a := range m.ring {
 			if a != m.self.Addr {
@@ -80,12 +107,12 @@
 	}
 	for _, a := range m.watched {
 		e := m.nodes[a]
-		switch silent := m.now - e.heard; {
-		case silent > goneAfter && m.now-m.heard < askAfter:
+		switch silent := m.silent(e); {
+		case silent > goneAfter && m.quiet() < askAfter:
 			n := e.node
 			n.State = Gone
 			m.merge(n)
-			m.late[a] = true
+			m.later(a, true, "")
 		case silent > askAfter+time.Duration(e.asked)*askAgain:
 			e.asked++
 			m.send(a, Ping{})
--- /dev/null
+++ b/internal/bond/storm_test.go
@@ -0,0 +1,365 @@
+package bond
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"asterwell/internal/bond/links"
+	"asterwell/internal/plane"
+)
+
+// fleet is n machines on simulated time, in ten zones of three regions.
+type fleet struct {
+	*links.Net
+	t     *testing.T
+	rand  *rand.Rand
+	all   []*member
+	life  uint64
+	stops []stop
+	start func(i int)
+}
+
+// member holds a configuration a second after its start, and is ready after another half.
+type member struct {
+	*Machine
+	born plane.Time
+	held uint32
+}
+
+type stop struct {
+	at, till plane.Time
+	who      int
+	now      bool
+}
+
+func (m *member) Tick(now plane.Time) []plane.Send {
+	if now-m.born > time.Second {
+		m.SetHeld(m.held)
+	}
+	m.SetReady(now-m.born > 1500*ms)
+	return m.Machine.Tick(now).Send
+}
+
+func (m *member) Take(now plane.Time, from string, msg any) []plane.Send {
+	return m.Machine.Take(now, from, msg).Send
+}
+
+func fleetNode(i int) Node {
+	host := fmt.Sprintf("127.7.%d.%d", i/200, i%200+1)
+	return Node{Addr: host + ":21003", Name: fmt.Sprintf("g%03d", i+1), Zone: fmt.Sprintf("z%d", i%10), Control: host + ":21002"}
+}
+
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
+	f := &fleet{Net: links.New(seed, func(err error) { t.Fatal(err) }), t: t, rand: rand.New(rand.NewPCG(seed, 7)),
+		all: make([]*member, n), life: 1790000000000}
+	f.start = f.begin
+	region := map[string]int{}
+	for i := range n {
+		region[fleetNode(i).Addr] = i % 10 * 3 / 10
+	}
+	f.Late = func(from, to string) time.Duration {
+		if region[from] != region[to] {
+			return 55 * ms
+		}
+		return 0
+	}
+	return f
+}
+
+func (f *fleet) begin(i int) {
+	f.life += uint64(f.rand.IntN(1000))
+	n := fleetNode(i)
+	n.Life = f.life
+	f.all[i] = &member{New(n, []string{fleetNode(0).Addr, fleetNode(1).Addr, fleetNode(2).Addr}, f.rand.Uint64(), f.Now), f.Now, 1}
+	f.Start(n.Addr, f.all[i])
+}
+
+// startAll starts all within 0.3 s.
+func (f *fleet) startAll() {
+	for i := range f.all {
+		f.start(i)
+		f.Run(300 * ms / time.Duration(len(f.all)))
+	}
+}
+
+func (f *fleet) kill(i int) {
+	f.Kill(fleetNode(i).Addr)
+	f.all[i] = nil
+}
+
+// pass lets time pass, with processes standing still where they shall.
+func (f *fleet) pass(d time.Duration) {
+	for end := f.Now + d; f.Now < end; f.Run(50 * ms) {
+		for i := range f.stops {
+			if s := &f.stops[i]; f.Now >= s.at && f.Now < s.till && !s.now {
+				s.now = true
+				f.Freeze(fleetNode(s.who).Addr)
+			} else if f.Now >= s.till && s.now {
+				s.now = false
+				f.Thaw(fleetNode(s.who).Addr)
+			}
+		}
+	}
+}
+
+// know is how many know all that live, and nobody else.
+func (f *fleet) know() (know, live int) {
+	for _, m := range f.all {
+		if m != nil {
+			live++
+		}
+	}
+	for _, m := range f.all {
+		if m != nil && len(m.Up()) == live {
+			know++
+		}
+	}
+	return know, live
+}
+
+// until lets time pass until all know all, and returns how long that took.
+func (f *fleet) until(within time.Duration) (time.Duration, bool) {
+	began := f.Now
+	for f.Now-began <= within {
+		if know, live := f.know(); know == live {
+			return f.Now - began, true
+		}
+		f.pass(100 * ms)
+	}
+	return f.Now - began, false
+}
+
+// span lets time pass, and returns what one process sent and got in it: on average, and at most.
+func (f *fleet) span(what string, d time.Duration) (mean, most int) {
+	f.anew()
+	return f.more(what, d)
+}
+
+func (f *fleet) anew() {
+	clear(f.Bytes)
+	clear(f.Got)
+	f.Kinds()
+}
+
+// more counts what went before, too.
+func (f *fleet) more(what string, d time.Duration) (mean, most int) {
+	f.pass(d)
+	live := 0
+	for i, m := range f.all {
+		if m != nil {
+			b := f.Bytes[fleetNode(i).Addr] + f.Got[fleetNode(i).Addr]
+			live, mean, most = live+1, mean+b, max(most, b)
+		}
+	}
+	count, length := f.Kinds()
+	messages, bytes := 0, 0
+	for kind := range count {
+		messages, bytes = messages+count[kind], bytes+length[kind]
+	}
+	know, _ := f.know()
+	f.t.Logf("%s, to %v: %d of %d know; %.1f MB in %d messages; sent and got by one %d, at most %d; %v, %v",
+		what, f.Now.Round(ms), know, live, float64(bytes)/1e6, messages, mean/live, most, count, length)
+	return mean / live, most
+}
+
+// shared is a machine of twelve processors that all share, by what the run of 490 hollow
+// gateways cost there: half a microsecond a byte of news, 300 a tick.
+func shared(bytes int) time.Duration {
+	if bytes == 0 {
+		return 25 * time.Microsecond
+	}
+	return 2*time.Microsecond + time.Duration(bytes)*40*time.Nanosecond
+}
+
+// 490 start within 0.3 s, forty stand still for two seconds each within the first six. All know
+// all within ten seconds, and then nothing is said but that they live.
+func TestStormStart(t *testing.T) {
+	for name, cost := range map[string]func(int) time.Duration{"free": nil, "shared": shared} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 490, 1)
+			f.Cost = cost
+			for range 40 {
+				at := plane.Time(f.rand.Int64N(int64(6 * time.Second)))
+				f.stops = append(f.stops, stop{at: at, till: at + 2*time.Second, who: f.rand.IntN(490)})
+			}
+			f.startAll()
+			_, most := f.more("start", 8200*ms)
+			if took, ok := f.until(1500 * ms); !ok {
+				know, _ := f.know()
+				t.Errorf("%d know all %v later", know, took)
+			} else if f.Now > 10*time.Second {
+				t.Errorf("all know all at %v", f.Now)
+			}
+			if most > 2e6 {
+				t.Errorf("one sent and got %d bytes", most)
+			}
+			f.pass(3 * time.Second)
+			if mean, most := f.span("rest", 10*time.Second); mean > 8500 || most > 10000 {
+				t.Errorf("at rest: %d bytes, at most %d", mean, most)
+			}
+		})
+	}
+}
+
+// Restarts of a day of 1,100 eight times as fast, a rack and a zone lost and back: no gateway
+// sends and gets more than 11 kB a second in any ten seconds, and all know in time.
+func TestStormLosses(t *testing.T) {
+	t.Parallel()
+	const n = 490
+	f := newFleet(t, n, 2)
+	f.startAll()
+	f.pass(15 * time.Second)
+	rack := make([]int, 10)
+	for i := range rack {
+		rack[i] = 9 + 10*i // of one zone
+	}
+	var zone []int
+	for i := 4; i < n; i += 10 {
+		zone = append(zone, i)
+	}
+	all := func(what string, within time.Duration) {
+		if took, ok := f.until(within); !ok {
+			know, _ := f.know()
+			t.Errorf("%s: %d know all after %v", what, know, within)
+		} else {
+			t.Logf("%s: all know after %v", what, took)
+		}
+	}
+	for _, c := range []struct {
+		what string
+		do   func()
+	}{
+		{"restarts", func() {
+			f.kill(7)
+			f.start(7)
+			f.pass(5 * time.Second)
+			f.kill(300)
+			f.start(300)
+		}},
+		{"rack lost", func() { each(rack, f.kill) }},
+		{"rack back", func() { each(rack, f.start) }},
+		{"zone lost", func() { each(zone, f.kill) }},
+		{"zone back", func() { each(zone, f.start) }},
+		{"configuration", func() {
+			for _, m := range f.all {
+				m.held = 2
+			}
+		}},
+	} {
+		f.anew()
+		c.do()
+		all(c.what, 5*time.Second)
+		if _, most := f.more(c.what, 10*time.Second); most > 110000 {
+			t.Errorf("%s: %d bytes of one in ten seconds", c.what, most)
+		}
+		f.pass(2 * time.Second)
+	}
+}
+
+func each(all []int, do func(int)) {
+	for _, i := range all {
+		do(i)
+	}
+}
+
+// elder is a machine as one of the version before sees and says things: without packs, digests of
+// parts and forms.
+type elder struct{ *member }
+
+func (e elder) strip(out []plane.Send) []plane.Send {
+	for i := range out {
+		out[i].Msg = e.older(out[i].Msg)
+	}
+	return out
+}
+
+func (e elder) older(msg any) any {
+	bare := func(nodes []Node) []Node {
+		nodes = slices.Clone(nodes)
+		for i := range nodes {
+			nodes[i].Form = 0
+		}
+		return nodes
+	}
+	switch x := msg.(type) {
+	case Hello:
+		x.Node.Form = 0
+		return x
+	case Rumour:
+		return Rumour{Nodes: bare(x.Nodes)}
+	case Index:
+		return Index{Rows: x.Rows}
+	case Diff:
+		return Diff{Nodes: bare(x.Nodes), Want: x.Want}
+	}
+	return msg
+}
+
+func (e elder) Tick(now plane.Time) []plane.Send { return e.strip(e.member.Tick(now)) }
+
+func (e elder) Take(now plane.Time, from string, msg any) []plane.Send {
+	return e.strip(e.member.Take(now, from, e.older(msg)))
+}
+
+// Every second one is of the version before: all know all as soon, also what is lost and back.
+func TestStormMixed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 120, 3)
+	f.start = func(i int) {
+		f.begin(i)
+		if i%2 == 1 {
+			f.Start(fleetNode(i).Addr, elder{f.all[i]})
+		}
+	}
+	f.startAll()
+	lost := []int{4, 5, 14, 15, 24, 25, 34, 35}
+	for _, c := range []struct {
+		what string
+		do   func()
+	}{{"start", func() {}}, {"lost", func() { each(lost, f.kill) }}, {"back", func() { each(lost, f.start) }}} {
+		c.do()
+		if took, ok := f.until(4 * time.Second); !ok {
+			know, live := f.know()
+			t.Errorf("%s: %d of %d know all after %v", c.what, know, live, took)
+		}
+		f.pass(6 * time.Second)
+		for _, m := range f.all {
+			if m != nil && m.hash() != f.all[0].hash() {
+				t.Fatalf("%s: tables differ", c.what)
+			}
+		}
+	}
+}
+
+// A watcher that is late itself holds nobody for gone by a silence that it slept through.
+func TestLateWatcher(t *testing.T) {
+	for _, c := range []struct {
+		gap  time.Duration
+		gone plane.Time // after this, and before a half more
+	}{{50 * ms, 1300 * ms}, {200 * ms, 2600 * ms}, {350 * ms, 4500 * ms}} {
+		m := amid(8)
+		i := slices.IndexFunc(m.all, func(e *entry) bool { return e.node.Addr == m.watched[0] })
+		silent, gone := m.all[i].node.Addr, plane.Time(0)
+		for now := c.gap; now < 10*time.Second && gone == 0; now += c.gap {
+			for j := 1; j <= 8; j++ {
+				if node(j).Addr != silent {
+					m.Take(now, node(j).Addr, Beat{Life: 1, Seq: 1})
+				}
+			}
+			for _, r := range sent[Rumour](m.Tick(now)) {
+				for _, n := range r.Nodes {
+					if n.Addr == silent && n.State == Gone {
+						gone = now
+					}
+				}
+			}
+		}
+		if gone <= c.gone || gone > c.gone*3/2 {
+			t.Errorf("ticks each %v: gone at %v", c.gap, gone)
+		}
+	}
+}
--- a/internal/bond/word.go
+++ b/internal/bond/word.go
@@ -1,9 +1,9 @@
 package bond
 
 import (
-	"encoding/binary"
 	"slices"
 	"strings"
+	"time"
 
 	"asterwell/internal/plane"
 )
@@ -18,9 +18,9 @@
 	if from == m.self.Addr {
 		return m.take()
 	}
-	m.heard = now
+	m.heard, m.stoodAt = now, m.stood
 	if e := m.nodes[from]; e != nil {
-		e.heard, e.asked = now, 0
+		m.hear(e, now)
 		if e.lost {
 			m.found(e)
 		}
@@ -32,16 +32,20 @@
 		m.compare(from, x.Hash)
 	case Hello:
 		if x.Node.Addr == from {
-			m.learn(x.Node)
+			m.learn(x.Node, from)
 			m.face(from, x.Node.Life, x.Node.Seq)
 		}
 		m.send(from, m.sign()) // it compares: of many that answer, it asks one
 	case Rumour:
-		for _, n := range x.Nodes {
-			m.learn(n)
+		for _, n := range m.open(x.Nodes, x.Pack) {
+			m.learn(n, from)
 		}
 	case Index:
-		m.answer(from, x.Rows)
+		if len(x.Sums) > 0 {
+			m.differ(from, x)
+		} else {
+			m.answer(from, x)
+		}
 	case Diff:
 		m.fill(from, x)
 	case Ping:
@@ -56,13 +60,14 @@
 		if x.For != m.self.Addr {
 			m.send(x.For, x)
 		} else if e := m.nodes[x.Addr]; e != nil && x.Life == e.node.Life {
-			e.heard, e.asked, e.via = now, 0, from
+			m.hear(e, now)
+			e.via = from
 		}
 	case Doubt:
 		m.own(Node{Addr: m.self.Addr, Life: x.Life, Seq: x.Seq, State: Gone})
 	}
-	if m.swift < mostSwift {
-		m.swift++
+	if m.swift > 0 && len(m.late) > 0 {
+		m.swift--
 		m.tell()
 	}
 	return m.take()
@@ -70,7 +75,8 @@
 
 // found: one that we alone had lost is there.
 func (m *Machine) found(e *entry) {
-	e.lost, e.heard, e.asked, e.since = false, m.now, 0, m.now
+	m.hear(e, m.now)
+	e.lost, e.since = false, m.now
 	m.stale, m.out.Changed = true, true
 }
 
@@ -96,16 +102,64 @@
 }
 
 // learn takes an entry from anyone; what is news is passed on.
-func (m *Machine) learn(n Node) {
+func (m *Machine) learn(n Node, from string) {
 	if n.Addr == m.self.Addr {
 		m.own(n)
 		return
 	}
+	met := m.met(n)
 	if m.merge(n) {
-		m.late[n.Addr] = true
+		m.later(n.Addr, met, from)
+	} else if l := m.late[n.Addr]; l != nil && n.mark() == m.nodes[n.Addr].mark {
+		l.by(from)
+	}
+}
+
+// met: an entry's life was known here before, so most others know it.
+func (m *Machine) met(n Node) bool {
+	e := m.nodes[n.Addr]
+	return e != nil && e.node.Life == n.Life
+}
+
+// news is what waits to be told of a node.
+type news struct {
+	brief bool
+	from  []string // those who told us
+}
+
+// later leaves news of a node to be told.
+func (m *Machine) later(addr string, brief bool, from string) {
+	if l := m.late[addr]; l != nil {
+		brief = brief && l.brief
+	}
+	l := &news{brief: brief}
+	m.late[addr] = l
+	l.by(from)
+}
+
+func (l *news) by(from string) {
+	if from != "" && !slices.Contains(l.from, from) {
+		l.from = append(l.from, from)
 	}
 }
 
+// open is the nodes of a message. A brief one whose life we have not met says nothing to us: the
+// tables differ then.
+func (m *Machine) open(nodes []Node, pack []byte) []Node {
+	all, _ := unpack(pack) // what came before the damage is whole
+	for _, n := range all {
+		e := m.nodes[n.Addr]
+		if n.brief && n.State != Gone && n.Addr != m.self.Addr {
+			if e == nil || e.node.Life != n.Life {
+				continue
+			}
+			n.Name, n.Zone, n.Control, n.Member = e.node.Name, e.node.Zone, e.node.Control, e.node.Member
+		}
+		nodes = append(nodes, n.Node)
+	}
+	return nodes
+}
+
 // own meets words about ourselves: an earlier life's are outdone, and "gone" is
 // taken back. So soon after our start it can only be an earlier life that was missed.
 func (m *Machine) own(n Node) {
@@ -127,13 +181,14 @@
 			return false
 		}
 		e = m.enter(n.Addr)
-		e.heard, e.since = m.now, m.now
+		e.since = m.now
+		m.hear(e, m.now)
 		m.put(e, n)
 		m.stale, m.out.Changed = true, true
 		return true
 	}
 	if !n.newer(e.node) {
-		if e.lost && n == e.node {
+		if e.lost && n.mark() == e.mark {
 			m.found(e) // somebody else sees it
 		}
 		return false
@@ -159,35 +214,58 @@
 	}
 	m.put(e, n)
 	e.lost = false
-	e.heard, e.asked = m.now, 0
+	m.hear(e, m.now)
 	delete(m.doubt, n.Addr)
 	return true
 }
 
-// tell passes on what is news to our watchers and a few others.
+// tell passes on what is news to our watchers and a few others, but not to those who told us.
+// What enough others have told us before our turn came is known by now.
 func (m *Machine) tell() {
 	if len(m.late) == 0 {
 		return
 	}
-	var nodes []Node
-	for a := range m.late {
-		if e := m.nodes[a]; e != nil {
-			nodes = append(nodes, e.node)
+	var all []packed
+	for a, l := range m.late {
+		if e := m.nodes[a]; e != nil && len(l.from) < enough {
+			all = append(all, packed{e.node, l.brief || e.node.State == Gone})
 		}
 	}
-	clear(m.late)
-	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.Addr, b.Addr) })
+	slices.SortFunc(all, func(a, b packed) int { return strings.Compare(a.Addr, b.Addr) })
 	to := m.watchers()
-	to = append(to, m.some(others, to)...)
+	to = append(to, m.beyond(to)...)
+	var whole []byte // for those who told us none of it
 	for _, a := range to {
-		m.send(a, Rumour{Nodes: nodes})
+		some := slices.DeleteFunc(slices.Clone(all), func(n packed) bool { return slices.Contains(m.late[n.Addr].from, a) })
+		switch {
+		case len(some) == 0:
+		case m.nodes[a].node.Form < formPacked:
+			m.send(a, Rumour{Nodes: plain(some)})
+		case len(some) < len(all):
+			m.send(a, Rumour{Pack: pack(some)})
+		default:
+			if whole == nil {
+				whole = pack(all)
+			}
+			m.send(a, Rumour{Pack: whole})
+		}
+	}
+	clear(m.late)
+}
+
+func plain(all []packed) (nodes []Node) {
+	for _, n := range all {
+		nodes = append(nodes, n.Node)
 	}
+	return nodes
 }
 
-// compare starts an exchange where the tables differ. News under way makes them
-// differ too, so it is not done at each word.
+// compare starts an exchange where the tables differ. News under way makes them differ too, so it
+// is not done at each word: once the table has come to rest, and after a pause that grows, with
+// chance in it, as long as they differ. Who knows nobody yet asks at once.
 func (m *Machine) compare(from string, hash uint64) {
 	if hash == m.hash() {
+		m.pause = swapEvery
 		for _, e := range m.all {
 			if e.lost {
 				m.found(e)
@@ -195,69 +273,25 @@
 		}
 		return
 	}
-	if m.now-m.swapped < swapEvery {
+	most := m.each(swapEvery, pauseFor)
+	if gone := m.now - m.swapped; gone < m.pause || gone < most && m.now-m.altered < m.each(0, settleFor) {
 		return
 	}
 	m.swapped = m.now
-	m.send(from, Index{Rows: m.index()})
-}
-
-func (e *entry) short() uint32 { return uint32(e.spot) }
-
-// version of an entry in an index; 0 asks for whatever the other has.
-func (e *entry) version() uint32 {
-	if e.lost {
-		return 0
-	}
-	return uint32(e.mark) | 1
-}
-
-func (m *Machine) index() []byte {
-	b := make([]byte, 0, 8*len(m.all))
-	for _, e := range m.all {
-		b = binary.BigEndian.AppendUint32(b, e.short())
-		b = binary.BigEndian.AppendUint32(b, e.version())
-	}
-	return b
-}
-
-// answer gives what an index lacks or has otherwise, and asks for the same.
-func (m *Machine) answer(from string, rows []byte) {
-	theirs := map[uint32]uint32{}
-	for ; len(rows) >= 8; rows = rows[8:] {
-		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint32(rows[4:])
-	}
-	var d Diff
-	for _, e := range m.all {
-		key := e.short()
-		v, has := theirs[key]
-		delete(theirs, key)
-		if has && v == e.version() {
-			continue
-		}
-		if !e.lost && (has || e.node.State != Gone) {
-			d.Nodes = append(d.Nodes, e.node)
-		}
-		if has && v != 0 {
-			d.Want = append(d.Want, key)
-		}
-	}
-	for key, v := range theirs {
-		if v != 0 {
-			d.Want = append(d.Want, key)
-		}
-	}
-	slices.Sort(d.Want)
-	if len(d.Nodes)+len(d.Want) > 0 {
-		m.send(from, d)
+	m.pause = swapEvery + time.Duration(m.rand.Int64N(int64(min(2*m.pause, most)-swapEvery)+1))
+	lost := slices.ContainsFunc(m.all, func(e *entry) bool { return e.lost }) // which no digest shows
+	if e, n := m.nodes[from], m.split(); n > 1 && !lost && e != nil && e.node.Form >= formPacked {
+		m.send(from, Index{Sums: m.sums(n), Form: formPacked})
+		return
 	}
+	m.send(from, Index{Rows: m.index(nil), Form: formPacked})
 }
 
 // fill takes the entries of an exchange. A "gone" from here may be old, of a time
 // when the teller was cut off: the node is asked first.
 func (m *Machine) fill(from string, d Diff) {
 	fresh, news := len(m.ring) < 2, 0
-	for _, n := range d.Nodes {
+	for _, n := range m.open(d.Nodes, d.Pack) {
 		e := m.nodes[n.Addr]
 		if n.State == Gone && e != nil && n.Addr != m.self.Addr && e.node.State != Gone && n.newer(e.node) {
 			if _, asked := m.doubt[n.Addr]; !asked {
@@ -268,22 +302,24 @@
 		}
 		if n.Addr == m.self.Addr {
 			m.own(n)
-		} else if m.merge(n) && !fresh && news < mostSwift {
+		} else if met := m.met(n); m.merge(n) && !fresh && news < mostSwift {
 			news++
-			m.late[n.Addr] = true
+			m.later(n.Addr, met, from)
 		}
 	}
 	if len(d.Want) == 0 {
 		return
 	}
+	most := m.may()
 	var give []Node
 	for _, e := range m.all {
-		if _, ok := slices.BinarySearch(d.Want, e.short()); ok {
+		if _, ok := slices.BinarySearch(d.Want, e.short()); ok && len(give) < most {
 			give = append(give, e.node)
 		}
 	}
+	m.given -= float64(len(give))
 	if len(give) > 0 {
-		m.send(from, Diff{Nodes: give})
+		m.send(from, m.diff(give, nil, d.Form))
 	}
 }
 
@@ -296,7 +332,7 @@
 		}
 		delete(m.doubt, a)
 		if e := m.nodes[a]; e != nil && m.now-e.heard >= doubtFor && m.merge(d.node) {
-			m.late[a] = true
+			m.later(a, true, "")
 		}
 	}
 }
--- a/internal/creed/rollout.go
+++ b/internal/creed/rollout.go
@@ -8,6 +8,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -98,9 +99,26 @@
 
 // RolloutOf reads that part of a configuration only.
 func RolloutOf(body []byte) Rollout {
+	if !mayName(body, "rollout") {
+		return Rollout{}
+	}
 	var c struct{ Rollout Rollout }
 	if json.Unmarshal(body, &c) != nil || c.Rollout.bad != nil {
 		return Rollout{}
 	}
 	return c.Rollout
 }
+
+// mayName says whether a text may have a key of that name, which is in lower case: JSON's keys are read in any, and may be
+// written by escapes. Most texts of any length don't, and needn't be read for it.
+func mayName(body []byte, name string) bool {
+	if bytes.IndexByte(body, '\\') >= 0 {
+		return true
+	}
+	for i := 0; i+len(name) <= len(body); i++ {
+		if body[i]|0x20 == name[0] && body[i+1]|0x20 == name[1] && body[i+2]|0x20 == name[2] && strings.EqualFold(string(body[i:i+len(name)]), name) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/creed/table.go
+++ b/internal/creed/table.go
@@ -19,6 +19,11 @@
 	hosts   map[string][]*Route // by lower-case host, longest prefix first
 	tenants map[string]*Tenant  // by key
 	keyed   bool
+
+	routes []*Route // all, by name
+	leads  map[string][]*Route
+	named  []*Tenant // all, by name
+	ranks  []int     // that tenants have
 }
 
 // Caps bound what a client may send. What is 0 has no bound.
@@ -103,6 +108,7 @@
 			}
 		}
 	}
+	t.index()
 	return t
 }
 
--- /dev/null
+++ b/internal/graft/graft_test.go
@@ -0,0 +1,149 @@
+package graft
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// config is a text such as operators send, and one entry of it changed.
+func config(epoch, routes int, changed ...int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"Epoch":"%08x","Sockets":[`, epoch)
+	r := rand.New(rand.NewPCG(7, 7))
+	for i := range routes {
+		ms := 600
+		for _, c := range changed {
+			if c == i {
+				ms = 603
+			}
+		}
+		fmt.Fprintf(&b, `{"Name":"r-%x","RouteClass":"pure","Predicate":{"PathPrefix":"/%x/"},"Effect":{"Backend":"%x","DeadlineMs":%d}},`,
+			r.Uint32(), r.Uint32(), r.Uint32(), ms)
+	}
+	return append(b.Bytes(), "]}"...)
+}
+
+func TestFew(t *testing.T) {
+	base := config(7, 4800)
+	for _, text := range [][]byte{config(8, 4800), config(8, 4800, 0), config(9, 4800, 17, 2400, 4799), config(16, 4801), config(8, 4799)} {
+		d, ok := Make(base, text)
+		if !ok || len(d.Steps) > 500 {
+			t.Errorf("%v, %d bytes for a change of %d", ok, len(d.Steps), len(text))
+		}
+		if got, err := d.Apply(base); err != nil || !bytes.Equal(got, text) {
+			t.Error(err)
+		}
+	}
+}
+
+// TestDrawn makes texts of each other by cuts, moves and inserts.
+func TestDrawn(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	made := 0
+	for range 3000 {
+		base := config(1, 1+r.IntN(40))
+		text := bytes.Clone(base)
+		for range r.IntN(6) {
+			i, j := r.IntN(len(text)+1), r.IntN(len(text)+1)
+			i, j = min(i, j), min(max(i, j), min(i, j)+400)
+			switch part := bytes.Clone(text[i:j]); r.IntN(4) {
+			case 0:
+				text = append(text[:i:i], text[j:]...)
+			case 1:
+				text = append(bytes.Clone(text), part...)
+			case 2:
+				text = append(append(bytes.Clone(part), text[:i]...), text[i:]...)
+			default:
+				for k := range part {
+					text[i+k] = byte(r.IntN(256))
+				}
+			}
+		}
+		if d, ok := Make(base, text); ok {
+			made++
+			if got, err := d.Apply(base); err != nil || !bytes.Equal(got, text) {
+				t.Fatal(err)
+			}
+		}
+	}
+	if made < 2000 {
+		t.Errorf("only %d of 3000 had a difference", made)
+	}
+}
+
+func TestWhole(t *testing.T) {
+	if _, ok := Whole(config(1, 100)); ok {
+		t.Error("a short text is packed")
+	}
+	text := config(1, 1000)
+	d, ok := Whole(text)
+	if got, err := d.Apply(nil); !ok || err != nil || !bytes.Equal(got, text) {
+		t.Error(ok, err)
+	}
+}
+
+func TestUnlike(t *testing.T) {
+	noise := make([]byte, 20000)
+	for i := range noise {
+		noise[i] = byte(rand.Uint32())
+	}
+	if _, ok := Make(config(1, 100), noise); ok {
+		t.Error("noise has a short difference")
+	}
+	if _, ok := Whole(noise); ok {
+		t.Error("noise is packed")
+	}
+}
+
+// TestSpoilt changes a difference in each of its bytes, and cuts it: a text that is not the one
+// meant never comes out.
+func TestSpoilt(t *testing.T) {
+	base := config(1, 200)
+	text := config(2, 200, 3, 100)
+	d, _ := Make(base, text)
+	if _, err := d.Apply(text); !errors.Is(err, ErrBase) {
+		t.Error(err)
+	}
+	for i := range d.Steps {
+		for _, x := range []byte{1, 0x80, 0xff} {
+			s := d
+			s.Steps = bytes.Clone(d.Steps)
+			s.Steps[i] ^= x
+			if got, err := s.Apply(base); err == nil && !bytes.Equal(got, text) {
+				t.Fatalf("byte %d", i)
+			}
+		}
+		s := d
+		s.Steps = d.Steps[:i]
+		if got, err := s.Apply(base); err == nil && !bytes.Equal(got, text) {
+			t.Fatalf("cut at %d", i)
+		}
+	}
+	for _, size := range []int{-1, 0, Most + 1} {
+		s := d
+		s.Size = size
+		if _, err := s.Apply(base); !errors.Is(err, ErrSpoilt) {
+			t.Error(size, err)
+		}
+	}
+}
+
+func BenchmarkMake(b *testing.B) {
+	base, text := config(7, 16800), config(8, 16800, 8000)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		Make(base, text)
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	base, text := config(7, 16800), config(8, 16800, 8000)
+	d, _ := Make(base, text)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		_, _ = d.Apply(base)
+	}
+}
--- a/internal/lore/home.go
+++ b/internal/lore/home.go
@@ -11,60 +11,87 @@
 	"asterwell/internal/plane"
 )
 
-// place is what has a home: a service in a zone.
-type place struct{ zone, service string }
+// spot is what has a home: a service in a zone.
+type spot struct{ zone, service string }
 
-// home is the process that a server's place belongs to: the one of its zone (of any,
-// where the zone has none) that the hash ranks first.
-func (m *Machine) home(s Server) string {
-	p := place{s.Zone, s.Service}
-	h, ok := m.homes[p]
-	if !ok {
-		h = m.belongs(p)
-		m.homes[p] = h
-	}
-	return h
+// place is a spot with its servers. Its home is the process that the hash ranks first of
+// those in its zone, or of all where the zone has none.
+type place struct {
+	spot
+	kind  *service
+	items []*item
+	home  string
+	reach int    // how near home is
+	top   uint64 // its rank
 }
 
-// belongs finds a place's home, and remembers nothing.
-func (m *Machine) belongs(p place) string {
-	h := m.rank(p, true)
-	if h == "" {
-		h = m.rank(p, false)
+// How near a process is to a place.
+const (
+	nowhere = iota // it takes no calls
+	afar
+	near
+)
+
+// reaches tells how near a process is.
+func (p *place) reaches(n *bond.Node) int {
+	switch {
+	case n.State != bond.Up || n.Control == "":
+		return nowhere
+	case n.Zone == p.zone:
+		return near
 	}
-	return cmp.Or(h, m.self)
+	return afar
 }
 
-func (m *Machine) rank(p place, near bool) string {
-	best, top := "", uint64(0)
-	try := func(n bond.Node) {
-		if n.State != bond.Up || n.Control == "" || near && n.Zone != p.zone {
-			return
-		}
-		h := xxhash.Sum64String(n.Addr + "\x00" + p.zone + "\x00" + p.service)
-		if best == "" || h > top || h == top && n.Addr < best {
-			best, top = n.Addr, h
-		}
+// offer lets a process be the home, if it ranks before the one there is.
+func (p *place) offer(n *bond.Node, buf []byte) []byte {
+	reach := p.reaches(n)
+	if reach == nowhere || reach < p.reach {
+		return buf
+	}
+	buf = append(append(append(append(append(buf[:0], n.Addr...), 0), p.zone...), 0), p.service...)
+	if h := xxhash.Sum64(buf); reach > p.reach || h > p.top || h == p.top && n.Addr < p.home {
+		p.home, p.reach, p.top = n.Addr, reach, h
 	}
-	try(m.me)
+	return buf
+}
+
+// rank finds a place's home among all.
+func (m *Machine) rank(p *place) {
+	p.home, p.reach, p.top = "", nowhere, 0
+	var buf []byte
+	buf = p.offer(&m.me, buf)
 	for _, a := range m.peers {
-		try(*m.nodes[a])
+		buf = p.offer(m.nodes[a], buf)
+	}
+	p.home = cmp.Or(p.home, m.self)
+}
+
+// home is the process that a server's place belongs to.
+func (m *Machine) home(s Server) string {
+	at := spot{s.Zone, s.Service}
+	if p := m.homes[at]; p != nil {
+		return p.home
 	}
-	return best
+	p := &place{spot: at}
+	m.rank(p)
+	return p.home
 }
 
 // Nodes takes the membership as it is now, sorted by address.
 func (m *Machine) Nodes(now plane.Time, all []bond.Node) Out {
 	m.begins(now)
-	as := true        // as it was, as far as homes and news depend on it
-	var came []string // up again, or new, or another life
+	moved := map[string]bool{} // otherwise than before, as far as homes and news depend on it
+	var came []string          // up again, or new, or another life
 	before := m.peers
 	m.peers = make([]string, 0, len(before)+1)
 	for i := range all {
 		n := &all[i]
 		switch {
 		case n.Addr == m.self:
-			as = as && alike(m.me, *n)
+			if !alike(m.me, *n) {
+				moved[m.self] = true
+			}
 			m.me = *n
 			continue
 		case n.State == bond.Gone:
@@ -72,24 +99,24 @@
 		}
 		for len(before) > 0 && before[0] < n.Addr {
 			delete(m.nodes, before[0])
-			as, before = false, before[1:]
+			moved[before[0]], before = true, before[1:]
 		}
 		m.peers = append(m.peers, n.Addr)
 		if len(before) == 0 || before[0] != n.Addr {
-			as, came = false, append(came, n.Addr)
+			moved[n.Addr], came = true, append(came, n.Addr)
 			m.nodes[n.Addr] = lo.ToPtr(*n)
 			continue
 		}
 		before = before[1:]
 		if o := m.nodes[n.Addr]; !alike(*o, *n) {
-			if as = false; o.Life != n.Life {
+			if moved[n.Addr] = true; o.Life != n.Life {
 				came = append(came, n.Addr)
 			}
 			m.nodes[n.Addr] = lo.ToPtr(*n)
 		}
 	}
 	for _, a := range before {
-		as = false
+		moved[a] = true
 		delete(m.nodes, a)
 	}
 	away := m.alone
@@ -98,10 +125,11 @@
 	} else if away < 0 {
 		m.alone = now
 	}
-	if as {
+	if len(moved) == 0 {
 		return m.take()
 	}
-	m.rehome()
+	m.groups = nil
+	m.rehome(moved)
 	m.drop()
 	m.greet(came, away)
 	return m.take()
@@ -111,17 +139,34 @@
 	return a.Addr == b.Addr && a.Zone == b.Zone && a.Control == b.Control && a.State == b.State && a.Life == b.Life
 }
 
-// rehome finds the homes anew. Where we have become one, the waits begin.
-func (m *Machine) rehome() {
-	before := m.homes
-	m.homes = map[place]string{}
-	m.homed, m.moved = m.homed+1, true
-	for _, it := range m.all {
-		if it.Phase == Ended {
-			continue
+// rehome finds homes anew where a process that is otherwise than before was the home, or may
+// be. Where we have become one, the waits begin.
+func (m *Machine) rehome(moved map[string]bool) {
+	var came []*bond.Node
+	for a := range moved {
+		if n := m.nodes[a]; n != nil {
+			came = append(came, n)
+		} else if a == m.self {
+			came = append(came, &m.me)
 		}
-		if m.mine(it) && before[place{it.Zone, it.Service}] != m.self {
-			it.beat = m.now
+	}
+	var buf []byte
+	for _, p := range m.homes {
+		before := p.home
+		if moved[before] || p.reach == nowhere {
+			m.rank(p)
+		} else {
+			for _, n := range came {
+				buf = p.offer(n, buf)
+			}
+		}
+		if p.home != before && p.home == m.self {
+			for _, it := range p.items {
+				if it.Phase != Ended {
+					it.beat = m.now
+					m.watched(it)
+				}
+			}
 		}
 	}
 }
@@ -135,7 +180,7 @@
 	if away >= 0 && m.now-away > longGap {
 		m.age()
 	}
-	m.repair = min(m.repair, m.now+soonIn)
+	m.repair = min(m.repair, m.now+soonIn+m.pace())
 	slices.Sort(came)
 	for _, a := range came {
 		m.catchUp(a)
--- a/internal/lore/machine.go
+++ b/internal/lore/machine.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"asterwell/internal/bond"
@@ -15,13 +14,16 @@
 	longGap   = 20 * time.Second       // after it our table is old, and the others' counts
 	spreadFor = 600 * time.Millisecond // then a leaving server is told yes, whoever is silent
 	againIn   = 100 * time.Millisecond
-	recently  = 5 * time.Second // news this young is pushed to those that come up
+	roundIn   = 250 * time.Millisecond // without an answer, news goes round by others
+	assureFor = 800 * time.Millisecond // then a leaving server is told to ask another gateway
+	recently  = 5 * time.Second        // news this young is pushed to those that come up
 	repairIn  = time.Second
 	soonIn    = 100 * time.Millisecond // where somebody has come up
 	lookIn    = 250 * time.Millisecond
 	buried    = 90 * time.Second // tombstones
 	giveUp    = 10 * time.Minute // a silent server is ended
 	mostSwift = 4                // news sent at once between two ticks; the rest go together
+	lazyFor   = time.Second      // the end of a server that nobody sends to any more waits for other news so long
 )
 
 // item is a server with what is known of it here alone.
@@ -29,14 +31,16 @@
 	Server
 	last  uint64     // highest sequence number heard from it
 	beat  plane.Time // when; for a home also when its wait began
-	heard bool       // a beat came here at all
-	came  plane.Time // when the last one did
+	came  plane.Time // when the last one came here
 	ended plane.Time // since when it is ended or silent
-	old   bool       // from before a long absence, and not seen by others since
-
-	mark  uint64 // of Server
-	at    string // its home, as of
-	homed int
+	due   plane.Time // when it is looked at next; 0: it is not at home here, or ended
+	mark  uint64     // of Server
+	place *place
+	next  *item  // at the same address, or one with the same hash
+	key   uint32 // of its ID, as in an Index
+	slot  int32  // in the place's items
+	heard bool   // a beat came here at all
+	old   bool   // from before a long absence, and not seen by others since
 }
 
 // Machine is one process's part.
@@ -48,27 +52,36 @@
 	items map[string]*item
 	all   []*item               // the same by ID
 	sum   uint64                // the marks of those not ended: tombstones go at each process's own time
+	at    map[uint32]*item      // those not ended by the hash of their address, a chain
+	kinds map[uint32]*service   // by the hash of the name
 	nodes map[string]*bond.Node // not gone, without self
 	peers []string              // their addresses, sorted
 	me    bond.Node
-	homes map[place]string
-	homed int // counts times that they were found
-	own   []*item
-	moved bool // own is to be found: those not ended that are at home here
+	homes map[spot]*place
+	dues  dues // of those at home here
 
 	spreads map[string]*spread
+	live    map[string]bool // spreads that wait, or are young
 	posts   map[uint64]*post
 	no      uint64
+	relays  map[passage]*relay
+	groups  [][]string      // of peers; nil: to be made
 	queue   map[string]bool // news that waits for the tick
+	ending  map[string]bool // ended, and nobody sends to them: it goes with the next news
+	lazy    plane.Time      // or then
 	swift   int
 
 	now, ticked, began plane.Time
 	repair, look       plane.Time
+	learnt             plane.Time // when news last changed the table
+	compared, calm     plane.Time // when tables were last compared from here, and until when they aren't again
 	grave              plane.Time // when the ended are looked at next
 	fetch              plane.Time // next one, while not filled
 	alone              plane.Time // since when there is nobody else
 	filled, partly     bool
-	restored           bool // rows from disk, for when nobody has a table
+	restored           bool     // rows from disk, for when nobody has a table
+	core               []string // the seats of agreement, as of the newest epoch known; nil: not told of any
+	bug                Bug
 	out                Out
 }
 
@@ -77,10 +90,11 @@
 func New(self, zone string, heartbeat time.Duration, seed uint64, now plane.Time) *Machine {
 	m := &Machine{
 		self: self, zone: zone, wait: heartbeat * 7 / 2, rand: rand.New(rand.NewPCG(seed, 0x1076)),
-		items: map[string]*item{}, nodes: map[string]*bond.Node{}, homes: map[place]string{},
-		spreads: map[string]*spread{}, posts: map[uint64]*post{}, queue: map[string]bool{},
-		me: bond.Node{Addr: self, Zone: zone}, homed: 1,
-		now: now, ticked: now, began: now, fetch: now, alone: now,
+		items: map[string]*item{}, nodes: map[string]*bond.Node{}, homes: map[spot]*place{},
+		at: map[uint32]*item{}, kinds: map[uint32]*service{}, ending: map[string]bool{},
+		spreads: map[string]*spread{}, live: map[string]bool{}, posts: map[uint64]*post{}, relays: map[passage]*relay{}, queue: map[string]bool{},
+		me:  bond.Node{Addr: self, Zone: zone},
+		now: now, ticked: now, began: now, fetch: now, alone: now, learnt: now, compared: now,
 	}
 	m.no = m.rand.Uint64() >> 32 // late confirmations for an earlier life mean nothing
 	return m
@@ -91,10 +105,14 @@
 	m.begins(now)
 	s := b.server(now)
 	it := m.items[b.ID]
-	if it != nil && it.Phase == Ended || it != nil && b.Seq <= it.stand() && !m.repeats(it, s) {
+	if it != nil && s.Phase == Serving && (it.Phase == Ended || b.Seq <= it.stand()) {
 		m.answer(call, b.ID) // late, or of one that is gone: it changes nothing
 		return m.take()
 	}
+	if it != nil && it.Phase == Ended {
+		m.assure(call, b.ID)
+		return m.take()
+	}
 	if m.hear(s) {
 		m.tell(b.ID)
 	} else if home := m.home(s); home != m.self {
@@ -108,11 +126,6 @@
 	return m.take()
 }
 
-// repeats: a quiescing call made again waits for the same news.
-func (m *Machine) repeats(it *item, s Server) bool {
-	return it.Phase == Quiescing && s.Phase == Quiescing
-}
-
 // stand is the highest sequence number known.
 func (it *item) stand() uint64 { return max(it.last, it.Seq) }
 
@@ -139,19 +152,14 @@
 	}
 	it := m.items[s.ID]
 	var out []string
-	for _, o := range m.all {
-		if o.Phase == Ended || o.Addr != s.Addr || o.ID == s.ID {
-			continue
-		}
-		if it == nil || !o.heard || m.now-o.beat >= m.wait {
+	for o := m.at[short(s.Addr)]; o != nil; o = o.next {
+		if o.Addr == s.Addr && o.ID != s.ID && (it == nil || !o.heard || m.now-o.beat >= m.wait) {
 			out = append(out, o.ID)
 		}
 	}
+	slices.Sort(out)
 	for _, id := range out {
-		end := m.items[id].Server
-		end.Phase = Ended
-		m.put(end)
-		m.tell(id)
+		m.end(id)
 	}
 }
 
@@ -159,19 +167,32 @@
 func (m *Machine) Delete(now plane.Time, call uint64, id string) Out {
 	m.begins(now)
 	it := m.items[id]
-	if it == nil || it.Phase != Ended {
-		s := Server{ID: id, Phase: Ended}
-		if it != nil {
-			s = it.Server
-			s.Phase = Ended
+	if it != nil && it.Phase == Quiescing && m.unused(id) {
+		if len(m.ending) == 0 {
+			m.lazy = now + lazyFor
 		}
-		m.put(s)
-		m.tell(id)
+		m.ending[id] = true
+		m.answer(call, id)
+		return m.take()
+	}
+	if it == nil || it.Phase != Ended {
+		m.end(id)
 	}
 	m.assure(call, id)
 	return m.take()
 }
 
+// end is the word that a server has ended.
+func (m *Machine) end(id string) {
+	s := Server{ID: id, Phase: Ended}
+	if it := m.items[id]; it != nil {
+		s = it.Server
+		s.Phase = Ended
+	}
+	m.put(s)
+	m.tell(id)
+}
+
 // put stores the newer word, and hands it to the data plane.
 func (m *Machine) put(s Server) {
 	it := m.items[s.ID]
@@ -194,48 +215,6 @@
 	m.out.Changes = append(m.out.Changes, s)
 }
 
-// enter makes an item for a server that has none.
-func (m *Machine) enter(id string) *item {
-	it := &item{Server: Server{ID: id}, beat: m.now}
-	i, _ := slices.BinarySearchFunc(m.all, id, byID)
-	m.items[id], m.all = it, slices.Insert(m.all, i, it)
-	return it
-}
-
-// set takes a word into an item.
-func (m *Machine) set(it *item, s Server) {
-	if it.Phase != Ended {
-		m.sum ^= it.mark
-	}
-	if s.Zone != it.Zone || s.Service != it.Service {
-		it.homed = 0
-	}
-	m.moved = m.moved || it.homed == 0 || (s.Phase == Ended) != (it.Phase == Ended)
-	it.Server, it.mark = s, s.mark()
-	if s.Phase != Ended {
-		m.sum ^= it.mark
-	}
-}
-
-func (m *Machine) remove(it *item) {
-	if it.Phase != Ended {
-		m.sum ^= it.mark
-	}
-	i, _ := slices.BinarySearchFunc(m.all, it.ID, byID)
-	delete(m.items, it.ID)
-	m.all, m.moved = slices.Delete(m.all, i, i+1), true
-}
-
-func byID(it *item, id string) int { return strings.Compare(it.ID, id) }
-
-// mine tells whether a server is at home here.
-func (m *Machine) mine(it *item) bool {
-	if it.homed != m.homed {
-		it.at, it.homed = m.home(it.Server), m.homed
-	}
-	return it.at == m.self
-}
-
 // merge takes a row from another process, and says whether it was news.
 func (m *Machine) merge(r Row) bool {
 	s := r.server(m.now)
@@ -269,10 +248,10 @@
 func (m *Machine) answer(call uint64, id string) {
 	a := Answer{Call: call, OK: true}
 	if it := m.items[id]; it != nil && it.Phase != Ended {
-		if home := m.home(it.Server); home == m.self {
+		if m.mine(it) {
 			a.Target = m.me.Control
 		} else {
-			a.Target = m.nodes[home].Control
+			a.Target = m.nodes[it.place.home].Control
 		}
 	}
 	m.out.Answers = append(m.out.Answers, a)
@@ -286,8 +265,12 @@
 		m.look = now + lookIn
 		m.watch()
 	}
+	if len(m.ending) > 0 && now >= m.lazy {
+		m.finished()
+	}
 	m.flush()
 	m.push()
+	m.relayed()
 	m.fill()
 	if now >= m.repair {
 		m.repair = now + repairIn
@@ -314,38 +297,6 @@
 	m.mend(2)
 }
 
-// watch marks the servers at home here that have been silent too long.
-func (m *Machine) watch() {
-	if m.moved {
-		m.own, m.moved = m.own[:0], false
-		for _, it := range m.all {
-			if it.Phase != Ended && m.mine(it) {
-				m.own = append(m.own, it)
-			}
-		}
-	}
-	var due []*item
-	for _, it := range m.own {
-		if m.now-it.beat > m.wait {
-			due = append(due, it)
-		}
-	}
-	for _, it := range due {
-		s := it.Server
-		switch {
-		case it.Phase == Serving:
-			s.Phase = Silent
-		case it.Phase == Quiescing && m.now-it.beat > 4*m.wait, it.Phase == Silent && m.now-it.ended > giveUp:
-			s.Phase = Ended
-		default:
-			continue
-		}
-		s.Seq = max(s.Seq, it.last)
-		m.put(s)
-		m.tell(s.ID)
-	}
-}
-
 // bury forgets the long ended.
 func (m *Machine) bury() {
 	if m.now < m.grave {
@@ -355,8 +306,9 @@
 	over := func(it *item) bool { return it.Phase == Ended && m.now-it.ended > buried }
 	for _, it := range m.all {
 		if over(it) {
-			delete(m.items, it.ID)
+			m.forget(it)
 			delete(m.spreads, it.ID)
+			delete(m.live, it.ID)
 		}
 	}
 	m.all = slices.DeleteFunc(m.all, over)
--- a/internal/lore/mend.go
+++ b/internal/lore/mend.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,13 +80,27 @@
 	switch x := msg.(type) {
 	case News:
 		for _, r := range x.Rows {
-			m.merge(r)
+			if m.merge(r) {
+				m.learnt = m.now
+			}
 		}
-		if x.No != 0 {
-			m.send(from, Ack{No: x.No})
+		switch {
+		case x.To != "" && x.To != m.self:
+			m.send(x.To, News{No: x.No, Rows: x.Rows, For: from})
+		case len(x.On) > 0:
+			m.passOn(from, x)
+		case x.No != 0:
+			m.send(from, Ack{No: x.No, For: x.For})
 		}
 	case Ack:
-		m.confirm(from, x.No)
+		switch {
+		case x.For != "" && x.For != m.self:
+			m.passBack(from, x)
+		case x.Of != "":
+			m.confirm(x.No, x.Of)
+		default:
+			m.confirm(x.No, append(x.By, from)...)
+		}
 	case Pass:
 		s := x.Row.server(now)
 		if it := m.items[s.ID]; it == nil || it.Phase != Ended && s.Seq > it.stand() {
@@ -94,7 +109,7 @@
 			}
 		}
 	case Sum:
-		if x.Hash != m.sum && m.filled {
+		if x.Hash != m.sum && m.filled && m.compares() {
 			m.send(from, Parts{Rows: m.parts()})
 		}
 	case Parts:
@@ -155,22 +170,13 @@
 
 func short(s string) uint32 { return uint32(xxhash.Sum64String(s)) }
 
-func (m *Machine) services() map[uint32]uint64 {
-	sums := map[uint32]uint64{}
-	for _, it := range m.all {
-		if it.Phase != Ended {
-			sums[short(it.Service)] ^= it.mark
-		}
-	}
-	return sums
-}
-
 func (m *Machine) parts() []byte {
-	sums := m.services()
-	var b []byte
-	for _, k := range keys(sums) {
-		b = binary.BigEndian.AppendUint32(b, k)
-		b = binary.BigEndian.AppendUint64(b, sums[k])
+	b := make([]byte, 0, 12*len(m.kinds))
+	for _, key := range keys(m.kinds) {
+		if k := m.kinds[key]; k.live > 0 {
+			b = binary.BigEndian.AppendUint32(b, key)
+			b = binary.BigEndian.AppendUint64(b, k.sum)
+		}
 	}
 	return b
 }
@@ -190,22 +196,34 @@
 	for ; len(rows) >= 12; rows = rows[12:] {
 		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint64(rows[4:])
 	}
-	ours := m.services()
-	for k, h := range theirs {
-		if ours[k] == h {
-			delete(ours, k)
-		} else {
-			ours[k] = 0
+	var x Index
+	for key, k := range m.kinds {
+		h, has := theirs[key]
+		delete(theirs, key)
+		if k.live > 0 != has || k.live > 0 && k.sum != h {
+			x.Services = append(x.Services, key)
 		}
 	}
-	x := Index{Services: keys(ours)}
-	for _, it := range m.all {
-		if _, ok := slices.BinarySearch(x.Services, short(it.Service)); ok {
-			x.Rows = binary.BigEndian.AppendUint32(x.Rows, short(it.ID))
-			x.Rows = binary.BigEndian.AppendUint32(x.Rows, uint32(it.mark))
+	x.Services = append(x.Services, keys(theirs)...)
+	slices.Sort(x.Services)
+	m.among(x.Services, func(it *item) {
+		x.Rows = binary.BigEndian.AppendUint32(x.Rows, it.key)
+		x.Rows = binary.BigEndian.AppendUint32(x.Rows, uint32(it.mark))
+	})
+	return x
+}
+
+// among goes over the servers of services.
+func (m *Machine) among(services []uint32, do func(it *item)) {
+	for _, key := range services {
+		if k := m.kinds[key]; k != nil {
+			for _, p := range k.places {
+				for _, it := range p.items {
+					do(it)
+				}
+			}
 		}
 	}
-	return x
 }
 
 // compare gives what an index lacks or has otherwise, and asks for the same.
@@ -215,24 +233,32 @@
 		theirs[binary.BigEndian.Uint32(rows)] = binary.BigEndian.Uint32(rows[4:])
 	}
 	slices.Sort(x.Services)
+	x.Services = slices.Compact(x.Services)
 	var d Diff
-	for _, it := range m.all {
-		key := short(it.ID)
-		v, has := theirs[key]
-		delete(theirs, key)
+	look := func(it *item, asked bool) {
+		v, has := theirs[it.key]
+		delete(theirs, it.key)
 		if has && v == uint32(it.mark) {
-			continue
+			return
 		}
 		if has {
-			d.Want = append(d.Want, key)
+			d.Want = append(d.Want, it.key)
 		}
-		_, asked := slices.BinarySearch(x.Services, short(it.Service))
 		if (has || asked && it.Phase != Ended) && !it.old {
 			d.Rows = append(d.Rows, m.brief(it.Server))
 		}
 	}
+	m.among(x.Services, func(it *item) { look(it, true) })
+	if len(theirs) > 0 { // unknown here, or of another service
+		for _, it := range m.all {
+			if _, has := theirs[it.key]; has {
+				look(it, false)
+			}
+		}
+	}
 	d.Want = append(d.Want, keys(theirs)...)
 	slices.Sort(d.Want)
+	slices.SortFunc(d.Rows, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
 	if len(d.Rows)+len(d.Want) > 0 {
 		m.send(from, d)
 	}
@@ -253,10 +279,13 @@
 		}
 	}
 	if news {
-		m.repair = min(m.repair, m.now+soonIn) // others may lack it too
+		m.repair = min(m.repair, m.now+soonIn+m.pace()) // others may lack it too
 	}
 	for _, it := range m.all {
-		if _, ok := slices.BinarySearch(d.Want, short(it.ID)); ok && !it.old {
+		if len(d.Want) == 0 {
+			break
+		}
+		if _, ok := slices.BinarySearch(d.Want, it.key); ok && !it.old {
 			back.Rows = append(back.Rows, m.brief(it.Server))
 		}
 	}
--- a/internal/lore/merge_test.go
+++ b/internal/lore/merge_test.go
@@ -99,3 +99,37 @@
 		t.Fatalf("%+v", m.Servers())
 	}
 }
+
+// Whose home has gone elsewhere is not called silent by the one that it had, and is watched again when it is back;
+// with a server on either side that stays.
+func TestHomeMoves(t *testing.T) {
+	nodes := []bond.Node{{Addr: "a:1", Zone: "z", Control: "a:2"}, {Addr: "b:1", Zone: "z", Control: "b:2"}}
+	m, now := New("a:1", "z", time.Second, 1, 0), plane.Time(0)
+	m.Nodes(now, nodes[:1])
+	m.filled = true
+	for i := range 20 {
+		m.Beat(now, uint64(i), Beat{ID: fmt.Sprint("s", i), Addr: fmt.Sprint("s:", i), Service: fmt.Sprint("x", i), Zone: "z", Seq: 1})
+	}
+	count := func() (silent, mine int) {
+		for end := now + 10*time.Second; now < end; now += 50 * time.Millisecond {
+			m.Tick(now)
+		}
+		for _, it := range m.all {
+			if m.mine(it) {
+				mine++
+			}
+			if it.Phase == Silent {
+				silent++
+			}
+		}
+		return silent, mine
+	}
+	m.Nodes(now, nodes)
+	if silent, mine := count(); silent != mine || mine == 0 || mine == 20 {
+		t.Fatalf("%d silent, %d at home here", silent, mine)
+	}
+	m.Nodes(now, nodes[:1])
+	if silent, mine := count(); silent != 20 || mine != 20 {
+		t.Fatalf("%d silent, %d at home here", silent, mine)
+	}
+}
--- a/internal/lore/server.go
+++ b/internal/lore/server.go
@@ -100,13 +100,24 @@
 // The messages.
 type (
 	// News is pushed to every process. With a number it asks for an Ack.
+	// One that goes round a cut is To a third process, which the taker passes it on to, and
+	// then For the one that it came from. With On, the taker passes it on to those, and its
+	// Ack tells who has confirmed; a program that knows no On confirms for itself alone.
 	News struct {
 		No   uint64 `cbor:"1,keyasint,omitempty"`
 		Rows []Row  `cbor:"2,keyasint"`
+		To   string `cbor:"3,keyasint,omitempty"`
+		For  string `cbor:"4,keyasint,omitempty"`
+
+		On []string `cbor:"5,keyasint,omitempty"`
 	}
-	// Ack confirms a News.
+	// Ack confirms a News; For whom, and Of which process, where it goes round, and By whom
+	// else.
 	Ack struct {
-		No uint64 `cbor:"1,keyasint"`
+		No  uint64   `cbor:"1,keyasint"`
+		For string   `cbor:"2,keyasint,omitempty"`
+		Of  string   `cbor:"3,keyasint,omitempty"`
+		By  []string `cbor:"4,keyasint,omitempty"`
 	}
 	// Pass hands a beat on to the server's home.
 	Pass struct {
--- a/internal/lore/sight.go
+++ b/internal/lore/sight.go
@@ -23,7 +23,7 @@
 			s.Beat = max(0, now-it.came)
 		}
 		if it.Phase != Ended {
-			s.Home = m.belongs(place{it.Zone, it.Service})
+			s.Home = it.place.home
 		}
 		all = append(all, s)
 	}
--- a/internal/lore/spread.go
+++ b/internal/lore/spread.go
@@ -1,6 +1,7 @@
 package lore
 
 import (
+	"maps"
 	"slices"
 
 	"asterwell/internal/plane"
@@ -11,16 +12,24 @@
 	phase Phase
 	began plane.Time
 	left  map[string]bool // those that haven't confirmed
-	calls []uint64
-	done  bool // all have, or had their time
+	has   map[string]bool // those that have
+	calls []waiter
+	done  bool // all have, or had their time, and most of the core is among them
 }
 
-// post is a message that waits for its Ack.
+// waiter is a call that waits for the news to be known.
+type waiter struct {
+	call uint64
+	at   plane.Time
+}
+
+// post is news that waits for Acks.
 type post struct {
-	to    string
 	ids   []string
+	left  map[string]bool // those that haven't confirmed
 	sent  plane.Time
 	since plane.Time
+	round bool // it was sent through others too
 }
 
 // tell makes a row news; it goes out with this input or, where many come, the tick.
@@ -31,12 +40,13 @@
 	if len(m.queue) == 0 {
 		return
 	}
+	m.finished()
 	var plain, leaving []string
 	for id := range m.queue {
 		it := m.items[id]
 		switch {
 		case it == nil:
-		case it.Phase >= Quiescing:
+		case it.Phase >= Quiescing && !m.settled(id, it.Phase):
 			leaving = append(leaving, id)
 			m.begin(id)
 		case !m.filled:
@@ -48,12 +58,12 @@
 	}
 	slices.Sort(plain)
 	slices.Sort(leaving)
-	for _, a := range m.peers {
-		if len(plain) > 0 {
-			m.send(a, News{Rows: m.rows(plain)})
+	if rows := m.rows(plain); len(rows) > 0 {
+		for _, g := range m.grouped() {
+			m.send(g[0], News{Rows: rows, On: g[1:]})
 		}
-		m.mail(a, leaving)
 	}
+	m.mail(m.grouped(), leaving)
 }
 
 func (m *Machine) rows(ids []string) []Row {
@@ -75,6 +85,12 @@
 	return r
 }
 
+// settled tells whether all have had news of a leaving server that nothing waits for any more.
+func (m *Machine) settled(id string, phase Phase) bool {
+	sp := m.spreads[id]
+	return sp != nil && sp.phase == phase && sp.done && len(sp.left) == 0
+}
+
 // begin sets out to tell all that a server leaves.
 func (m *Machine) begin(id string) {
 	phase := m.items[id].Phase
@@ -82,24 +98,31 @@
 	if sp != nil && sp.phase == phase {
 		return
 	}
-	next := &spread{phase: phase, began: m.now, left: map[string]bool{}}
+	next := &spread{phase: phase, began: m.now, left: map[string]bool{}, has: map[string]bool{}}
 	if sp != nil {
 		next.calls = sp.calls // whoever waits for less waits for this
 	}
 	for _, a := range m.peers {
 		next.left[a] = true
 	}
-	m.spreads[id] = next
+	m.spreads[id], m.live[id] = next, true
 }
 
-// mail sends rows to one process until it confirms them.
-func (m *Machine) mail(to string, ids []string) {
-	if len(ids) == 0 {
+// mail sends rows to the first of each group, to be passed on to the rest, until all confirm
+// them.
+func (m *Machine) mail(groups [][]string, ids []string) {
+	if len(ids) == 0 || len(groups) == 0 {
 		return
 	}
 	m.no++
-	m.posts[m.no] = &post{to: to, ids: ids, sent: m.now, since: m.now}
-	m.send(to, News{No: m.no, Rows: m.rows(ids)})
+	p, rows := &post{ids: ids, left: map[string]bool{}, sent: m.now, since: m.now}, m.rows(ids)
+	m.posts[m.no] = p
+	for _, g := range groups {
+		for _, a := range g {
+			p.left[a] = true
+		}
+		m.send(g[0], News{No: m.no, Rows: rows, On: g[1:]})
+	}
 }
 
 // assure answers the call once all in reach know that the server leaves. What another
@@ -112,24 +135,29 @@
 		sp = m.spreads[id]
 		m.tell(id)
 	}
-	if sp.done || len(sp.left) == 0 {
-		sp.done = true
-		m.answer(call, id)
-		return
-	}
-	sp.calls = append(sp.calls, call)
+	sp.calls, m.live[id] = append(sp.calls, waiter{call, m.now}), true
+	m.finish(id, sp)
 }
 
 // confirm takes an Ack.
-func (m *Machine) confirm(from string, no uint64) {
+func (m *Machine) confirm(no uint64, who ...string) {
 	p := m.posts[no]
-	if p == nil || p.to != from {
+	if p == nil {
 		return
 	}
-	delete(m.posts, no)
+	who = slices.DeleteFunc(who, func(a string) bool { return !p.left[a] })
+	for _, a := range who {
+		delete(p.left, a)
+	}
+	if len(p.left) == 0 {
+		delete(m.posts, no)
+	}
 	for _, id := range p.ids {
-		if sp := m.spreads[id]; sp != nil {
-			delete(sp.left, from)
+		if sp := m.spreads[id]; sp != nil && len(who) > 0 {
+			for _, a := range who {
+				delete(sp.left, a)
+				sp.has[a] = true
+			}
 			m.finish(id, sp)
 		}
 	}
@@ -137,14 +165,20 @@
 
 // finish answers those who wait, if it is time.
 func (m *Machine) finish(id string, sp *spread) {
-	if len(sp.left) > 0 && m.now-sp.began < spreadFor {
+	if sp.done = sp.done || m.vouched(sp) && (len(sp.left) == 0 || m.now-sp.began >= spreadFor); sp.done {
+		for _, w := range sp.calls {
+			m.answer(w.call, id)
+		}
+		sp.calls = nil
 		return
 	}
-	sp.done = true
-	for _, c := range sp.calls {
-		m.answer(c, id)
-	}
-	sp.calls = nil
+	sp.calls = slices.DeleteFunc(sp.calls, func(w waiter) bool {
+		over := !m.reaches() || m.now-w.at >= assureFor
+		if over {
+			m.out.Answers = append(m.out.Answers, Answer{Call: w.call})
+		}
+		return over
+	})
 }
 
 // push sends again what hasn't been confirmed.
@@ -155,9 +189,20 @@
 		if m.now-p.since > 2e9 {
 			pace *= 4
 		}
-		if m.now-p.sent >= pace {
-			p.sent = m.now
-			m.send(p.to, News{No: no, Rows: m.rows(p.ids)})
+		again, round := m.now-p.sent >= pace, !p.round && m.now-p.since >= roundIn
+		if !again && !round {
+			continue
+		}
+		rows := m.rows(p.ids)
+		for _, a := range slices.Sorted(maps.Keys(p.left)) {
+			if again {
+				p.sent = m.now
+				m.send(a, News{No: no, Rows: rows})
+			}
+			if round {
+				p.round = true
+				m.around(no, p, a)
+			}
 		}
 	}
 	for _, id := range m.spreading() {
@@ -168,7 +213,12 @@
 // drop gives up on those that are gone: they are repaired when they come back.
 func (m *Machine) drop() {
 	for no, p := range m.posts {
-		if _, ok := m.nodes[p.to]; !ok {
+		for a := range p.left {
+			if m.nodes[a] == nil {
+				delete(p.left, a)
+			}
+		}
+		if len(p.left) == 0 {
 			delete(m.posts, no)
 		}
 	}
@@ -188,7 +238,7 @@
 	var ids []string
 	for _, id := range m.spreading() {
 		sp := m.spreads[id]
-		if m.now-sp.began > recently || m.items[id] == nil {
+		if sp.done && m.now-sp.began > recently || m.items[id] == nil {
 			continue
 		}
 		ids = append(ids, id)
@@ -196,14 +246,18 @@
 			sp.left[to] = true
 		}
 	}
-	m.mail(to, ids)
+	m.mail([][]string{{to}}, ids)
 }
 
+// spreading is the news that waits or is young. What is neither any more is looked at no
+// longer.
 func (m *Machine) spreading() []string {
 	var ids []string
-	for id, sp := range m.spreads {
-		if !sp.done || len(sp.calls) > 0 || m.now-sp.began <= recently {
+	for id := range m.live {
+		if sp := m.spreads[id]; sp != nil && (!sp.done || len(sp.calls) > 0 || m.now-sp.began <= recently) {
 			ids = append(ids, id)
+		} else {
+			delete(m.live, id)
 		}
 	}
 	slices.Sort(ids)
--- /dev/null
+++ b/internal/shuttle/change_test.go
@@ -0,0 +1,54 @@
+package shuttle
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"asterwell/choice"
+)
+
+// What changes bring about, one after the other, is what the whole list would.
+func TestChange(t *testing.T) {
+	plane := func() *Plane {
+		return New(Options{Now: func() time.Duration { return time.Hour }, Sockets: 10, Seed: 1})
+	}
+	rng := rand.New(rand.NewPCG(34, 1))
+	p, all := plane(), map[string]Server{}
+	for step := range 2000 {
+		var list []Server
+		var gone []string
+		for range 1 + rng.IntN(4) {
+			id := fmt.Sprint("s-", rng.IntN(40))
+			if slices.Contains(gone, id) || slices.ContainsFunc(list, func(s Server) bool { return s.ID == id }) {
+				continue
+			}
+			if rng.IntN(4) == 0 {
+				gone = append(gone, id)
+				delete(all, id)
+				continue
+			}
+			s := Server{ID: id, Addr: id, Service: fmt.Sprint("toy-", rng.IntN(3)), State: choice.State(rng.IntN(3)), Capacity: rng.IntN(2)}
+			list = append(list, s)
+			all[id] = s
+		}
+		p.Change(list, gone)
+		whole := plane()
+		whole.Serve(slices.Collect(maps.Values(all)))
+		if d := cmp.Diff(whole.servers, p.servers) + cmp.Diff(whole.places, p.places); d != "" {
+			t.Fatalf("step %d: %s", step, d)
+		}
+		if step%100 == 0 { // a list that takes the place of all
+			p.Serve(slices.Collect(maps.Values(all)))
+		}
+	}
+	p.Serve(nil)
+	if len(p.servers)+len(p.places) > 0 {
+		t.Error(p.servers, p.places)
+	}
+}
--- a/internal/shuttle/fault_test.go
+++ b/internal/shuttle/fault_test.go
@@ -85,9 +85,11 @@
 	plane *Plane
 	quota func(string) bool
 	late  atomic.Bool // it has left for long
+
+	servers []Server
 }
 
-func newStage(t *testing.T, s bane.Strike) *stage {
+func newStage(t *testing.T, s bane.Strike, more ...func(*Options)) *stage {
 	c, err := creed.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -97,13 +99,18 @@
 	back := httptest.NewServer(g.toy)
 	t.Cleanup(back.Close)
 	start := time.Now()
-	p := New(Options{Zone: "a", Now: func() time.Duration { return time.Hour + time.Since(start) }, Sockets: 100, Seed: 1,
+	o := Options{Zone: "a", Now: func() time.Duration { return time.Hour + time.Since(start) }, Sockets: 100, Seed: 1,
 		Pass:    func(tenant string, _ float64) (bool, time.Duration) { return g.quota(tenant), time.Second },
-		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f})
+		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f}
+	for _, f := range more {
+		f(&o)
+	}
+	p := New(o)
 	t.Cleanup(p.Stop)
 	g.plane = p
 	p.Adopt(c.Table())
-	p.Serve([]Server{{ID: "s-1", Addr: back.Listener.Addr().String(), Service: "toy", Zone: "a", Capacity: 50, State: choice.Up}})
+	g.servers = []Server{{ID: "s-1", Addr: back.Listener.Addr().String(), Service: "toy", Zone: "a", Capacity: 50, State: choice.Up}}
+	p.Serve(g.servers)
 	ln, err := transport.Listen(nil, "127.0.0.1:0", 100)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/shuttle/front.go
+++ b/internal/shuttle/front.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"math"
 	"strconv"
 	"time"
 
@@ -12,6 +14,8 @@
 	"asterwell/internal/routing"
 )
 
+var errNames = errors.New(headerID + ": more than one")
+
 // Handle serves one request of a client.
 func (p *Plane) Handle(ctx *fasthttp.RequestCtx) {
 	p.handle(ctx)
@@ -24,6 +28,11 @@
 const untilReady = 300 * time.Millisecond
 
 func (p *Plane) handle(ctx *fasthttp.RequestCtx) {
+	var times *protocol.Times
+	if p.opt.Times != nil {
+		times = &protocol.Times{Clock: func() int64 { return time.Now().UnixNano() }}
+		times.Mark(protocol.Begun)
+	}
 	t := p.table.Load()
 	if t == nil || p.opt.Closing != nil && p.opt.Closing() {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, untilReady)
@@ -42,11 +51,13 @@
 		return
 	}
 	var id, key, limit string
+	names := 0
 	call := speech.NewCall(ctx, func(name, value []byte) {
 		switch len(name) {
 		case len(headerID):
 			if bytes.EqualFold(name, []byte(headerID)) {
 				id = string(value)
+				names++
 			}
 		case len(speech.Deadline): // as long as Authorization
 			if bytes.EqualFold(name, []byte(speech.Deadline)) {
@@ -56,12 +67,17 @@
 			}
 		}
 	})
-	if err := call.Err(); err != nil {
+	err := call.Err()
+	if names > 1 { // a server may go by the other, and its answer would be nobody's
+		err = errNames
+	}
+	if err != nil {
 		protocol.Bad(ctx, err)
 		return
 	}
-	call.Transparent = true
+	call.Transparent, call.Times = true, times
 	r := &routing.Request{Reply: &protocol.Answers{}, Call: call, Plan: plan, Units: 1, Width: 1, Fit: p.bound(t, route)}
+	l := (*p.lanes.Load())[route.Pick(xxhash.Sum64String(id))]
 	rank := route.Rank
 	if t.Keyed() && !route.Anonymous {
 		tenant := t.Tenant(key)
@@ -74,7 +90,12 @@
 		}
 		r.Customer = tenant.Name
 		call.AddHeader(headerTenant, tenant.Name)
+		times.Mark(protocol.Routed)
 		if tenant.Rate > 0 {
+			if l.empty() { // a request that nobody can run takes no unit
+				refuse(ctx, fasthttp.StatusServiceUnavailable, untilReady)
+				return
+			}
 			if ok, after := p.opt.Pass(tenant.Name, 1); !ok {
 				p.refused.Add(1)
 				refuse(ctx, fasthttp.StatusTooManyRequests, after)
@@ -82,13 +103,14 @@
 			}
 		}
 	}
+	times.Mark(protocol.Routed) // those without a key
+	times.Mark(protocol.Metered)
 	wait := route.Deadline
 	if ms, err := strconv.ParseFloat(limit, 64); err == nil && ms > 0 {
 		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
 	}
 	r.Class, r.Deadline = class(route, rank), p.opt.Now()+wait
 	call.Bind(r, wait)
-	l := (*p.lanes.Load())[route.Pick(xxhash.Sum64String(id))]
 	if l == nil {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, untilReady)
 		return
@@ -96,7 +118,13 @@
 	if p.struck(ctx, l, id, route.Name, r, route.Deadline) {
 		return
 	}
-	p.answer(ctx, protocol.Await(ctx, l.core, p.ids, id, r))
+	final := protocol.Await(ctx, l.core, p.ids, id, r)
+	times.Mark(protocol.Decided)
+	p.answer(ctx, final)
+	if times != nil {
+		times.Mark(protocol.Ended)
+		p.opt.Times(id, times)
+	}
 }
 
 // answer gives the client the one final answer.
@@ -122,10 +150,11 @@
 	}
 }
 
-// refuse promises that the request has not run and never will.
+// refuse promises that the request has not run and never will. Who comes back when told so
+// should not be too early: the time is rounded up.
 func refuse(ctx *fasthttp.RequestCtx, status int, after time.Duration) {
 	if after > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(math.Ceil(after.Seconds()*1e3)/1e3, 'f', 3, 64))
 	}
 	ctx.SetStatusCode(status)
 }
--- a/internal/shuttle/front_test.go
+++ b/internal/shuttle/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	"asterwell/internal/bane"
@@ -20,3 +21,48 @@
 		t.Errorf("after: %d, ran %d times", status, ran)
 	}
 }
+
+// A request for a service without a server is not counted against its tenant's quota: it has
+// not run, and will be asked again.
+func TestNoServer(t *testing.T) {
+	g := newStage(t, bane.Strike{})
+	counted := 0
+	g.quota = func(string) bool { counted++; return counted <= 1 }
+	g.plane.Serve(nil)
+	for _, id := range []string{"a", "b", "c"} {
+		if status, _, _ := g.ask(t, http.DefaultClient, "k10", id, "x"); status != http.StatusServiceUnavailable || counted > 0 {
+			t.Errorf("%s, without a server: %d, %d counted", id, status, counted)
+		}
+	}
+	g.plane.Serve(g.servers)
+	for i, want := range []int{http.StatusOK, http.StatusTooManyRequests} {
+		if status, _, _ := g.ask(t, http.DefaultClient, "k10", strconv.Itoa(i), "x"); status != want || counted != i+1 {
+			t.Errorf("request %d with a server: %d, %d counted", i, status, counted)
+		}
+	}
+}
+
+// A request has one name at most: two would leave open whose its answer is.
+func TestNames(t *testing.T) {
+	g := newStage(t, bane.Strike{})
+	ask := func(names ...string) int {
+		r, _ := http.NewRequest("GET", g.url, nil)
+		r.Host = "toy.example"
+		r.Header.Set("Authorization", "Bearer k10")
+		r.Header[headerID] = names
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Body.Close()
+		return a.StatusCode
+	}
+	if status := ask("a", "b"); status != http.StatusBadRequest {
+		t.Errorf("two names: %d", status)
+	}
+	for _, id := range []string{"a", "b"} {
+		if ran, _ := g.toy.of(id); ran != 0 {
+			t.Errorf("%s ran", id)
+		}
+	}
+}
--- a/internal/shuttle/lane.go
+++ b/internal/shuttle/lane.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,7 @@
 	now   func() time.Duration
 	cold  time.Duration
 	known map[string]uint32 // servers' numbers here
+	some  atomic.Bool       // there is a server
 	set   choice.Settings
 }
 
@@ -41,7 +43,7 @@
 	l.fleet.Dialect = speech
 	var err error
 	l.core, err = routing.New(set, p.opt.Seed^xxhash.Sum64String(name), p.opt.Now,
-		routing.Hands{World: p.opt.World, Fleet: l.fleet, Watcher: silent{}})
+		routing.Hands{World: p.opt.World, Fleet: l.fleet, Watcher: silent{}, Drop: protocol.Drop})
 	if err != nil {
 		return nil, err
 	}
@@ -91,9 +93,13 @@
 		}
 		news.Members = append(news.Members, routing.Member{Member: m, Addr: s.Addr, Name: s.ID})
 	}
+	l.some.Store(len(news.Members) > 0)
 	l.core.News(news)
 }
 
+// empty says that there is no server, or no lane.
+func (l *lane) empty() bool { return l == nil || !l.some.Load() }
+
 // settings are a service's by the configuration: a class for each route that leads
 // to it and each rank that its requests may have.
 func (p *Plane) settings(t *creed.Table, service string) choice.Settings {
@@ -104,10 +110,7 @@
 	if list := p.servers[service]; len(list) > 0 {
 		set.Slots = lo.SumBy(list, func(s Server) float64 { return float64(s.Capacity) }) / float64(len(list))
 	}
-	for _, r := range t.Routes() {
-		if !lo.ContainsBy(r.Backends, func(w creed.Weighted) bool { return w.Service == service && w.Share > 0 }) {
-			continue
-		}
+	for _, r := range t.RoutesTo(service) {
 		c := choice.Class{Aim: cmp.Or(r.Target, r.Deadline), Deadline: r.Deadline, LateWorth: 0.3, Tries: max(r.Tries, 1)}
 		if c.Effect = choice.Retryable; r.Class == creed.Effectful {
 			c.Effect = choice.Fragile
--- /dev/null
+++ b/internal/shuttle/plane_test.go
@@ -0,0 +1,73 @@
+package shuttle
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"asterwell/internal/creed"
+)
+
+// grown is a configuration of the plan of two years.
+func grown(b testing.TB, version int) *creed.Table {
+	var t strings.Builder
+	fmt.Fprintf(&t, `{"Epoch": "%08x", "Principals": [`, version)
+	for i := range 12000 {
+		fmt.Fprintf(&t, `%s{"Name": "t-%d", "Credentials": ["k-%d"], "Rank": %d, "RatePerS": 5, "BurstSize": 5}`, strings.Repeat(",", min(i, 1)), i, i, i%2)
+	}
+	t.WriteString(`], "Sockets": [{"Authority": "a.example", "Policy": [`)
+	for i := range 4800 {
+		fmt.Fprintf(&t, `%s{"Name": "r-%d", "RouteClass": "pure", "Predicate": {"PathPrefix": "/%d/"}, "Effect": {"Backend": "s-%d", "DeadlineMs": 800}}`,
+			strings.Repeat(",", min(i, 1)), i, i, i%180)
+	}
+	t.WriteString(`]}], "Pools": [{"Name": "s-0"}`)
+	for i := range 179 {
+		fmt.Fprintf(&t, `,{"Name": "s-%d"}`, i+1)
+	}
+	t.WriteString(`]}`)
+	c, err := creed.Parse([]byte(t.String()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return c.Table()
+}
+
+// BenchmarkAdopt is a configuration of that size, and a gateway more, at the data plane.
+func BenchmarkAdopt(b *testing.B) {
+	start := time.Now()
+	p := New(Options{Now: func() time.Duration { return time.Hour + time.Since(start) }, Pass: func(string, float64) (bool, time.Duration) { return true, 0 },
+		Leaving: func() bool { return false }, Sockets: 100, Seed: 1})
+	defer p.Stop()
+	tables := []*creed.Table{grown(b, 1), grown(b, 2)}
+	for n := 0; b.Loop(); n++ {
+		p.Adopt(tables[n%2])
+		p.Gateways(490+n%2, 7)
+	}
+}
+
+// BenchmarkChange is one server of 5,200 that is otherwise than before.
+func BenchmarkChange(b *testing.B) {
+	start := time.Now()
+	p := New(Options{Now: func() time.Duration { return time.Hour + time.Since(start) }, Sockets: 100, Seed: 1})
+	defer p.Stop()
+	p.Adopt(grown(b, 1))
+	var all []Server
+	for i := range 5200 {
+		all = append(all, Server{ID: fmt.Sprint("srv-", i), Addr: fmt.Sprint("a-", i), Service: fmt.Sprint("s-", i%180), Capacity: 50})
+	}
+	p.Serve(all)
+	for _, whole := range []bool{true, false} {
+		b.Run(fmt.Sprint("whole=", whole), func(b *testing.B) {
+			for n := 0; b.Loop(); n++ {
+				one := &all[n%len(all)]
+				one.Capacity = 51 - one.Capacity%2
+				if whole {
+					p.Serve(all)
+				} else {
+					p.Change([]Server{*one}, nil)
+				}
+			}
+		})
+	}
+}
--- a/internal/shuttle/shuttle.go
+++ b/internal/shuttle/shuttle.go
@@ -7,6 +7,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 	RetrySlack float64     // and so many besides
 	ColdFor    time.Duration
 	Faults     Faults // nil: none
+	Bug        transport.Bug
+	Times      func(id string, t *protocol.Times) // takes when each request came to each stage; nil: nobody measures
 }
 
 // Plane carries traffic.
@@ -52,8 +55,9 @@
 	table   atomic.Pointer[creed.Table]
 	gate    atomic.Pointer[gate] // nil: none
 	lanes   atomic.Pointer[map[string]*lane]
-	mu      sync.Mutex // of what follows: one change at a time
-	servers map[string][]Server
+	mu      sync.Mutex          // of what follows: one change at a time
+	servers map[string][]Server // by service, in the order of their IDs
+	places  map[string]string   // the service of each
 	gates   int
 	index   int
 	refused atomic.Int64 // by quota
@@ -65,9 +69,12 @@
 // New returns a plane without a configuration: it refuses everything.
 func New(o Options) *Plane {
 	o.World = seam.Or(o.World)
-	p := &Plane{opt: o, ids: protocol.NewIDs(), servers: map[string][]Server{}, gates: 1}
+	p := &Plane{opt: o, ids: protocol.NewIDs(), servers: map[string][]Server{}, places: map[string]string{}, gates: 1}
 	p.peers = transport.PeerOptions{World: o.World, Connect: connectWithin, Sockets: transport.NewSockets(o.Sockets),
-		Keep: transport.NewKeep(keepIdle)}
+		Keep: transport.NewKeep(keepIdle), Strict: true, Bug: o.Bug}
+	if o.Times != nil {
+		p.peers.Wrote = protocol.MarkWritten
+	}
 	p.lanes.Store(&map[string]*lane{})
 	return p
 }
@@ -129,16 +136,74 @@
 func (p *Plane) Serve(list []Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := map[string][]Server{}
+	var gone []string
+	now := make(map[string]bool, len(list))
 	for _, s := range list {
-		now[s.Service] = append(now[s.Service], s)
+		now[s.ID] = true
 	}
-	was, t := p.servers, p.table.Load()
-	p.servers = now
-	for name, l := range *p.lanes.Load() {
-		if !slices.Equal(now[name], was[name]) {
-			l.adopt(int64(t.Version), p.settings(t, name)) // their capacity is in it
-			l.update(now[name])
+	for id := range p.places {
+		if !now[id] {
+			gone = append(gone, id)
+		}
+	}
+	p.change(list, gone)
+}
+
+// Change takes those servers that are otherwise than before, and the IDs of those that have
+// ended. The work grows with the services that are touched, not with all servers.
+func (p *Plane) Change(list []Server, gone []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.change(list, gone)
+}
+
+func (p *Plane) change(list []Server, gone []string) {
+	was := map[string][]Server{} // of the services that are touched
+	touch := func(service string) {
+		if _, ok := was[service]; !ok {
+			was[service] = p.servers[service]
+			p.servers[service] = slices.Clone(p.servers[service])
+		}
+	}
+	find := func(service, id string) (int, bool) {
+		return slices.BinarySearchFunc(p.servers[service], id, func(s Server, id string) int { return strings.Compare(s.ID, id) })
+	}
+	drop := func(id string) {
+		service, ok := p.places[id]
+		if !ok {
+			return
+		}
+		touch(service)
+		if i, ok := find(service, id); ok {
+			p.servers[service] = slices.Delete(p.servers[service], i, i+1)
+		}
+		delete(p.places, id)
+	}
+	for _, id := range gone {
+		drop(id)
+	}
+	for _, s := range list {
+		if service, ok := p.places[s.ID]; ok && service != s.Service {
+			drop(s.ID)
+		}
+		touch(s.Service)
+		i, ok := find(s.Service, s.ID)
+		if ok {
+			p.servers[s.Service][i] = s
+		} else {
+			p.servers[s.Service] = slices.Insert(p.servers[s.Service], i, s)
+		}
+		p.places[s.ID] = s.Service
+	}
+	t, lanes := p.table.Load(), *p.lanes.Load()
+	for service, before := range was {
+		now := p.servers[service]
+		if len(now) == 0 {
+			delete(p.servers, service)
+		}
+		if l := lanes[service]; l != nil && !slices.Equal(now, before) {
+			l.adopt(int64(t.Version), p.settings(t, service)) // their capacity is in it
+			l.update(now)
 		}
 	}
 }
