--- a/cmd/asterlab/days.go
+++ b/cmd/asterlab/days.go
@@ -24,29 +24,50 @@
 	var count int
 	var script string
 	var trace, first bool
+	var on string
 	c := &cobra.Command{Use: "days", Short: "Play days of the whole system in simulated time, drawn from seeds", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			draw, err := drawer(on)
+			if err != nil {
+				return err
+			}
 			if script != "" || trace {
-				return oneDay(script, from, trace)
+				return oneDay(script, draw, from, trace)
 			}
 			if count < 1 {
 				return fmt.Errorf("--count must be at least 1")
 			}
 			debug.SetGCPercent(800)
 			began := time.Now()
-			return tellDays(playDays(from, count, first), time.Since(began))
+			return tellDays(playDays(draw, from, count, first), time.Since(began), on)
 		}}
 	f := c.Flags()
 	f.Uint64Var(&from, "from", 1, "first seed")
 	f.IntVar(&count, "count", 100, "how many seeds")
 	f.StringVar(&script, "script", "", "play this script in place of drawn ones, with the first seed")
+	f.StringVar(&on, "on", "", "a site: draw every kind of trouble that any site lists, at any moment; 'all': the sites by turns")
 	f.BoolVar(&first, "first", false, "end at the first that breaks a rule")
 	f.BoolVar(&trace, "trace", false, "play one day, and print what happens")
 	return c
 }
 
+// drawer finds how days are drawn for a site; "" is as ever.
+func drawer(on string) (func(uint64) string, error) {
+	sites := yarn.Deployments
+	i := slices.IndexFunc(sites, func(d yarn.Deployment) bool { return d.Name == on })
+	switch {
+	case on == "":
+		return yarn.Draw, nil
+	case on == "all":
+		return func(seed uint64) string { return yarn.DrawAny(seed, sites[seed%uint64(len(sites))]) }, nil
+	case i >= 0:
+		return func(seed uint64) string { return yarn.DrawAny(seed, sites[i]) }, nil
+	}
+	return nil, fmt.Errorf("--on: no site %q", on)
+}
+
 // playDays plays them side by side. With first, those after one that broke a rule are left out.
-func playDays(from uint64, count int, first bool) []yarn.Stats {
+func playDays(draw func(uint64) string, from uint64, count int, first bool) []yarn.Stats {
 	all := make([]yarn.Stats, count)
 	var next, end atomic.Int64
 	end.Store(int64(count))
@@ -54,7 +75,8 @@
 	for range runtime.GOMAXPROCS(0) {
 		wg.Go(func() {
 			for i := next.Add(1) - 1; i < end.Load(); i = next.Add(1) - 1 {
-				all[i] = yarn.Play(from + uint64(i))
+				seed := from + uint64(i)
+				all[i] = yarn.Run(draw(seed), seed, yarn.Sound, nil)
 				for was := end.Load(); first && all[i].Broken != "" && i+1 < was && !end.CompareAndSwap(was, i+1); was = end.Load() {
 				}
 			}
@@ -64,8 +86,8 @@
 	return all[:end.Load()]
 }
 
-func oneDay(file string, seed uint64, trace bool) error {
-	script := yarn.Draw(seed)
+func oneDay(file string, draw func(uint64) string, seed uint64, trace bool) error {
+	script := draw(seed)
 	if file != "" {
 		text, err := os.ReadFile(file)
 		if err != nil {
@@ -86,7 +108,7 @@
 }
 
 // tellDays prints a table, what broke, and the figures as JSON.
-func tellDays(all []yarn.Stats, took time.Duration) error {
+func tellDays(all []yarn.Stats, took time.Duration, on string) error {
 	var sum yarn.Stats
 	var failing []uint64
 	broken := map[string]int{}
@@ -103,11 +125,15 @@
 		sum.Leaves = append(sum.Leaves, s.Leaves...)
 		sum.Takeovers = append(sum.Takeovers, s.Takeovers...)
 		sum.Recoveries = append(sum.Recoveries, s.Recoveries...)
+		sum.Mends = append(sum.Mends, s.Mends...)
 		if s.Broken != "" {
 			failing = append(failing, s.Seed)
 			broken[s.Broken]++
-			fmt.Printf("seed %d broke %q: at %v: %s\n  asterlab days --trace --from %d\n", s.Seed, s.Broken, s.At.Round(time.Millisecond),
-				s.Detail, s.Seed)
+			again := fmt.Sprintf("asterlab days --trace --from %d", s.Seed)
+			if on != "" {
+				again += " --on " + on
+			}
+			fmt.Printf("seed %d broke %q: at %v: %s\n  %s\n", s.Seed, s.Broken, s.At.Round(time.Millisecond), s.Detail, again)
 		}
 	}
 	figures := map[string]any{"days": len(all), "seeds": len(all), "failing": failing, "broken": broken, "simulated_s": int(sum.Length.Seconds()),
@@ -119,7 +145,8 @@
 		name, key string
 		times     yarn.Times
 	}{{"a configuration is acknowledged", "ack", sum.Acks}, {"a server may leave", "leave", sum.Leaves},
-		{"another primary serves", "takeover", sum.Takeovers}, {"half is served after most were away", "recovery", sum.Recoveries}} {
+		{"another primary serves", "takeover", sum.Takeovers}, {"half is served after most were away", "recovery", sum.Recoveries},
+		{"all have the newest after all is mended", "mend", sum.Mends}} {
 		ms := func(part float64) int64 { return row.times.Of(part).Milliseconds() }
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\n", row.name, len(row.times), ms(0.5), ms(0.99), ms(1))
 		figures[row.key+"_ms"] = []int64{ms(0.5), ms(0.99), ms(1)}
--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -29,7 +29,7 @@
 func main() {
 	root := &cobra.Command{Use: "asterlab", Short: "Stand-ins and measurements for asterwell, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(standins(), measures(), fieldCommand(), clusterSeeds(), seeds(), replay(), shrink(), days())
+	root.AddCommand(standins(), hollow(), staged(), capacity(), measures(), fieldCommand(), clusterSeeds(), seeds(), replay(), shrink(), days())
 	end := profiles(root)
 	if err := errors.Join(root.Execute(), end()); err != nil {
 		fmt.Fprintln(os.Stderr, "asterlab:", err)
@@ -154,7 +154,8 @@
 	srv.Flags().Float64Var(&rate, "rate", 300, "tries a second at each gateway")
 	c.AddCommand(srv)
 	c.AddCommand(measureEven(&seed, &gateway, print), measurePolicy(&seed, &gateway, print), measureRollout(&seed, print), measureFaults(&seed, print),
-		measureGrown(&seed, print), measureRecovery(&seed, print), measureAgreement(&seed, print))
+		measureGrown(&seed, print), measureRecovery(&seed, print), measureScale(&seed, print), measureStages(&seed, print), measureAgreement(&seed, print), measureState(&seed, print),
+		measureFrozen(print), measureControl(&seed, print))
 	var repo string
 	var most int
 	hunt := func(use, short string, do func(string, []string, uint64, int) (*lab.Report, error)) {
--- a/cmd/asterlab/rollout.go
+++ b/cmd/asterlab/rollout.go
@@ -28,6 +28,7 @@
 	c.Flags().IntSliceVar(&o.Nodes, "nodes", []int{11, 91}, "sizes of the fleet")
 	c.Flags().IntVar(&o.Versions, "versions", 40, "taken up at each size")
 	c.Flags().IntVar(&o.Seeds, "seeds", 300, "with drawn faults")
+	c.Flags().IntSliceVar(&o.Drawn, "drawn", []int{11}, "sizes of the fleets with drawn faults, by turns")
 	c.Flags().IntVar(&o.States, "states", 200000, "of a small model that is not visited as a whole")
 	c.Flags().BoolVar(&on, "real", false, "real processes of loom on loopback, under load, instead of simulated ones")
 	c.Flags().StringVar(&real.Folder, "folder", "", "for --real: where the core keeps its state; empty: the temporary folder")
--- a/internal/lab/agreement.go
+++ b/internal/lab/agreement.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"asterwell/internal/pact"
 	"asterwell/internal/yarn"
 )
@@ -87,11 +91,25 @@
 	slots := make(chan struct{}, max(width, 1))
 	for i := range jobs {
 		slots <- struct{}{}
-		wg.Go(func() { do(i); <-slots })
+		wg.Go(func() { piece(func() { do(i) }); <-slots })
 	}
 	wg.Wait()
 }
 
+// cores is how many jobs go on at once where nothing else does.
+func cores() int { return runtime.GOMAXPROCS(0) }
+
+// sideAll does jobs of several kinds on all processors: none waits for the last one of another kind.
+func sideAll(kinds ...[]func()) {
+	jobs := slices.Concat(kinds...)
+	side(len(jobs), cores(), func(i int) { jobs[i]() })
+}
+
+// each makes a job of each of so many.
+func each(count int, do func(i int)) []func() {
+	return lo.Times(count, func(i int) func() { return func() { do(i) } })
+}
+
 // MeasureAgreement explores the small model of agreement, plays larger cores by drawn
 // schedules, and counts what it takes to find faults that are put in.
 func MeasureAgreement(o AgreementOptions) (*Report, error) {
--- /dev/null
+++ b/internal/lab/controlcut.go
@@ -0,0 +1,116 @@
+package lab
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"asterwell/internal/bane"
+	"asterwell/internal/bane/world"
+	"asterwell/internal/yarn"
+)
+
+// Keys of what a cut may break.
+const (
+	staleAnswers     = "stale_answers"
+	refusedAgain     = "refused_again"
+	acknowledgedLost = "acknowledged_lost"
+	otherRules       = "other_rules"
+	healedMost       = "healed_s_max"
+)
+
+// cutSeeds is how many times each scenario is played, and each guard taken out.
+const cutSeeds = 3
+
+// cutGuards are the guards that cuts need, each with the scenario that misses it.
+var cutGuards = []struct {
+	bug      yarn.Bug
+	scenario string
+	rules    string
+}{
+	{yarn.Unread, "thaw", "CONTACT STALE LOST"},
+	{yarn.Unvouched, "gateway", "PROMISE"},
+	{yarn.Straight, "deaf", "EXPECT"},
+	{yarn.Unmet, "restart", "READY"},
+	{yarn.Unfenced, "late", "EXPECT"},
+}
+
+// controlCut plays machines that are cut off for some twenty seconds: the scenarios, so many
+// drawn days, and the scenarios with each guard taken out.
+func controlCut(days int, seed uint64) (ControlPoint, error) {
+	p := ControlPoint{Name: "cut", Days: days, Broken: map[string]int{staleAnswers: 0, refusedAgain: 0, acknowledgedLost: 0, otherRules: 0},
+		Worst: map[string]float64{healedMost: 0}}
+	scripts := yarn.ControlScripts()
+	names := slices.Sorted(maps.Keys(scripts))
+	if len(names) == 0 {
+		return p, fmt.Errorf("there are no scenarios of cuts")
+	}
+	type play struct {
+		name, script string
+		seed         uint64
+	}
+	var plays []play
+	for _, name := range names {
+		for s := range uint64(cutSeeds) {
+			plays = append(plays, play{"scenario " + name, scripts[name], s})
+		}
+	}
+	for s := seed; s < seed+uint64(days); s++ {
+		plays = append(plays, play{"drawn day", yarn.DrawCut(s), s})
+	}
+	all := make([]yarn.Stats, len(plays))
+	found := make([]bool, len(cutGuards)+1)
+	sideAll(each(len(found), func(i int) { found[i] = cutFinds(i, scripts) }),
+		each(len(plays), func(i int) { all[i] = yarn.Run(plays[i].script, plays[i].seed, yarn.Sound, nil) }))
+	for i, s := range all {
+		for _, d := range s.Heals {
+			p.Worst[healedMost] = max(p.Worst[healedMost], d.Seconds())
+		}
+		if s.Broken != "" {
+			p.Broken[cutKey(s)]++
+			p.Lines = append(p.Lines, plays[i].name+": "+s.String())
+		}
+	}
+	for i, ok := range found {
+		if p.Mutants++; ok {
+			p.Found++
+		} else if i < len(cutGuards) {
+			p.Lines = append(p.Lines, "guard "+cutGuards[i].bug.String()+" taken out: not met")
+		} else {
+			p.Lines = append(p.Lines, "guard unasked taken out: not met")
+		}
+	}
+	return p, nil
+}
+
+// cutFinds takes one guard out. The last is that of fault rules, which only a primary meets that
+// knows nothing of its successor.
+func cutFinds(i int, scripts map[string]string) bool {
+	if i == len(cutGuards) {
+		w, taken := world.Deposed(bane.Unconfirmed)
+		sound, _ := world.Deposed(bane.Sound)
+		return taken && w.Broken == "STALE" && sound.Broken == ""
+	}
+	g := cutGuards[i]
+	for s := range uint64(cutSeeds) {
+		if by := yarn.Run(scripts[g.scenario], s, g.bug, nil).Broken; by != "" && strings.Contains(g.rules, by) {
+			return true
+		}
+	}
+	return false
+}
+
+// cutKey is what a broken rule counts as.
+func cutKey(s yarn.Stats) string {
+	switch {
+	case s.Broken == "LOST" && strings.Contains(s.Detail, " reads version "), s.Broken == "STALE", s.Broken == "CONTACT",
+		s.Broken == "CONFIG", s.Broken == "READY" && strings.Contains(s.Detail, "since it was started"):
+		return staleAnswers
+	case s.Broken == "REFUSED":
+		return refusedAgain
+	case s.Broken == "PROMISE", s.Broken == "DRAIN", s.Broken == "LOST":
+		return acknowledgedLost
+	}
+	return otherRules
+}
--- /dev/null
+++ b/internal/lab/controlorders.go
@@ -0,0 +1,217 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"sync"
+
+	"github.com/anishathalye/porcupine"
+
+	"asterwell/internal/bane"
+	faultworld "asterwell/internal/bane/world"
+	"asterwell/internal/cede"
+	"asterwell/internal/pact"
+	"asterwell/internal/yarn"
+)
+
+// One number, one text; one order, one outcome.
+const (
+	twoTexts   = "two_texts"
+	refusedNow = "refused_again"
+	// A stop of fault rules, or a copy of one, ended others than it was meant for.
+	otherStopped = "other_stopped"
+	// All gateways drain.
+	noneStays = "none_stays"
+)
+
+// textOf is an operation on the text of one number: whoever is first writes it, for good.
+type textOf struct {
+	text string
+	read bool
+}
+
+// texts has for each number a register that is written once.
+var texts = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		of := map[uint32][]porcupine.Operation{}
+		for _, o := range all {
+			n := o.Metadata.(uint32)
+			of[n] = append(of[n], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, p := range of {
+			parts = append(parts, p)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		held, i := state.(string), in.(textOf)
+		switch out.(string) {
+		case yarn.Acked, yarn.Saw:
+			if held == "" && !i.read {
+				held = i.text
+			}
+			return held == i.text, held
+		case yarn.Differed:
+			return held != "" && held != i.text, held
+		}
+		if held == "" { // no clear answer: it was taken at some time, or never
+			held = i.text
+		}
+		return true, held
+	},
+}
+
+// oneText holds a history against that, and tells what is wrong with it, by the report's key.
+func oneText(calls []yarn.Call) (key, why string) {
+	var ops []porcupine.Operation
+	acked, denied := map[uint32]string{}, map[string]bool{}
+	for i, c := range calls {
+		name := fmt.Sprint(c.Number, " ", c.Text)
+		switch c.End {
+		case yarn.Acked:
+			if t, ok := acked[c.Number]; ok && t != c.Text {
+				return twoTexts, fmt.Sprintf("%08x has the texts %s and %s acknowledged", c.Number, t, c.Text)
+			}
+			acked[c.Number] = c.Text
+		case yarn.Differed:
+			denied[name] = true
+		}
+		o := porcupine.Operation{ClientId: i, Input: textOf{c.Text, c.End == yarn.Saw}, Output: c.End, Call: int64(c.From), Return: int64(c.To),
+			Metadata: c.Number}
+		if c.End == yarn.Unclear {
+			o.Return = math.MaxInt64
+		}
+		ops = append(ops, o)
+	}
+	for _, c := range calls {
+		if c.End == yarn.Acked && denied[fmt.Sprint(c.Number, " ", c.Text)] {
+			return refusedNow, fmt.Sprintf("%08x %s is acknowledged, and refused", c.Number, c.Text)
+		}
+	}
+	if !porcupine.CheckOperations(texts, ops) {
+		return twoTexts, "porcupine: no order of the calls explains the answers"
+	}
+	return "", ""
+}
+
+// ordersDay plays a seed's day of operators, and the calls of it that are at fault.
+func ordersDay(seed uint64, bug yarn.Bug) (key, why string) {
+	s := yarn.Run(yarn.DrawOrders(seed), seed, bug, nil)
+	switch s.Broken {
+	case "":
+	case "TEXTS":
+		return twoTexts, s.String()
+	case "LOST":
+		return ackedLost, s.String()
+	default:
+		return "", s.String()
+	}
+	return oneText(s.Calls)
+}
+
+// faultSetsDay plays a seed's day of fault rules, whose sets come again.
+func faultSetsDay(seed uint64, bug bane.Bug) (key, why string) {
+	w := faultworld.Play(seed, bug)
+	switch w.Broken {
+	case "TEXTS":
+		return twoTexts, w.Detail
+	case "REFUSED":
+		return refusedNow, w.Detail
+	case "SPARED":
+		return otherStopped, w.Detail
+	}
+	return "", w.Detail
+}
+
+// ordersWalk draws schedules of a small core that is given several texts of one number.
+func ordersWalk(seed uint64, count int, bug pact.Bug) string {
+	w := pact.Walk(ordersBounds(bug), pact.NoPair, seed, count, orderSteps)
+	return w.Broken
+}
+
+const orderSteps = 160
+
+func ordersBounds(bug pact.Bug) pact.Bounds {
+	return pact.Bounds{Members: 3, Losses: 1, Silent: true, Puts: 4, Over: true, Lost: 1, Shorts: 20, Longs: 30, Deaths: 2, Bug: bug}
+}
+
+// controlOrders plays what must not make two texts of a number, or refuse an order that was taken.
+func controlOrders(days int, seed uint64) (ControlPoint, error) {
+	p := ControlPoint{Name: "one number, one text", Days: days, Broken: map[string]int{twoTexts: 0, refusedNow: 0, ackedLost: 0, otherStopped: 0, noneStays: 0}}
+	var mu sync.Mutex
+	met := func(where, key, why string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if why == "" {
+			return
+		}
+		if key != "" {
+			p.Broken[key]++
+		}
+		p.Lines = append(p.Lines, where+": "+why)
+	}
+	models := []pact.Bounds{{Puts: 2, Same: true}, {Puts: 3, Over: true, States: 100_000}, {Silent: true, Puts: 2, Same: true, Shorts: 1, States: 100_000}}
+	explore := each(len(models), func(i int) { met(bounded(models[i]), twoTexts, pact.Explore(models[i]).Broken) })
+	walk := func() { met("drawn schedules", twoTexts, ordersWalk(seed, 200, 0)) }
+	play := each(days, func(i int) {
+		at := seed + uint64(i)
+		key, why := ordersDay(at, yarn.Sound)
+		met(fmt.Sprint("orders, seed ", at), key, why)
+		key, why = faultSetsDay(at, bane.Sound)
+		met(fmt.Sprint("fault rules, seed ", at), key, why)
+	})
+	scripts := yarn.ControlScripts()
+	for _, name := range []string{"stops", "drains"} {
+		side(cutSeeds, 4, func(i int) {
+			switch s := yarn.Run(scripts[name], seed+uint64(i), yarn.Sound, nil); s.Broken {
+			case "":
+			case "STAYED":
+				met("scenario "+name, noneStays, s.String())
+			case "EXPECT":
+				met("scenario "+name, otherStopped, s.String())
+			default:
+				met("scenario "+name, "", s.String())
+			}
+		})
+	}
+	for _, b := range []cede.Bounds{{Procs: 2, Starts: 3, Stops: 1, Agains: 2, States: 50_000}, {Procs: 3, Starts: 3, States: 50_000}} {
+		met(fmt.Sprintf("drains, %+v", b), noneStays, cede.Explore(b).Broken)
+	}
+	drains := func(bug cede.Bug) bool {
+		return cede.Explore(cede.Bounds{Procs: 2, Starts: 3, Stops: 1, Agains: 2, Bug: bug}).Broken != ""
+	}
+	mutants := []func(seed uint64) bool{
+		func(s uint64) bool { return yarn.Run(scripts["stops"], s, yarn.Numberless, nil).Broken == "EXPECT" },
+		func(s uint64) bool { return yarn.Run(scripts["drains"], s, yarn.Uncalled, nil).Broken == "STAYED" },
+		func(uint64) bool { return drains(cede.Hasty) },
+		func(uint64) bool { return drains(cede.Stale) },
+		func(uint64) bool { return drains(cede.Both) },
+		func(s uint64) bool { key, _ := ordersDay(s, yarn.Confirms); return key != "" },
+		func(s uint64) bool { key, _ := ordersDay(s, yarn.Forgets); return key != "" },
+		func(s uint64) bool { key, _ := faultSetsDay(s, bane.Refuses); return key != "" },
+		func(s uint64) bool { key, _ := faultSetsDay(s, bane.Confuses); return key != "" },
+		func(s uint64) bool { key, _ := faultSetsDay(s, bane.Numberless); return key == otherStopped },
+		func(s uint64) bool { return ordersWalk(s, 1, pact.BugAnyText) != "" },
+		func(s uint64) bool { // met by one schedule of 30 to some thousands: hunted once, in many
+			return s == seed && walkFinds(ordersBounds(pact.BugForgets), pact.NoPair, seed, orderSteps)
+		},
+	}
+	p.Mutants = len(mutants)
+	found := make([]bool, len(mutants))
+	hunt := each(len(mutants), func(i int) {
+		for s := seed; s < seed+200 && !found[i]; s++ {
+			found[i] = mutants[i](s)
+		}
+	})
+	sideAll(explore, []func(){walk}, hunt, play)
+	for i, ok := range found {
+		if ok {
+			p.Found++
+		} else {
+			p.Lines = append(p.Lines, fmt.Sprintf("mutant %d is not found", i))
+		}
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/lab/controlstate.go
@@ -0,0 +1,185 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"asterwell/internal/pact"
+	"asterwell/internal/yarn"
+)
+
+// stateKeys are what the point "after hundreds of changes" is judged by.
+var stateKeys = []string{"never_caught_up", "led_old", "acknowledged_lost"}
+
+// stateKey is the key that a broken rule of a day counts for.
+func stateKey(s yarn.Stats) string {
+	switch {
+	case s.Broken == "LOST" && strings.Contains(s.Detail, "is not read back"):
+		return "acknowledged_lost"
+	case s.Broken == "LOST", s.Broken == "CONFIG" && !strings.Contains(s.Detail, "was acknowledged"):
+		return "led_old" // somebody answered with less than was known, or went back
+	}
+	return "never_caught_up"
+}
+
+// walkKey is the same for a schedule of the model.
+func walkKey(broken string) string {
+	if strings.Contains(broken, "is read when all is well") {
+		return "never_caught_up"
+	}
+	return "led_old"
+}
+
+// stateWays are the ways back that are played each time: what was away, how, and on what disks and links.
+func stateWays(seed uint64) []yarn.Away {
+	var all []yarn.Away
+	for _, how := range []string{"kill", "wipe", "putback"} {
+		for _, who := range []string{"primary", "backup", "witness"} {
+			for _, sync := range []time.Duration{time.Millisecond, 5 * time.Millisecond} {
+				all = append(all, yarn.Away{How: how, Who: who, Changes: 60, Storm: true, Routes: 30, Sync: sync, Seed: seed})
+			}
+		}
+		all = append(all, yarn.Away{How: how, Who: "backup", Changes: 300, Storm: true, Routes: 30, Sync: 5 * time.Millisecond,
+			Rate: edgeRate, Seed: seed})
+	}
+	return append(all, yarn.Away{Edge: true, Changes: 300, Storm: true, Routes: 30, Sync: 5 * time.Millisecond, Seed: seed}, largeWay(seed))
+}
+
+// largeWay has a configuration as long as one of 4,800 routes and 12,000 tenants.
+func largeWay(seed uint64) yarn.Away {
+	return yarn.Away{How: "kill", Who: "primary", Changes: 2, Storm: true, Every: largeEvery, Routes: largeBytes / 214, Sync: 5 * time.Millisecond, Seed: seed}
+}
+
+const largeBytes = 2234615
+
+const edgeRate = 2e6 / 8 // bytes a second of a link of 2 Mbit/s
+
+// stateWalk is the model's bounds for disks that are put back.
+func stateWalk(members, losses int) pact.Bounds {
+	return pact.Bounds{Members: members, Losses: losses, Silent: true, Puts: 4, Reads: 2, Lost: 3, Late: 2, Doubled: 1, Shorts: 60, Longs: 90}
+}
+
+const (
+	stateSteps  = 400
+	stateChunk  = 25    // schedules that share a model
+	stateMutant = 15000 // schedules until a mutant counts as not found; the rarest is met by one of 1,500 or so
+	huntSide    = 4     // chunks side by side: those under way when it is found are played for nothing
+)
+
+// controlState plays point 4, after hundreds of changes: ways back under a storm, drawn days in which disks go back,
+// drawn schedules and small models of the same, and mutants.
+func controlState(days int, seed uint64) (ControlPoint, error) {
+	p := ControlPoint{Name: "state", Days: days, Broken: map[string]int{}, Worst: map[string]float64{}}
+	for _, k := range stateKeys {
+		p.Broken[k] = 0
+	}
+	var mu sync.Mutex
+	broke := func(key, form string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		p.Broken[key]++
+		p.Lines = append(p.Lines, fmt.Sprintf(form, args...))
+	}
+	ways := stateWays(seed)
+	back := each(len(ways), func(i int) {
+		b := yarn.Return(ways[i])
+		mu.Lock()
+		p.Worst["caught_up_s_max"] = max(p.Worst["caught_up_s_max"], b.Newest.Seconds(), b.Seat.Seconds())
+		mu.Unlock()
+		if b.Never != "" {
+			broke("never_caught_up", "way back, %+v: %s", ways[i], b.Never)
+		}
+	})
+	drawn := each(days, func(i int) {
+		s := seed + uint64(i)
+		if day := yarn.Run(yarn.DrawState(s), s, yarn.Sound, nil); day.Broken != "" {
+			broke(stateKey(day), "day of state, %v", day)
+		}
+	})
+	walks := each((2*days+stateChunk-1)/stateChunk, func(i int) {
+		b := stateWalk(3, 1)
+		if i%3 == 2 {
+			b = stateWalk(6, 2)
+		}
+		from := seed + uint64(i*stateChunk)
+		if w := pact.Walk(b, pact.OneBack, from, min(stateChunk, 2*days-i*stateChunk), stateSteps); w.Broken != "" {
+			broke(walkKey(w.Broken), "disk put back, %d members, schedule %d: %s", b.Members, w.Seed, w.Broken)
+		}
+	})
+	small := []pact.Bounds{{Silent: true, Backs: 1, Shorts: 1}, {Silent: true, Backs: 1, Puts: 1}, {Silent: true, Backs: 1, Longs: 1}}
+	models := each(len(small), func(i int) {
+		if f := pact.Explore(small[i]); f.Broken != "" || !f.All {
+			broke(walkKey(f.Broken), "disk put back, small model %+v: %s", small[i], f.Broken)
+		}
+	})
+	hunts := each(len(stateMutants), func(i int) {
+		m := stateMutants[i]
+		ok := m.found(seed)
+		mu.Lock()
+		defer mu.Unlock()
+		p.Mutants++
+		if ok {
+			p.Found++
+		} else {
+			p.Lines = append(p.Lines, "mutant of state not found: "+m.what)
+		}
+	})
+	slices.Reverse(back) // the large one is the longest
+	sideAll(hunts, models, walks, back, drawn)
+	return p, nil
+}
+
+// stateMutants are the guards that are taken out one by one.
+var stateMutants = []struct {
+	what  string
+	found func(seed uint64) bool
+}{
+	{"a disk that was put back counts as the newer one", func(seed uint64) bool {
+		old := stateWalk(3, 1)
+		old.Bug = pact.BugOldDisk
+		return walkFinds(old, pact.OneBack, seed, 2*stateSteps) // a copy has to grow old first
+	}},
+	{"who is behind leads with what it has", func(seed uint64) bool {
+		any := pact.Bounds{Members: 5, Losses: 1, Silent: true, Puts: 4, Reads: 2, Lost: 3, Late: 3, Doubled: 3, Shorts: 30, Longs: 75,
+			Bug: pact.BugAnyData}
+		return walkFinds(any, pact.BothKilled, seed, walkSteps)
+	}},
+	{"a candidate that lacks a text which a promise names goes on with its own", func(seed uint64) bool {
+		own := stateWalk(3, 1)
+		own.Bug, own.Late = pact.BugOwnText, 3
+		return walkFinds(own, pact.BothKilled, seed, stateSteps)
+	}},
+	{"an empty disk counts as the one that was there", func(uint64) bool {
+		return pact.Explore(pact.Bounds{Silent: true, Wipes: 1, Bug: pact.BugAmnesia}).Broken != ""
+	}},
+	{"who has missed a document doesn't ask for it", func(seed uint64) bool {
+		return yarn.Return(yarn.Away{How: "kill", Who: "witness", Changes: 10, Routes: 30, Sync: time.Millisecond, Seed: seed, Bug: yarn.Deaf}).Never != ""
+	}},
+	{"large documents go whole", func(seed uint64) bool {
+		whole := largeWay(seed)
+		whole.Bug = yarn.Whole
+		return yarn.Return(whole).Never != ""
+	}},
+}
+
+// walkFinds hunts a mutant by drawn schedules, several at a time.
+func walkFinds(b pact.Bounds, pair pact.Pair, seed uint64, steps int) bool {
+	var mu sync.Mutex
+	found := false
+	side(stateMutant/stateChunk, huntSide, func(i int) {
+		mu.Lock()
+		over := found
+		mu.Unlock()
+		if over {
+			return
+		}
+		w := pact.Walk(b, pair, seed+uint64(i*stateChunk), stateChunk, steps)
+		mu.Lock()
+		defer mu.Unlock()
+		found = found || w.Broken != ""
+	})
+	return found
+}
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 type RolloutOptions struct {
 	Seed     uint64
 	Seeds    int   // with drawn faults
+	Drawn    []int // sizes of the fleets that these befall, one after the other; none: 11
 	Nodes    []int // sizes of the fleet
 	Versions int   // at each size
 	States   int   // of the small model, at most
@@ -137,7 +139,7 @@
 				if done {
 					return
 				}
-				p := world.Play(world.Options{Seed: seed})
+				p := world.Play(world.Options{Seed: seed, Nodes: t.o.size(seed)})
 				mu.Lock()
 				where := fmt.Sprintf("seed %d", seed)
 				t.broke(where, p.Broken)
@@ -149,10 +151,18 @@
 		})
 	}
 	wg.Wait()
-	t.r.Row("drawn faults", 11, t.puts, fmt.Sprintf("%d seeds, %d kills, %d freezes, %d cuts, %d decided", t.o.Seeds, kills, freezes, cuts, decided))
+	t.r.Row("drawn faults", strings.Trim(fmt.Sprint(t.o.Drawn), "[]"), t.puts, fmt.Sprintf("%d seeds, %d kills, %d freezes, %d cuts, %d decided", t.o.Seeds, kills, freezes, cuts, decided))
 	t.figure["seeds"], t.figure["kills"], t.figure["freezes"], t.figure["cuts"], t.figure["decided"] = t.o.Seeds, kills, freezes, cuts, decided
 }
 
+// size of the fleet of a seed's day.
+func (o RolloutOptions) size(seed uint64) int {
+	if len(o.Drawn) == 0 {
+		return 11
+	}
+	return o.Drawn[seed%uint64(len(o.Drawn))]
+}
+
 // version is an operation on the register that the histories are held against: a change
 // writes it, a decided request reads it.
 type version struct {
--- a/internal/lab/rolloutplay.go
+++ b/internal/lab/rolloutplay.go
@@ -142,6 +142,7 @@
 		t.r.Rule(!live, "%08x is live, and %s could not confirm it", v, x.name)
 		t.boot(x)
 		t.await(t.put(rules{pay: "a", key: true}), 5*time.Second)
+		t.withdraw(v) // the same wish again, with a higher version live
 	}
 }
 
--- /dev/null
+++ b/internal/lab/texts_test.go
@@ -0,0 +1,52 @@
+package lab
+
+import (
+	"testing"
+
+	"asterwell/internal/creed"
+	"asterwell/internal/graft"
+	digest "asterwell/internal/ledger"
+	"asterwell/internal/pact"
+)
+
+// plannedTexts are two configurations of the size to design for, one route apart.
+func plannedTexts() (one, two []byte) {
+	o := ScaleOptions{Gateways: 490, Routes: 4800, Tenants: 12000, Services: 180, Rate: 265}
+	return scaleText(o, 1), scaleText(o, 2)
+}
+
+// BenchmarkStages is what each step of a change of one route costs at that size.
+func BenchmarkStages(b *testing.B) {
+	one, two := plannedTexts()
+	c, err := creed.Parse(two)
+	if err != nil {
+		b.Fatal(err)
+	}
+	delta, _ := graft.Make(one, two)
+	whole, _ := graft.Whole(two)
+	disk := pact.Disk{Life: 1, Kept: pact.Doc{Version: 1, Body: one}, Next: pact.Doc{Version: 2, Body: two}}
+	packed, _ := disk.Bytes()
+	b.Logf("%d bytes; a difference of %d, %d packed, %d on disk", len(two), len(delta.Steps), len(whole.Steps), len(packed))
+	for _, s := range []struct {
+		name string
+		do   func()
+	}{
+		{"read", func() { _, _ = creed.Parse(two) }},
+		{"table", func() { c.Table() }},
+		{"rollout", func() { creed.RolloutOf(two) }},
+		{"digest", func() { digest.Digest(two) }},
+		{"sum", func() { graft.Sum(two) }},
+		{"difference", func() { graft.Make(one, two) }},
+		{"apply", func() { _, _ = delta.Apply(one) }},
+		{"pack", func() { graft.Whole(two) }},
+		{"unpack", func() { _, _ = whole.Apply(nil) }},
+		{"disk", func() { _, _ = disk.Bytes() }},
+		{"compare", func() { creed.Diff(c, c) }},
+	} {
+		b.Run(s.name, func(b *testing.B) {
+			for b.Loop() {
+				s.do()
+			}
+		})
+	}
+}
