Write the models' states by plans made once a type, not by reflection at each field

Change: a scribe for each type, made once; the buffer's end is a number, since moving a slice's end for each number cost a write barrier.

--- a/internal/pact/code.go
+++ b/internal/pact/code.go
@@ -5,17 +5,22 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	locks "sync"
 	"time"
+	"unsafe"
 
 	"asterwell/internal/plane"
 )
 
 // coder writes a value so that states which can have the same consequences read the same:
 // times as they lie from now, numbers of writes as they lie from the last one synced. It
-// goes over all fields there are, so that a new one cannot be forgotten.
+// goes over all fields there are, so that a new one cannot be forgotten. How a type is written is worked
+// out once: a walk writes millions of states, and to ask reflection for each field of each took
+// more than a quarter of the models' time.
 type coder struct {
-	b       []byte
+	b       []byte // of which the first n are written: to move its end for each number costs more than the number
+	n       int
 	now     plane.Time
 	written uint64
 }
@@ -30,117 +35,234 @@
 	writeNums = []string{"seq", "Seq", "written", "active"}
 )
 
-func (c *coder) num(x uint64) { c.b = binary.AppendUvarint(c.b, x) }
+// coderOf writes behind what a buffer holds.
+func coderOf(b []byte, name string) coder {
+	b = append(append(b, name...), 0)
+	n := len(b)
+	return coder{b: b[:cap(b)], n: n}
+}
 
-// field says how one of a struct is written.
-type field uint8
+func (c *coder) num(x uint64) {
+	if len(c.b)-c.n < binary.MaxVarintLen64 {
+		c.grow(binary.MaxVarintLen64)
+	}
+	for ; x >= 0x80; x >>= 7 {
+		c.b[c.n] = byte(x) | 0x80
+		c.n++
+	}
+	c.b[c.n] = byte(x)
+	c.n++
+}
 
-const (
-	plainField field = iota
-	noField
-	writeNum
-)
+func (c *coder) grow(by int) {
+	next := make([]byte, 2*len(c.b)+by)
+	copy(next, c.b[:c.n])
+	c.b = next
+}
 
-// fields is that of each struct's type: a walk writes millions.
-var fields locks.Map
+func (c *coder) flag(is bool) {
+	if is {
+		c.num(1)
+	} else {
+		c.num(0)
+	}
+}
 
-func fieldsOf(t reflect.Type) []field {
-	if all, ok := fields.Load(t); ok {
-		return all.([]field)
+func (c *coder) text(s string) {
+	c.num(uint64(len(s)))
+	if len(c.b)-c.n < len(s) {
+		c.grow(len(s))
 	}
-	all := make([]field, t.NumField())
-	for i := range all {
-		switch f := t.Field(i); {
-		case slices.Contains(writeNums, f.Name):
-			all[i] = writeNum
-		case slices.Contains(leftOut, f.Type):
-			all[i] = noField
-		}
+	c.n += copy(c.b[c.n:], s)
+}
+
+func (c *coder) time(at plane.Time) {
+	if at == 0 {
+		c.num(0)
+	} else {
+		c.num(uint64(min(c.now-at, oldest)+2*oldest) + 1)
+	}
+}
+
+// scribe writes the value that stands at an address, of the type it was made for.
+type scribe func(c *coder, at unsafe.Pointer)
+
+// scribes is that of each type.
+var scribes locks.Map
+
+// scribeOf writes nothing of types that are left out.
+func scribeOf(t reflect.Type) scribe {
+	if slices.Contains(leftOut, t) {
+		return func(*coder, unsafe.Pointer) {}
 	}
-	fields.Store(t, all)
-	return all
+	return plainScribe(t)
 }
 
-func (c *coder) value(v reflect.Value) {
-	if !slices.Contains(leftOut, v.Type()) {
-		c.plain(v)
+func plainScribe(t reflect.Type) scribe {
+	if s, ok := scribes.Load(t); ok {
+		return s.(scribe)
 	}
+	s := newScribe(t)
+	scribes.Store(t, s)
+	return s
 }
 
-func (c *coder) plain(v reflect.Value) {
-	switch v.Kind() {
+func newScribe(t reflect.Type) scribe {
+	switch t.Kind() {
 	case reflect.Bool:
-		c.num(map[bool]uint64{true: 1}[v.Bool()])
-	case reflect.Int64, reflect.Int:
-		if v.Type() != timeType {
-			c.num(uint64(v.Int()))
-		} else if at := plane.Time(v.Int()); at == 0 {
-			c.num(0)
-		} else {
-			c.num(uint64(min(c.now-at, oldest)+2*oldest) + 1)
+		return func(c *coder, at unsafe.Pointer) { c.flag(*(*bool)(at)) }
+	case reflect.Int64, reflect.Int: // of one size here
+		if t == timeType {
+			return func(c *coder, at unsafe.Pointer) { c.time(*(*plane.Time)(at)) }
 		}
-	case reflect.Uint8, reflect.Uint32, reflect.Uint64:
-		c.num(v.Uint())
+		return func(c *coder, at unsafe.Pointer) { c.num(uint64(*(*int64)(at))) }
+	case reflect.Uint8:
+		return func(c *coder, at unsafe.Pointer) { c.num(uint64(*(*uint8)(at))) }
+	case reflect.Uint32:
+		return func(c *coder, at unsafe.Pointer) { c.num(uint64(*(*uint32)(at))) }
+	case reflect.Uint64:
+		return func(c *coder, at unsafe.Pointer) { c.num(*(*uint64)(at)) }
 	case reflect.String:
-		c.num(uint64(v.Len()))
-		c.b = append(c.b, v.String()...)
+		return func(c *coder, at unsafe.Pointer) { c.text(*(*string)(at)) }
 	case reflect.Slice:
-		c.num(uint64(v.Len()))
-		if !slices.Contains(leftOut, v.Type().Elem()) {
-			for i := range v.Len() {
-				c.plain(v.Index(i))
-			}
-		}
+		return sliceScribe(t)
 	case reflect.Map:
-		c.num(uint64(v.Len()))
-		keys := v.MapKeys()
-		slices.SortFunc(keys, func(a, b reflect.Value) int {
-			if a.String() < b.String() {
-				return -1
-			}
-			return 1
-		})
-		for _, k := range keys {
-			c.value(k)
-			c.value(v.MapIndex(k))
-		}
+		return mapScribe(t)
 	case reflect.Pointer:
-		if v.IsNil() {
-			c.num(0)
-			return
+		elem := locks.OnceValue(func() scribe { return scribeOf(t.Elem()) }) // it may point to its own kind
+		return func(c *coder, at unsafe.Pointer) {
+			to := *(*unsafe.Pointer)(at)
+			if to == nil {
+				c.num(0)
+				return
+			}
+			c.num(1)
+			elem()(c, to)
 		}
-		c.num(1)
-		c.value(v.Elem())
 	case reflect.Interface:
-		c.value(reflect.ValueOf(v.Elem().Type().Name()))
-		c.value(v.Elem())
+		return func(c *coder, at unsafe.Pointer) {
+			v := reflect.NewAt(t, at).Elem().Elem()
+			c.text(v.Type().Name())
+			c.boxed(v)
+		}
 	case reflect.Struct:
-		for i, how := range fieldsOf(v.Type()) {
-			switch how {
-			case noField:
-			case writeNum:
-				n := v.Field(i).Uint()
+		return structScribe(t)
+	}
+	panic(t) // a bug: a kind that no field had
+}
+
+// boxed writes a value that has no address.
+func (c *coder) boxed(v reflect.Value) {
+	box := reflect.New(v.Type())
+	box.Elem().Set(v)
+	scribeOf(v.Type())(c, box.UnsafePointer())
+}
+
+func sliceScribe(t reflect.Type) scribe {
+	size, elem := t.Elem().Size(), scribeOf(t.Elem())
+	return func(c *coder, at unsafe.Pointer) {
+		all := *(*[]byte)(at) // its beginning and its length, whatever it holds
+		c.num(uint64(len(all)))
+		for i, first := 0, unsafe.Pointer(unsafe.SliceData(all)); i < len(all); i++ {
+			elem(c, unsafe.Add(first, uintptr(i)*size))
+		}
+	}
+}
+
+// mapScribe writes maps from texts, in the order of these.
+func mapScribe(t reflect.Type) scribe {
+	if t.Key().Kind() != reflect.String {
+		panic(t) // a bug: no field had one
+	}
+	switch reflect.Zero(t).Interface().(type) {
+	case map[string]bool:
+		return func(c *coder, at unsafe.Pointer) { sorted(c, *(*map[string]bool)(at), c.flag) }
+	case map[string]uint32:
+		return func(c *coder, at unsafe.Pointer) {
+			sorted(c, *(*map[string]uint32)(at), func(n uint32) { c.num(uint64(n)) })
+		}
+	case map[string]uint64:
+		return func(c *coder, at unsafe.Pointer) { sorted(c, *(*map[string]uint64)(at), c.num) }
+	case map[string]plane.Time:
+		return func(c *coder, at unsafe.Pointer) { sorted(c, *(*map[string]plane.Time)(at), c.time) }
+	}
+	elem := locks.OnceValue(func() scribe { return scribeOf(t.Elem()) })
+	return func(c *coder, at unsafe.Pointer) {
+		m := reflect.NewAt(t, at).Elem()
+		c.num(uint64(m.Len()))
+		if m.Len() == 0 {
+			return
+		}
+		keys := m.MapKeys()
+		slices.SortFunc(keys, func(a, b reflect.Value) int { return strings.Compare(a.String(), b.String()) })
+		box := reflect.New(t.Elem())
+		for _, k := range keys {
+			c.text(k.String())
+			box.Elem().Set(m.MapIndex(k))
+			elem()(c, box.UnsafePointer())
+		}
+	}
+}
+
+// sorted writes a map's texts in order, and what stands under each.
+func sorted[V any](c *coder, m map[string]V, write func(V)) {
+	c.num(uint64(len(m)))
+	if len(m) == 0 {
+		return
+	}
+	var few [8]string
+	keys := few[:0]
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		c.text(k)
+		write(m[k])
+	}
+}
+
+func structScribe(t reflect.Type) scribe {
+	type part struct {
+		offset uintptr
+		write  scribe
+	}
+	var parts []part
+	for i := range t.NumField() {
+		switch f := t.Field(i); {
+		case slices.Contains(writeNums, f.Name):
+			if f.Type.Kind() != reflect.Uint64 {
+				panic(f.Name)
+			}
+			parts = append(parts, part{f.Offset, func(c *coder, at unsafe.Pointer) {
+				n := *(*uint64)(at)
 				if n > 0 {
 					n = n - c.written + 1
 				}
 				c.num(n)
-			default:
-				c.plain(v.Field(i))
-			}
+			}})
+		case !slices.Contains(leftOut, f.Type):
+			parts = append(parts, part{f.Offset, plainScribe(f.Type)})
+		}
+	}
+	return func(c *coder, at unsafe.Pointer) {
+		for i := range parts {
+			parts[i].write(c, unsafe.Add(at, parts[i].offset))
 		}
-	default:
-		panic(v.Type()) // a bug: a kind that no field had
 	}
 }
 
+var cellScribe = locks.OnceValue(func() scribe { return scribeOf(reflect.TypeFor[cell]()) })
+
 func (c *cell) code(b []byte) []byte {
-	w := coder{b: append(append(b, c.m.c.Self...), 0), now: c.m.now, written: c.m.written}
-	w.value(reflect.ValueOf(c).Elem())
-	return w.b
+	w := coderOf(b, c.m.c.Self)
+	w.now, w.written = c.m.now, c.m.written
+	cellScribe()(&w, unsafe.Pointer(c))
+	return w.b[:w.n]
 }
 
 func code(msg any, b []byte) []byte {
-	w := coder{b: append(append(b, reflect.TypeOf(msg).Name()...), 0)}
-	w.value(reflect.ValueOf(msg))
-	return w.b
+	w := coderOf(b, reflect.TypeOf(msg).Name())
+	w.boxed(reflect.ValueOf(msg))
+	return w.b[:w.n]
 }
