Bound what an add tells, and take up a configuration without going through its tenants

A new holder stayed "to be told again" as long as there was nothing to tell, so that an idle gateway went through all 12,000 tenants five times a second: mended. The roster of tenants is made beside the loop, once for meter and counter, and a configuration that changes no limit changes nothing there (27 ms of the loop, with requests waiting, before).

--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -41,7 +41,7 @@
 // that the user may have put a lock round it.
 type Meter interface {
 	Nodes(now plane.Time, gateways int, holders []string)
-	Limits(now plane.Time, limits map[string]toll.Limit)
+	Enter(now plane.Time, r *toll.Roster)
 	Take(now plane.Time, from string, msg any) []plane.Send
 	Tick(now plane.Time) []plane.Send
 	Mute(now plane.Time, holder string) bool // it leaves adds unanswered
@@ -94,6 +94,8 @@
 	late    bool       // there are more
 	looked  plane.Time // when they were last taken in, and how many processes there were
 	seen    int
+	tickAt  plane.Time
+	stood   bool // this process stood still before the tick: it is not others that are late
 
 	contact   contact
 	seated    pact.Ballot // whose seats the list of servers knows
@@ -159,6 +161,8 @@
 // Tick lets time pass.
 func (k *Knot) Tick(now plane.Time) Out {
 	k.swift = 0
+	k.stood = k.seen > fewer && now-k.tickAt > standstill
+	k.tickAt = now
 	out := k.bond.Tick(now)
 	out.Changed = out.Changed || k.late
 	k.bonded(now, out)
@@ -288,6 +292,8 @@
 	mostSwift = 2
 	lookFor   = 500 * time.Microsecond // between two, for each process known beyond
 	fewer     = 100                    // so many
+
+	standstill = 100 * time.Millisecond // between two ticks, where there are more: each that is late looks for ways otherwise
 )
 
 // bonded carries out what membership wants.
--- a/internal/knot/text.go
+++ b/internal/knot/text.go
@@ -24,7 +24,7 @@
 type Reading struct {
 	text    Text
 	table   *creed.Table // nil: it can't be in force here
-	limits  map[string]toll.Limit
+	roster  *toll.Roster
 	rollout creed.Rollout
 	err     error
 }
@@ -43,12 +43,14 @@
 	if c.Rollout != nil {
 		r.rollout = *c.Rollout
 	}
-	r.table, r.limits = c.Table(), map[string]toll.Limit{}
+	r.table = c.Table()
+	limits := map[string]toll.Limit{}
 	for _, tenant := range r.table.Tenants() {
 		if tenant.Rate > 0 {
-			r.limits[tenant.Name] = toll.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
+			limits[tenant.Name] = toll.Limit{Rate: tenant.Rate, Burst: tenant.Burst}
 		}
 	}
+	r.roster = toll.NewRoster(limits)
 	return r
 }
 
@@ -115,8 +117,8 @@
 		k.accord.Unable()
 		return
 	}
-	k.meter.Limits(now, r.limits)
-	k.counter.Limits(r.limits)
+	k.meter.Enter(now, r.roster)
+	k.counter.Enter(r.roster)
 	k.bond.SetHeld(doc.Version)
 	k.version, k.out.Adopt = doc.Version, r.table
 }
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -67,7 +67,7 @@
 		d := k.detour(s.To)
 		if d.till > now {
 			k.send([]plane.Send{{To: d.by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
-		} else if k.meter.Mute(now, s.To) && d.may(now, k.seen) {
+		} else if !k.stood && k.meter.Mute(now, s.To) && d.may(now, k.seen) {
 			k.around(s.To, Via{From: k.self, To: s.To, Add: &add})
 		}
 	}
--- a/internal/toll/active.go
+++ b/internal/toll/active.go
@@ -54,7 +54,7 @@
 		return true
 	}
 	for i, told := range e.told {
-		if m.slots[i].addr != "" && told != e.cur.sum {
+		if m.slots[i].addr != "" && (told != e.cur.sum || e.again[i]) {
 			return true
 		}
 	}
--- a/internal/toll/brief_test.go
+++ b/internal/toll/brief_test.go
@@ -99,9 +99,9 @@
 	if l == nil || l.names[period] == nil {
 		return 0
 	}
-	for _, v := range l.names[period].lives[gateway] {
+	for _, v := range c.lives.all[gateway] {
 		if v.id == id {
-			return v.sum
+			return l.names[period].sums[v.number]
 		}
 	}
 	return 0
--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -1,7 +1,6 @@
 package toll
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,13 +24,10 @@
 	lateGap  = 200 * time.Millisecond // between ticks: this process stood still
 )
 
-// life is the sum of one life of a gateway in one name.
-type life struct{ id, sum uint64 }
-
-// tally is one name: what each gateway has passed in it.
+// tally is one name: what each life of a gateway has passed in it.
 type tally struct {
 	total uint64
-	lives map[string][]life // by gateway
+	sums  map[uint32]uint64 // by the life's number
 	at    plane.Time
 }
 
@@ -75,6 +71,7 @@
 	crowds    crowds
 	offsets   map[string]offset // of gateways
 	rosters   rosters
+	lives     lives
 	pace      time.Duration // that it asks of gateways; 0: none
 	pacedAt   plane.Time    // when it was last raised
 }
@@ -93,7 +90,10 @@
 
 // Limits takes the limits of the configuration: gateways that have the same may say numbers
 // in place of names.
-func (c *Counter) Limits(limits map[string]Limit) { c.rosters.renew(limits) }
+func (c *Counter) Limits(limits map[string]Limit) { c.Enter(NewRoster(limits)) }
+
+// Enter is Limits with the roster made already.
+func (c *Counter) Enter(r *Roster) { c.rosters.renew(r) }
 
 // Blind reports whether a gateway leaves a question unanswered, so that another way to it
 // should be tried.
@@ -149,6 +149,7 @@
 	if other := c.lastFrom[1]; other.gateway != "" && other.gateway != from {
 		out.Company = now-other.at < companyGap
 	}
+	who := c.lives.of(now, from, a.Life)
 	for _, it := range a.Items {
 		l := c.ledgers[it.Tenant]
 		if l == nil {
@@ -160,7 +161,7 @@
 		}
 		l.refresh(now, c.since, it)
 		level := l.level
-		others, mine := l.add(now, from, a.Life, it)
+		others, mine := l.add(now, who, it)
 		if c.thawed && now-c.since < listenGap {
 			l.level = level // seconds of adds in a lump
 		} else if late > 0 {
@@ -220,29 +221,30 @@
 // add takes in an item, and returns what others have in the name, and what this
 // life of the gateway has. What is new to this holder need not be new: Fresh tells,
 // and the rest was drained long ago.
-func (l *ledger) add(now plane.Time, from string, id uint64, it Item) (others, mine uint64) {
+func (l *ledger) add(now plane.Time, who []one, it Item) (others, mine uint64) {
 	n := l.names[it.Period]
 	if n == nil {
-		n = &tally{lives: map[string][]life{}}
+		n = &tally{sums: map[uint32]uint64{}}
 		l.names[it.Period] = n
 	}
 	n.at = now
-	lives := n.lives[from]
-	i := slices.IndexFunc(lives, func(v life) bool { return v.id == id })
-	if i < 0 {
-		l.level += float64(min(it.Sum, it.Fresh)) / milli
-		i, lives = len(lives), append(lives, life{id: id, sum: it.Sum})
-		n.lives[from], n.total = lives, n.total+it.Sum
-	} else if more := it.Sum - min(it.Sum, lives[i].sum); more > 0 {
+	last := who[len(who)-1].number
+	was, known := n.sums[last]
+	if more := it.Sum - min(it.Sum, was); more > 0 || !known {
 		l.level += float64(min(more, it.Fresh)) / milli
-		lives[i].sum += more
+		n.sums[last] = was + more
 		n.total += more
 	}
-	others = n.total
-	for _, v := range lives {
-		others -= v.sum
+	return n.others(who), was + it.Sum - min(it.Sum, was)
+}
+
+// others is the sum without all lives of a gateway.
+func (n *tally) others(who []one) uint64 {
+	sum := n.total
+	for _, v := range who {
+		sum -= n.sums[v.number]
 	}
-	return others, lives[i].sum
+	return sum
 }
 
 // Tick asks for signs of life where they matter, and forgets names that nobody has
@@ -263,6 +265,7 @@
 			delete(c.offsets, gateway)
 		}
 	}
+	c.lives.sweep(now)
 	for tenant, l := range c.ledgers {
 		for period, n := range l.names {
 			if now-n.at > nameLife {
--- a/internal/toll/crowd.go
+++ b/internal/toll/crowd.go
@@ -53,15 +53,9 @@
 			continue
 		}
 		l.refresh(now, c.since, Item{Gap: l.gap})
-		t := Total{Tenant: tenant, Period: c.high, Others: l.names[c.high].total, Level: uint64(l.level * milli),
-			Sure: now-c.since >= listenGap}
-		for _, v := range l.names[c.high].lives[from] {
-			t.Others -= v.sum
-			if v.id == a.Life {
-				t.Mine = v.sum
-			}
-		}
-		out = append(out, t)
+		n, who := l.names[c.high], c.lives.of(now, from, a.Life)
+		out = append(out, Total{Tenant: tenant, Period: c.high, Others: n.others(who), Mine: n.sums[who[len(who)-1].number],
+			Level: uint64(l.level * milli), Sure: now-c.since >= listenGap})
 	}
 	return out
 }
--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -55,9 +55,11 @@
 	active bool // it is in the meter's list of those that may have something to say
 
 	cur, old name
-	sent     uint64    // of cur, told to any holder
-	told     [2]uint64 // of cur, told to each holder
-	credit   uint64    // units settled back, not yet used up
+	sent     uint64     // of cur, told to any holder
+	told     [2]uint64  // of cur, told to each holder
+	again    [2]bool    // it is to be told once more: it may be new
+	saidAt   plane.Time // when the holder that is read was last told, or asked
+	credit   uint64     // units settled back, not yet used up
 
 	readAt       plane.Time
 	readRoom     float64
@@ -215,7 +217,7 @@
 		e.forget(now)
 		next.based = false
 	}
-	e.cur, e.sent, e.told = next, 0, [2]uint64{}
+	e.cur, e.sent, e.told, e.again = next, 0, [2]uint64{}, [2]bool{}
 }
 
 // used is the part of the burst in use, as messages say it.
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -50,7 +50,9 @@
 	missing uint32     // gateways out of its sight, as it last said
 	brief   bool       // it reads adds that are shortened
 	paced   uint8      // how far apart it wants adds
-	way     roundTrip
+
+	last [4]string // tenants that it was told of last, of each kind, where not all had room
+	way  roundTrip
 }
 
 // far: what it tells is older than what near ones tell ever is.
@@ -119,29 +121,32 @@
 
 // Limits takes the limits of the configuration. See entry.change for what a
 // change leaves; a tenant that had no limit starts as one that was not seen.
-func (m *Meter) Limits(now plane.Time, limits map[string]Limit) {
+func (m *Meter) Limits(now plane.Time, limits map[string]Limit) { m.Enter(now, NewRoster(limits)) }
+
+// Enter is Limits with the roster made already: most configurations change none of them, and to go
+// through thousands of tenants would hold requests up.
+func (m *Meter) Enter(now plane.Time, r *Roster) {
+	if !m.rosters.renew(r) {
+		return
+	}
 	for tenant, e := range m.entries {
-		if l, ok := limits[tenant]; !ok || l.Rate <= 0 {
+		if l, ok := r.limits[tenant]; !ok || l.Rate <= 0 {
 			delete(m.entries, tenant)
 		} else if l.Rate != e.limit.Rate || max(l.Burst, 1) != e.limit.Burst {
 			e.change(now, l)
 		}
 	}
-	for tenant, l := range limits {
-		if _, ok := m.entries[tenant]; ok || l.Rate <= 0 {
-			continue
-		}
-		e := &entry{tenant: tenant, lot: lot(m.self, tenant), cur: name{period: m.period}, pushed: now}
-		e.set(l)
-		e.start(now, m.even(now))
-		m.entries[tenant] = e
-	}
-	m.rosters.renew(limits)
 	m.order = m.order[:0]
-	for _, e := range m.entries {
+	for _, tenant := range r.names {
+		e := m.entries[tenant]
+		if e == nil {
+			e = &entry{tenant: tenant, lot: lot(m.self, tenant), cur: name{period: m.period}, pushed: now}
+			e.set(r.limits[tenant])
+			e.start(now, m.even(now))
+			m.entries[tenant] = e
+		}
 		m.order = append(m.order, e)
 	}
-	slices.SortFunc(m.order, byTenant)
 	m.active = active{}
 }
 
@@ -175,11 +180,11 @@
 	}
 	m.slots, m.reader = next, -1
 	for _, e := range m.order {
-		told := e.told
-		e.told = [2]uint64{e.cur.sum, e.cur.sum} // for a new holder, nothing of it is fresh
+		told, again := e.told, e.again
+		e.told, e.again = [2]uint64{e.cur.sum, e.cur.sum}, [2]bool{} // for a new holder, nothing of it is fresh
 		for i, j := range from {
 			if j >= 0 {
-				e.told[i] = told[j]
+				e.told[i], e.again[i] = told[j], again[j]
 			}
 		}
 	}
--- a/internal/toll/pace.go
+++ b/internal/toll/pace.go
@@ -15,6 +15,8 @@
 	strained = 20 * time.Millisecond  // adds that have waited for so long are too many
 	mostPace = 400 * time.Millisecond // between adds of a gateway, at the most
 	paceUnit = 4 * time.Millisecond   // on the wire
+
+	strainedMute = time.Second // after which one that was under strain is taken as out of reach
 )
 
 // Strain tells the counter how long, lately, an add had to wait among many others: every 50 ms or so.
--- a/internal/toll/pack.go
+++ b/internal/toll/pack.go
@@ -8,18 +8,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// roster numbers the tenants that have limits in a configuration, by their names in order.
+// Roster numbers the tenants that have limits in a configuration, by their names in order.
 // Who holds the same one can say numbers in place of names, and leave out the rates; its
-// hash tells. Two configurations with the same limits have the same one.
-type roster struct {
-	hash  uint32 // never 0
-	names []string
-	gaps  []uint64 // microseconds a unit
-	of    map[string]int
+// hash tells. Two configurations with the same limits have the same one. It never changes: a process's meter and
+// its counter share one, which can be made beside them.
+type Roster struct {
+	limits map[string]Limit
+	sum    uint64 // of all limits
+	hash   uint32 // never 0
+	names  []string
+	gaps   []uint64 // microseconds a unit
+	of     map[string]int
 }
 
-func newRoster(limits map[string]Limit) *roster {
-	r := &roster{of: make(map[string]int, len(limits))}
+// NewRoster keeps the limits, which must not change any more.
+func NewRoster(limits map[string]Limit) *Roster {
+	r := &Roster{limits: limits, of: make(map[string]int, len(limits)), names: make([]string, 0, len(limits))}
 	for tenant, l := range limits {
 		if l.Rate > 0 {
 			r.names = append(r.names, tenant)
@@ -37,7 +41,8 @@
 		b = binary.BigEndian.AppendUint64(b, math.Float64bits(l.Burst))
 		sum.Write(b)
 	}
-	r.hash = max(1, uint32(sum.Sum64()))
+	r.sum = sum.Sum64()
+	r.hash = max(1, uint32(r.sum))
 	return r
 }
 
@@ -45,12 +50,11 @@
 func gapOf(rate float64) uint64 { return uint64(1e9 / rate / 1e3) }
 
 // rosters are the newest and the one before: messages of it may be under way.
-type rosters [2]*roster
+type rosters [2]*Roster
 
-// renew takes in the limits of a configuration, and says whether they make another roster.
-func (r *rosters) renew(limits map[string]Limit) bool {
-	next := newRoster(limits)
-	if r[0] != nil && r[0].hash == next.hash {
+// renew takes in a configuration's, and says whether it is another one.
+func (r *rosters) renew(next *Roster) bool {
+	if r[0] != nil && r[0].sum == next.sum {
 		return false
 	}
 	r[0], r[1] = next, r[0]
@@ -66,7 +70,7 @@
 }
 
 // find is the roster with a hash, if it is known here.
-func (r *rosters) find(hash uint32) *roster {
+func (r *rosters) find(hash uint32) *Roster {
 	for _, one := range r {
 		if hash != 0 && one != nil && one.hash == hash {
 			return one
@@ -97,7 +101,7 @@
 const levelGrain = milli / 8
 
 // pack codes the items of tenants in the roster, and returns those of others.
-func (r *roster) pack(period uint64, items []Item) (packed []byte, rest []Item) {
+func (r *Roster) pack(period uint64, items []Item) (packed []byte, rest []Item) {
 	last := 0
 	for _, it := range items {
 		i, ok := r.of[it.Tenant]
@@ -149,7 +153,7 @@
 }
 
 // next writes a number and flags.
-func (r *roster) next(packed []byte, last *int, i int, flags byte) []byte {
+func (r *Roster) next(packed []byte, last *int, i int, flags byte) []byte {
 	step := i - *last
 	if *last = i; step < 0 {
 		step, flags = -step, flags|packAcross
@@ -175,7 +179,7 @@
 }
 
 // next is a number in the roster, and flags.
-func (u *unpacking) next(r *roster) (i int, flags byte) {
+func (u *unpacking) next(r *Roster) (i int, flags byte) {
 	step := u.number()
 	if len(u.b) == 0 || step > uint64(len(r.names)) {
 		u.b, u.spoilt = nil, true
@@ -203,7 +207,7 @@
 }
 
 // items reads what pack has written.
-func (r *roster) items(period uint64, packed []byte) (out []Item, ok bool) {
+func (r *Roster) items(period uint64, packed []byte) (out []Item, ok bool) {
 	for u := (unpacking{b: packed}); len(u.b) > 0 || u.spoilt; {
 		i, flags := u.next(r)
 		if u.spoilt {
@@ -235,7 +239,7 @@
 }
 
 // packTotals codes the totals of tenants in the roster, and returns those of others.
-func (r *roster) packTotals(period uint64, totals []Total) (packed []byte, rest []Total) {
+func (r *Roster) packTotals(period uint64, totals []Total) (packed []byte, rest []Total) {
 	last := 0
 	for _, t := range totals {
 		i, ok := r.of[t.Tenant]
@@ -276,7 +280,7 @@
 }
 
 // totals reads what packTotals has written.
-func (r *roster) totals(period uint64, packed []byte) (out []Total, ok bool) {
+func (r *Roster) totals(period uint64, packed []byte) (out []Total, ok bool) {
 	for u := (unpacking{b: packed}); len(u.b) > 0 || u.spoilt; {
 		i, flags := u.next(r)
 		if u.spoilt {
--- a/internal/toll/pack_test.go
+++ b/internal/toll/pack_test.go
@@ -17,7 +17,7 @@
 	for i := range 300 {
 		limits[fmt.Sprintf("t%d", i)] = Limit{1 + rng.Float64()*100, 10}
 	}
-	r := newRoster(limits)
+	r := NewRoster(limits)
 	units := func() uint64 {
 		u := uint64(rng.IntN(3000))
 		if rng.IntN(3) > 0 {
--- /dev/null
+++ b/internal/toll/share_test.go
@@ -0,0 +1,348 @@
+package toll
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// crowded is a gateway before many tenants, of so many gateways.
+func crowded(tenants, gateways int) (*Meter, []string, map[string]Limit) {
+	limits, names := map[string]Limit{}, make([]string, tenants)
+	for i := range names {
+		names[i] = fmt.Sprintf("t%05d", i)
+		limits[names[i]] = Limit{50, 50}
+	}
+	m := NewMeter("g", 7, 1)
+	m.Limits(time.Hour, limits)
+	m.Nodes(time.Hour, gateways, []string{"h", "i"})
+	return m, names, limits
+}
+
+// itemsOf is what an add tells, whatever its form.
+func itemsOf(t *testing.T, m *Meter, a Add) []Item {
+	t.Helper()
+	a, ok := a.Lengthen(m.life)
+	if !ok {
+		t.Fatal("an add can't be read")
+	}
+	if len(a.Packed) == 0 {
+		return a.Items
+	}
+	items, ok := m.rosters.find(a.List).items(a.Period, a.Packed)
+	if !ok {
+		t.Fatal("an add can't be unpacked")
+	}
+	return append(items, a.Items...)
+}
+
+// TestAddsHaveBound: a holder that answers nothing is told of all tenants, but of no more at once than an add has room
+// for; once it answers it knows all. Another one that takes its place is told all again, and what was passed
+// long ago counts for nothing of its levels.
+func TestAddsHaveBound(t *testing.T) {
+	m, names, limits := crowded(3000, 23)
+	c := NewCounter("h", 1)
+	c.Limits(limits)
+	now, told, most := plane.Time(time.Hour), map[string]bool{}, 0
+	run := func(span time.Duration, holders map[string]*Counter) {
+		for end := now + span; now < end; now += 10 * time.Millisecond {
+			for _, s := range m.Tick(now) {
+				items := itemsOf(t, m, s.Msg.(Add))
+				most = max(most, len(items))
+				for _, it := range items {
+					told[it.Tenant] = true
+				}
+				if to := holders[s.To]; to != nil {
+					for _, back := range to.Take(now, "g", s.Msg) {
+						m.Take(now+time.Millisecond, s.To, back.Msg)
+					}
+				}
+			}
+			for _, h := range holders {
+				h.Tick(now)
+			}
+		}
+	}
+	pass := func() {
+		for _, n := range names {
+			m.Pass(now, n, 1)
+		}
+	}
+	pass()
+	run(4*time.Second, nil) // who is silent is told five times a second
+	if most > mostItems || len(told) != len(names) {
+		t.Errorf("%d items in an add, %d of %d tenants told", most, len(told), len(names))
+	}
+	run(3*time.Second, map[string]*Counter{"h": c})
+	pass()
+	run(3*time.Second, map[string]*Counter{"h": c})
+	unheard := func() (n int) {
+		for _, e := range m.order {
+			if e.unheard() > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	if n := unheard(); n > 0 {
+		t.Errorf("a holder that answers has not heard of %d tenants", n)
+	}
+	run(20*time.Second, map[string]*Counter{"h": c}) // a period later, all have drained
+	for range 10 {
+		pass()
+		run(time.Second, map[string]*Counter{"h": c})
+	}
+	run(3*time.Second, map[string]*Counter{"h": c})
+	other := NewCounter("i", 2)
+	other.Limits(limits)
+	run(4*time.Second, map[string]*Counter{"i": other})
+	pass()
+	run(3*time.Second, map[string]*Counter{"i": other})
+	if n := unheard(); n > 0 {
+		t.Errorf("the second holder has not heard of %d tenants", n)
+	}
+	for _, n := range names {
+		if l := other.ledgers[n]; l == nil || l.level > 1.5 { // one unit was passed seconds ago
+			t.Fatalf("the second holder takes %+v of %s for in use", l, n)
+		}
+	}
+	if most > mostItems {
+		t.Errorf("%d items in an add", most)
+	}
+}
+
+// TestOldInTurns: the sums of a period that is over go a few at a time where there are many, and all go.
+func TestOldInTurns(t *testing.T) {
+	m, names, limits := crowded(3000, 23)
+	c := NewCounter("h", 1)
+	c.Limits(limits)
+	now, most, lumps := plane.Time(time.Hour), 0, 0
+	for end := now + 40*time.Second; now < end; now += 10 * time.Millisecond {
+		if now < end-20*time.Second {
+			m.Pass(now, names[int(now/(10*time.Millisecond))%len(names)], 1)
+			m.Pass(now, names[int(now/(10*time.Millisecond))*7%len(names)], 1)
+		}
+		for _, s := range m.Tick(now) {
+			old := 0
+			for _, it := range itemsOf(t, m, s.Msg.(Add)) {
+				if it.Period != m.period {
+					old++
+				}
+			}
+			if s.To == "h" {
+				if now > end-20*time.Second { // all had been heard before the period ended
+					if most = max(most, old); old > mostOld {
+						lumps++
+					}
+				}
+				for _, back := range c.Take(now, "g", s.Msg) {
+					m.Take(now+time.Millisecond, "h", back.Msg)
+				}
+			}
+		}
+		c.Tick(now)
+	}
+	left := 0
+	for _, e := range m.order {
+		if e.old.period != 0 {
+			left++
+		}
+	}
+	if most == 0 || most > mostItems || lumps > 1 || left > 0 { // the last of them that an add has room for go at once
+		t.Errorf("%d sums of a period before in an add, more than %d in %d, %d left in the end", most, mostOld, lumps, left)
+	}
+}
+
+// TestPatience: who gets no answer repeats as often as ever in a small fleet, and seldom in a large one.
+func TestPatience(t *testing.T) {
+	for gateways, bounds := range map[int][2]int{23: {55, 75}, 125: {55, 75}, 490: {40, 56}} {
+		m, names, _ := crowded(20, gateways)
+		now, adds := plane.Time(time.Hour), 0
+		for end := now + 10*time.Second; now < end; now += 10 * time.Millisecond {
+			m.Pass(now, names[int(now/time.Millisecond)%20], 1)
+			for _, s := range m.Tick(now) {
+				if s.To == "h" {
+					adds++
+				}
+			}
+		}
+		if adds < bounds[0] || adds > bounds[1] {
+			t.Errorf("%d gateways: one sends %d adds in 10 s without an answer, not %v", gateways, adds, bounds)
+		}
+	}
+}
+
+// TestRestsIdle: a gateway that no request comes to goes through none of its tenants at a tick.
+func TestRestsIdle(t *testing.T) {
+	m, _, _ := crowded(12000, 490)
+	now := plane.Time(time.Hour)
+	for range 100 {
+		now += 50 * time.Millisecond
+		m.Tick(now)
+	}
+	if n := len(m.gather()); n > 0 || m.slots[0].refill || m.slots[1].refill {
+		t.Errorf("%d tenants are gone through at rest", n)
+	}
+}
+
+// TestOnItsWay: where there are many tenants and the holder is 55 ms away, what is on its way isn't sent again and again;
+// one that is lost is.
+func TestOnItsWay(t *testing.T) {
+	for _, far := range []bool{false, true} {
+		m, names, limits := crowded(600, 23)
+		c := NewCounter("h", 1)
+		c.Limits(limits)
+		type letter struct {
+			at  plane.Time
+			msg any
+		}
+		var there, back []letter
+		way := time.Millisecond
+		if far {
+			way = 55 * time.Millisecond
+		}
+		now, passed, told, adds := plane.Time(time.Hour), 0, 0, 0
+		step := func(lose bool) {
+			now += 5 * time.Millisecond
+			for _, s := range m.Tick(now) {
+				if s.To != "h" {
+					continue
+				}
+				adds++
+				told += len(itemsOf(t, m, s.Msg.(Add)))
+				if !lose || adds%10 > 0 {
+					there = append(there, letter{now + way, s.Msg})
+				}
+			}
+			for len(there) > 0 && there[0].at <= now {
+				for _, s := range c.Take(now, "g", there[0].msg) {
+					back = append(back, letter{now + way, s.Msg})
+				}
+				there = there[1:]
+			}
+			for len(back) > 0 && back[0].at <= now {
+				m.Take(now, "h", back[0].msg)
+				back = back[1:]
+			}
+			if now%(50*time.Millisecond) == 0 {
+				c.Tick(now)
+			}
+		}
+		play := func(steps int, lose bool) float64 {
+			passed, told = 0, 0
+			for i := range steps {
+				m.Pass(now, names[(i*7)%len(names)], 1)
+				m.Pass(now, "t00000", 1) // four times its rate: adds don't wait for each other
+				passed++
+				step(lose)
+			}
+			return float64(told) / float64(passed)
+		}
+		play(800, false)
+		if often := play(800, false); often > 1.6 {
+			t.Errorf("far %v: a unit is told %.2f times", far, often)
+		}
+		play(800, true)
+		for range 200 {
+			step(false)
+		}
+		for _, e := range m.order {
+			if e.unheard() > 0 {
+				t.Fatalf("far %v: of %s %.0f units were never heard", far, e.tenant, e.unheard())
+			}
+		}
+	}
+}
+
+// TestAfterStandstill: a holder that stood still for five seconds is told of all that was passed meanwhile by forty
+// gateways before 2,000 tenants. What it can count is bounded: 50 µs an add, 8 µs an item, and half of that for those that it only
+// reads and drops. All is heard soon after; adds without a bound would be dropped for ever, each larger than the one before.
+func TestAfterStandstill(t *testing.T) {
+	t.Parallel()
+	const gateways, tenants = 40, 2000
+	meters := make([]*Meter, gateways)
+	c := NewCounter("h", 1)
+	var names []string
+	for i := range meters {
+		var limits map[string]Limit
+		meters[i], names, limits = crowded(tenants, gateways)
+		c.Limits(limits)
+	}
+	type letter struct {
+		at   plane.Time
+		from int
+		add  Add
+		n    int
+	}
+	var wait []letter
+	now, spare, waited, dropped, stands := plane.Time(time.Hour), 0.0, time.Duration(0), 0, false
+	step := func(pass bool) {
+		now += 10 * time.Millisecond
+		for g, m := range meters {
+			for k := range 4 {
+				if pass { // 400 a second at each
+					m.Pass(now, names[(int(now/(10*time.Millisecond))*4+k+g*37)%tenants], 1)
+				}
+			}
+			for _, s := range m.Tick(now) {
+				if s.To == "h" {
+					wait = append(wait, letter{now, g, s.Msg.(Add), len(itemsOf(t, m, s.Msg.(Add)))})
+				}
+			}
+		}
+		for spare = min(spare+10e-3, 10e-3); spare > 0 && len(wait) > 0 && !stands; {
+			l := wait[0]
+			wait = wait[1:]
+			cost := 50e-6 + 8e-6*float64(l.n)
+			if len(wait) > 20 {
+				if waited = max(waited, now-l.at); now-l.at > 45*time.Millisecond {
+					spare -= cost / 2
+					dropped++
+					continue
+				}
+			}
+			spare -= cost
+			for _, s := range c.Take(now, fmt.Sprint("g", l.from), l.add) {
+				meters[l.from].Take(now, "h", s.Msg)
+			}
+		}
+		if now%(50*time.Millisecond) == 0 && !stands {
+			c.Tick(now)
+			c.Strain(now, waited)
+			waited = 0
+		}
+	}
+	unheard := func() (n int) {
+		for _, m := range meters {
+			for _, e := range m.order {
+				if e.unheard() > 2 {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for range 500 {
+		step(true)
+	}
+	if n := unheard(); n > 0 || dropped > 0 {
+		t.Errorf("in ordinary traffic %d tenants are not heard of, %d adds are dropped", n, dropped)
+	}
+	stands = true
+	for range 500 {
+		step(true)
+	}
+	stands = false
+	began := now
+	for now-began < 10*time.Second {
+		step(true)
+		if now%(100*time.Millisecond) == 0 && len(wait) < 100 && unheard() == 0 {
+			break
+		}
+	}
+	if t.Logf("all is heard %v after the standstill, %d adds dropped", now-began, dropped); now-began > 6*time.Second {
+		t.Errorf("%d tenants are not heard of %v after the standstill, %d adds wait", unheard(), now-began, len(wait))
+	}
+}
--- a/internal/toll/sight.go
+++ b/internal/toll/sight.go
@@ -1,6 +1,16 @@
 package toll
 
-import "asterwell/internal/plane"
+import (
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// Among more gateways than few it is counted once in countGap who is missing.
+const (
+	few      = 100
+	countGap = 10 * time.Millisecond
+)
 
 // sights is which gateways a counter hears, so that a cut is known before the members
 // are told of it: what is passed on the other side is in no sum here. The two holders
@@ -15,6 +25,8 @@
 	tickAt   plane.Time
 	repeatAt plane.Time
 	asking   bool // all were, at the last tick
+	missed   uint32
+	missedAt plane.Time // when that was counted
 }
 
 // sight is of one gateway. asked is the first time since the last sign; 0: not asked.
@@ -127,6 +139,10 @@
 	if !s.watching(now) {
 		return 0
 	}
+	if len(s.seen) > few && now-s.missedAt < countGap && s.missedAt != 0 { // it is asked for with each answer
+		return s.missed
+	}
+	defer func() { s.missed, s.missedAt = n, now }()
 	for _, v := range s.seen {
 		if v.signs && v.asked != 0 && now-v.asked >= v.way.stretch(lostGap) {
 			n++
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -14,8 +14,11 @@
 	if m.novel {
 		least = m.quick.gap(now)
 	}
-	if m.reader >= 0 && !m.slots[m.reader].late(now) { // a repetition doesn't wait: the holder would be taken as mute
+	switch {
+	case m.reader >= 0 && !m.slots[m.reader].late(now): // a repetition isn't paced: the holder would be taken as mute
 		least = m.slots[m.reader].pace(least)
+	case m.patience() > leastGap: // but of many gateways none repeats often
+		least = m.patience()
 	}
 	since := now - m.sentAt
 	if since < least && m.sentAt != 0 {
@@ -51,10 +54,11 @@
 		case now-s.spareAt < gap && !(read && ease):
 			continue
 		}
-		items := m.items(now, walk, i, read)
+		items, more := m.items(now, walk, i, read)
 		if len(items) == 0 {
 			continue
 		}
+		m.due = m.due || more && read
 		late := s.late(now)
 		if (read || echo) && s.pending == 0 {
 			s.pending = now
@@ -62,7 +66,7 @@
 		if !read && now-s.proveAt >= proveGap {
 			s.proveAt, echo = now, true
 		}
-		s.spareAt, s.refill = now, false
+		s.spareAt = now
 		add := Add{Life: m.life, Period: m.period, Stamp: now, Read: read, Echo: echo, Near: now-m.nearAt < nearGap, Signs: true,
 			Items: items, List: m.rosters.newest()}
 		if r := m.rosters.find(s.list); r != nil {
@@ -120,29 +124,47 @@
 	m.reader = reader
 }
 
-func (m *Meter) items(now plane.Time, walk []*entry, i int, read bool) []Item {
-	var out []Item
+// items is what a holder is told, and whether there was more than an add has room for.
+func (m *Meter) items(now plane.Time, walk []*entry, i int, read bool) (out []Item, more bool) {
+	s := &m.slots[i]
+	var t talks
 	for _, e := range walk {
 		if e.cur.sum == 0 && e.old.period == 0 && !e.asked {
 			continue
 		}
 		e.roll(now, m.period, m.prev)
-		old := &e.old
-		if old.period != 0 && read && now-m.periodAt >= settle {
-			out = append(out, Item{Tenant: e.tenant, Period: old.period, Sum: old.sum, Fresh: old.sum - old.acked})
+		if e.old.period != 0 && read && now-m.periodAt >= settle {
+			t.old = append(t.old, e)
 		}
-		again := read && (e.cur.sum > e.cur.acked || e.asked)
-		if e.cur.sum == e.told[i] && !again && !(m.slots[i].refill && e.cur.sum > 0) {
+		e.again[i] = (e.again[i] || s.refill) && e.cur.sum > 0
+		if e.cur.sum != e.told[i] || e.again[i] || read && (e.cur.sum > e.cur.acked || e.asked) && !m.onItsWay(now, e, s) {
+			t.cur = append(t.cur, e)
+		}
+	}
+	s.refill = false // walk was all there are
+	all := t.len()
+	t.some(now, s)
+	out = make([]Item, 0, t.len())
+	for k, j := 0, 0; k < len(t.old) || j < len(t.cur); {
+		if k < len(t.old) && (j == len(t.cur) || byTenant(t.old[k], t.cur[j]) <= 0) {
+			e := t.old[k]
+			k++
+			out = append(out, Item{Tenant: e.tenant, Period: e.old.period, Sum: e.old.sum, Fresh: e.old.sum - e.old.acked})
 			continue
 		}
+		e := t.cur[j]
+		j++
 		out = append(out, Item{Tenant: e.tenant, Period: e.cur.period, Sum: e.cur.sum,
 			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3 / (1 - m.reserve(e))),
 			Used: e.used(now), Near: e.nearAt != 0 && now-e.nearAt < nearGap})
-		if e.cur.period != 0 {
+		if i == m.reader {
+			e.saidAt = now
+		}
+		if e.again[i] = false; e.cur.period != 0 {
 			e.told[i] = e.cur.sum
 		}
 	}
-	return out
+	return out, len(out) < all
 }
 
 // Take hears an answer of a holder.
@@ -297,8 +319,12 @@
 }
 
 // Mute reports whether a holder leaves adds unanswered, so that another way to it
-// should be tried. What is late by a few ways there and back may be lost.
+// should be tried. What is late by a few ways there and back may be lost; one that has said
+// that it is told more than it can count drops adds, and ways round bring it more of them.
 func (m *Meter) Mute(now plane.Time, holder string) bool {
 	i := m.slot(holder)
-	return i >= 0 && m.slots[i].late(now)
+	if i < 0 || !m.slots[i].late(now) {
+		return false
+	}
+	return m.slots[i].paced == 0 || now-m.slots[i].pending >= strainedMute
 }
--- a/internal/weave/meter.go
+++ b/internal/weave/meter.go
@@ -22,17 +22,17 @@
 	return ok, after, l.m.Due()
 }
 
-// Nodes, Limits, Take and Tick are what the knot tells it.
+// Nodes, Enter, Take and Tick are what the knot tells it.
 func (l *meter) Nodes(now plane.Time, gateways int, holders []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.m.Nodes(now, gateways, holders)
 }
 
-func (l *meter) Limits(now plane.Time, limits map[string]toll.Limit) {
+func (l *meter) Enter(now plane.Time, r *toll.Roster) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.m.Limits(now, limits)
+	l.m.Enter(now, r)
 }
 
 func (l *meter) Take(now plane.Time, from string, msg any) []plane.Send {
