Ask all that hold a configuration, look for ways round later over regions, and the plan's text at 490

And with holders a region away each answer 12 ms late had gateways look for ways round. Change: of many that are ahead each process asks others first (pact.some); who was just sent a large document (64 kB) isn't sent another while it may be on its way (pact.bring), unless what came was damaged; ways round to a far holder are looked for 60 ms later. Ruled out: the text's size in each View (older ones don't say it; the sender knows best).

--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"asterwell/internal/bond"
 	"asterwell/internal/plane"
+	"asterwell/internal/toll"
 )
 
 // Ways round are looked for again and again, but no more often than the links bear; an
@@ -25,3 +27,40 @@
 		}
 	}
 }
+
+// unheard is a meter whose holder never answers.
+type unheard struct{}
+
+func (unheard) Nodes(plane.Time, int, []string)           {}
+func (unheard) Enter(plane.Time, *toll.Roster)            {}
+func (unheard) Take(plane.Time, string, any) []plane.Send { return nil }
+func (unheard) Mute(plane.Time, string) bool              { return true }
+func (unheard) Tick(plane.Time) []plane.Send {
+	return []plane.Send{{To: "h:1", Msg: toll.Add{Life: 1}}}
+}
+
+// TestStood: of a large fleet who stood still itself looks for no way round, since it is not the holder that is late; in a
+// small one it does, as ever.
+func TestStood(t *testing.T) {
+	for _, c := range []struct {
+		known int
+		gap   time.Duration
+		looks bool
+	}{{11, 50 * time.Millisecond, true}, {11, 300 * time.Millisecond, true}, {490, 50 * time.Millisecond, true}, {490, 300 * time.Millisecond, false}} {
+		now := plane.Time(time.Hour)
+		k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, unheard{}, nil, now)
+		k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
+		k.Tick(now)
+		k.seen = c.known
+		k.round["h:1"] = &detour{}
+		looked := false
+		for _, s := range k.Tick(now + c.gap).Send {
+			if v, is := s.Msg.(Via); is && v.Add != nil {
+				looked = true
+			}
+		}
+		if looked != c.looks {
+			t.Errorf("%d gateways, %v after the tick before: looks %v", c.known, c.gap, looked)
+		}
+	}
+}
--- a/internal/pact/cell.go
+++ b/internal/pact/cell.go
@@ -44,6 +44,7 @@
 func (m *Machine) clone() *Machine {
 	n := *m
 	n.writes, n.held, n.shun = slices.Clone(m.writes), slices.Clone(m.held), cloneMap(m.shun)
+	n.given = cloneMap(m.given)
 	n.calls, n.queue = nil, nil
 	for _, c := range m.calls {
 		x := *c
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -184,7 +184,8 @@
 	view   Record // the newest active one known
 	told   uint32 // highest committed version heard of
 	teller string
-	primed plane.Time // when the primary last told its view
+	given  map[string]plane.Time // large documents that were asked for, and may be on their way still
+	primed plane.Time            // when the primary last told its view
 
 	alive    plane.Time // when a primary or a candidate promised to was heard
 	aliveBy  string
@@ -432,8 +433,8 @@
 	case Pull:
 		if m.d.Kept.Version > t.Held {
 			if t.Deltas {
-				m.send(from, m.parcel(t.Held))
-			} else {
+				m.bring(from, m.parcel(t.Held))
+			} else { // what came as differences was damaged
 				m.send(from, Push{Doc: m.d.Kept.bare()})
 			}
 		}
--- a/internal/pact/spread.go
+++ b/internal/pact/spread.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"asterwell/internal/plane"
 )
 
 // near are the processes that may be members, or know them.
@@ -150,7 +152,7 @@
 	slices.SortFunc(ahead, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Held, a.Held), cmp.Compare(a.Addr, b.Addr))
 	})
-	for _, p := range ahead[:min(len(ahead), 8)] {
+	for _, p := range m.some(ahead) {
 		who = append(who, p.Addr)
 	}
 	if who = m.others(who); len(who) > 0 {
@@ -162,6 +164,61 @@
 		}
 		m.pulled = m.now
 		m.turn++
-		m.send(who[m.turn%len(who)], Pull{Held: held, Deltas: true})
+		at := m.turn
+		if len(ahead) > mostAsked {
+			at += int(m.salt >> 40)
+		}
+		m.send(who[at%len(who)], Pull{Held: held, Deltas: true})
+	}
+}
+
+const (
+	mostAsked  = 8        // of those that are ahead
+	largeGiven = 64 << 10 // bytes
+)
+
+// some of those that are ahead are asked: of many each process begins with others, since where all start at once
+// the first of them would send the document to all.
+func (m *Machine) some(ahead []Peer) []Peer {
+	n := len(ahead)
+	if n <= mostAsked {
+		return ahead
+	}
+	for i, p := range ahead {
+		if p.Held < ahead[0].Held {
+			n = i
+			break
+		}
+	}
+	if n <= mostAsked {
+		return ahead[:mostAsked]
+	}
+	from := int(m.salt % uint64(n))
+	return slices.Concat(ahead[from:n], ahead[:from])[:mostAsked]
+}
+
+// bring answers who asks for a document. A large one that it was given just now may be on its way still: one more behind it would
+// only make both later.
+func (m *Machine) bring(to string, p Push) {
+	size := len(p.Doc.Body)
+	for _, d := range p.Deltas {
+		size += d.size()
+	}
+	if size < largeGiven {
+		m.send(to, p)
+		return
+	}
+	for a, at := range m.given {
+		if m.now-at >= mostWay {
+			delete(m.given, a)
+		}
+	}
+	if at, ok := m.given[to]; ok && m.now-at < min(Way(size), mostWay) {
+		return
+	}
+	if m.given == nil {
+		m.given = map[string]plane.Time{}
 	}
+	m.given[to] = m.now
+	m.send(to, p)
 }
--- a/internal/toll/share_test.go
+++ b/internal/toll/share_test.go
@@ -346,3 +346,26 @@
 		t.Errorf("%d tenants are not heard of %v after the standstill, %d adds wait", unheard(), now-began, len(wait))
 	}
 }
+
+// TestWayRound: ways round are looked for after the usual time; to a holder in another region when an answer is later than
+// its ways vary; to one that has said that it is under strain only after a second.
+func TestWayRound(t *testing.T) {
+	for _, c := range []struct {
+		paced uint8
+		way   time.Duration
+		after time.Duration
+	}{{0, 0, retryGap}, {0, 2 * time.Millisecond, retryGap}, {0, 110 * time.Millisecond, 185 * time.Millisecond}, {25, 0, time.Second}} {
+		m, names, _ := crowded(20, 490)
+		now := plane.Time(time.Hour)
+		if c.way > 0 {
+			m.slots[0].way.note(now, c.way)
+		}
+		m.Pass(now, names[0], 1)
+		m.Tick(now + easeGap)
+		m.slots[0].paced = c.paced
+		began := m.slots[0].pending
+		if m.Mute(began+c.after-3*time.Millisecond, "h") || !m.Mute(began+c.after, "h") {
+			t.Errorf("%+v: not mute from then on", c)
+		}
+	}
+}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -326,5 +326,12 @@
 	if i < 0 || !m.slots[i].late(now) {
 		return false
 	}
-	return m.slots[i].paced == 0 || now-m.slots[i].pending >= strainedMute
+	s := &m.slots[i]
+	switch unanswered := now - s.pending; {
+	case s.paced > 0:
+		return unanswered >= strainedMute
+	case s.far(): // what goes through other regions varies by more than what stays in one
+		return unanswered >= s.way.stretch(retryGap)+retryGap
+	}
+	return true
 }
