--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -113,6 +113,10 @@
 			figure := map[string]any{}
 			x.phases[phase.name] = figure
 			x.measured(phase.name, figure, phase.run)
+			if half := halfOfMemory(); x.memory > half {
+				x.r.Rule(false, "%s: the run's processes have %.0f MB, half of the machine's memory is %.0f: it ends here", phase.name, x.memory, half)
+				break
+			}
 		}
 	}
 	x.judge()
--- a/internal/lab/scalefleet.go
+++ b/internal/lab/scalefleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"asterwell/internal/creed"
 	"asterwell/internal/glass"
@@ -396,6 +398,15 @@
 	return sum
 }
 
+// halfOfMemory is what a run may use, in MB.
+func halfOfMemory() float64 {
+	var info unix.Sysinfo_t
+	if unix.Sysinfo(&info) != nil {
+		return math.Inf(1)
+	}
+	return float64(info.Totalram) * float64(info.Unit) / 2 / 1e6
+}
+
 // disk is what the state of the core's members takes, in MB, at most.
 func (f *scaleFleet) disk() (most float64) {
 	for _, n := range f.nodes {
