--- a/internal/program/pair.go
+++ b/internal/program/pair.go
@@ -54,7 +54,7 @@
 	p.taken = len(others) == 0
 	p.opened.Store(p.taken)
 	ln.Pause(!p.taken)
-	p.look(now)
+	p.at = now // the first look is the gateway's: an older process may have handed its state on already, and the core, which takes it, doesn't run yet
 	return p, nil
 }
 
--- a/internal/twin/twin.go
+++ b/internal/twin/twin.go
@@ -85,10 +85,11 @@
 		if id == t.card.ID || strings.Contains(id, ".") {
 			continue
 		}
-		if !lives(lock) {
+		if !lives(lock, func() {
 			for _, kind := range []string{".card", ".state", ".lock"} {
 				os.Remove(t.stem + id + kind)
 			}
+		}) {
 			continue
 		}
 		card := Card{ID: id}
@@ -122,14 +123,25 @@
 	return true, err
 }
 
-// lives tries the lock, which the kernel gives up with the process that holds it.
-func lives(lock string) bool {
+// lives tries the lock, which the kernel gives up with the process that holds it. A dead one's files are taken away
+// while the lock is held: one that is just about to take it would else be left without them, and nobody would
+// know of it. It finds that the file has gone, and makes another.
+func lives(lock string, bury func()) bool {
 	f, err := os.Open(lock)
 	if err != nil {
 		return false
 	}
 	defer f.Close()
-	return unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK
+	if unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB) == unix.EWOULDBLOCK {
+		return true
+	}
+	if unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil { // else somebody joins, or looks too: the next look tells
+		mine, _ := f.Stat()
+		if there, err := os.Stat(lock); err == nil && os.SameFile(mine, there) {
+			bury()
+		}
+	}
+	return false
 }
 
 const head = "asterwell %d %016x %d\n"
--- a/internal/twin/twin_test.go
+++ b/internal/twin/twin_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -64,3 +67,40 @@
 		t.Error("files of the dead are left: ", files)
 	}
 }
+
+// TestJoinsBesideLooks: a process that joins while others look is known to them from then on, however the two fall together:
+// who looks may not take its files away for a dead one's.
+func TestJoinsBesideLooks(t *testing.T) {
+	dir := t.TempDir()
+	old, err := Join(dir, "n0", "aa", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Leave()
+	var over atomic.Bool
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for !over.Load() {
+				old.Others()
+			}
+		})
+	}
+	unknown := 0
+	for i := range 3000 {
+		next, err := Join(dir, "n0", fmt.Sprintf("b%04d", i), int64(2+i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		mine, _ := next.lock.Stat()
+		if there, err := os.Stat(next.stem + next.card.ID + ".lock"); err != nil || !os.SameFile(mine, there) {
+			unknown++
+		}
+		next.Leave()
+	}
+	over.Store(true)
+	wg.Wait()
+	if unknown > 0 {
+		t.Errorf("%d of 3000 processes that joined are known to nobody", unknown)
+	}
+}
