Give each gateway of a test an address of its own: a port that was free may be taken

The test lets go of a port that was free and has the gateway listen on it; beside other packages' tests, which open thousands of connections on 127.0.0.1, somebody else may have it by then. Ruled out: trying again (a gateway that does not start is what some of these tests are about); tests one after the other. Change: the address is one of the loopback range that nothing else binds, by process and count.

--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -19,9 +19,8 @@
 // a good one moves discovery, though the environment named another one at the
 // start. What goes on meanwhile is not disturbed.
 func TestReload(t *testing.T) {
-	server, other, old, agent, free := listen(t), listen(t), listen(t), listen(t), listen(t)
-	addr, path := free.Addr().String(), filepath.Join(t.TempDir(), "config.json")
-	free.Close()
+	server, other, old, agent := listen(t), listen(t), listen(t), listen(t)
+	addr, path := vacant(t), filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery string) {
 		text, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": discovery, "seed": "1f",
 			"known": map[string]any{"version": 7, "full": true, "servers": []map[string]any{
--- a/internal/program/scenario_test.go
+++ b/internal/program/scenario_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"asterwell/internal/scenario"
@@ -62,9 +63,7 @@
 func gateway(t *testing.T, idleMs int) *scenario.Stage {
 	t.Helper()
 	server, discovery := listen(t), listen(t)
-	free := listen(t)
-	addr := free.Addr().String()
-	free.Close()
+	addr := vacant(t)
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": addr, "discovery": discovery.Addr().String(), "seed": "1f",
 		"known": map[string]any{"version": 7, "full": true, "servers": []map[string]any{
@@ -115,6 +114,21 @@
 	os.Exit(m.Run())
 }
 
+var vacants atomic.Uint32
+
+// vacant is an address that a gateway may listen on. It is one of its own in the loopback range: a port of 127.0.0.1 that was
+// free a moment ago may be somebody's by the time that the gateway listens, or the near end of a connection.
+func vacant(t *testing.T) string {
+	t.Helper()
+	n := uint32(os.Getpid())*251 + vacants.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+n>>16&63, n>>8&255, 1+n%254))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
--- a/internal/program/service_test.go
+++ b/internal/program/service_test.go
@@ -76,9 +76,7 @@
 // start starts one on the socket, and waits until it takes clients.
 func (s *service) start() *process {
 	s.t.Helper()
-	free := listen(s.t)
-	p := &process{exec.Command(os.Args[0]), s.t, free.Addr().String()}
-	free.Close()
+	p := &process{exec.Command(os.Args[0]), s.t, vacant(s.t)}
 	socket, err := s.socket.File()
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/program/srv_test.go
+++ b/internal/program/srv_test.go
@@ -143,9 +143,8 @@
 // withDNS starts one. SRV is refreshed every 50 ms.
 func withDNS(t *testing.T, more string) *dnsStand {
 	t.Helper()
-	one, two, discovery, free := listen(t), listen(t), listen(t), listen(t)
-	addr := free.Addr().String()
-	free.Close()
+	one, two, discovery := listen(t), listen(t), listen(t)
+	addr := vacant(t)
 	on := "on SRV _noms._tcp.example.org\n"
 	script, err := standin.Parse(on + record(1, one.Addr().String(), ""))
 	if err != nil {
