Hold struck requests by a lock in the tests that say nobody waits for them

Three tests tell "does not wait for those held" by such bounds of wall time. Ruled out: longer bounds (they show less, and fail all the same on a busier machine); running the package alone. Change: the tests' world keeps struck requests held for as long as a lock is taken, and the others must be answered meanwhile. That is stricter: one that waits for a held one, for however short, never comes back (504 after its deadline of 3 s); and those held must still be held afterwards. The three bounds (140, 200 and 300 ms) are gone.

--- a/internal/shuttle/fault_test.go
+++ b/internal/shuttle/fault_test.go
@@ -18,6 +18,7 @@
 	"asterwell/choice"
 	"asterwell/internal/bane"
 	"asterwell/internal/creed"
+	"asterwell/internal/seam"
 	"asterwell/internal/transport"
 )
 
@@ -77,12 +78,26 @@
 func (a *always) Unmade(q bane.Request, s bane.Strike, what string) { a.Struck(q, s, what) }
 func (a *always) Struck(_ bane.Request, _ bane.Strike, what string) { a.told <- what }
 
+// pause is the machine's world, but for requests that a rule holds: as long as it is locked, their time
+// doesn't end. So what is answered meanwhile has waited for none of them, however busy the machine is.
+type pause struct {
+	seam.Seam
+	sync.RWMutex
+}
+
+func (p *pause) Sleep(d time.Duration) {
+	p.Seam.Sleep(d)
+	p.RLock()
+	defer p.RUnlock()
+}
+
 // stage is a gateway before a toy server.
 type stage struct {
 	toy   *toy
 	f     *always
 	url   string
 	plane *Plane
+	pause *pause
 	quota func(string) bool
 	late  atomic.Bool // it has left for long
 
@@ -95,13 +110,13 @@
 		t.Fatal(err)
 	}
 	g := &stage{toy: &toy{ran: map[string]int{}, tenant: map[string]string{}}, f: &always{strike: s, told: make(chan string, 1000)},
-		quota: func(string) bool { return true }}
+		pause: &pause{Seam: seam.Real}, quota: func(string) bool { return true }}
 	back := httptest.NewServer(g.toy)
 	t.Cleanup(back.Close)
 	start := time.Now()
 	o := Options{Zone: "a", Now: func() time.Duration { return time.Hour + time.Since(start) }, Sockets: 100, Seed: 1,
 		Pass:    func(tenant string, _ float64) (bool, time.Duration) { return g.quota(tenant), time.Second },
-		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f}
+		Leaving: func() bool { return false }, Closing: g.late.Load, RetryRatio: 0.2, RetrySlack: 10, ColdFor: time.Second, Faults: g.f, World: g.pause}
 	for _, f := range more {
 		f(&o)
 	}
@@ -160,19 +175,21 @@
 		body         string
 		least        time.Duration
 		told         string
+		within       string // its deadline, in ms
 	}{
-		{bane.Strike{Kind: bane.Delay, Delay: 150 * time.Millisecond}, 200, 1, "id 1 b", 150 * time.Millisecond, "delayed"},
-		{bane.Strike{Kind: bane.Delay, Delay: time.Minute}, 504, 0, "", 400 * time.Millisecond, "never ran"},
-		{bane.Strike{Kind: bane.VanishBefore}, 504, 0, "", 400 * time.Millisecond, "never ran"},
-		{bane.Strike{Kind: bane.VanishAfter}, 504, 1, "", 400 * time.Millisecond, "ran"},
-		{bane.Strike{Kind: bane.Double}, 200, 2, "id 1 b", 0, "ran twice"},
+		{bane.Strike{Kind: bane.Delay, Delay: 150 * time.Millisecond}, 200, 1, "id 1 b", 150 * time.Millisecond, "delayed", "3000"},
+		{bane.Strike{Kind: bane.Delay, Delay: time.Minute}, 504, 0, "", 400 * time.Millisecond, "never ran", "400"},
+		{bane.Strike{Kind: bane.VanishBefore}, 504, 0, "", 400 * time.Millisecond, "never ran", "400"},
+		{bane.Strike{Kind: bane.VanishAfter}, 504, 1, "", 400 * time.Millisecond, "ran", "400"},
+		{bane.Strike{Kind: bane.Double}, 200, 2, "id 1 b", 0, "ran twice", "3000"},
 	} {
 		t.Run(string(c.strike.Kind)+c.told, func(t *testing.T) {
 			t.Parallel()
 			g := newStage(t, c.strike)
+			g.pause.Lock()
 			var wg sync.WaitGroup
 			wg.Go(func() {
-				status, body, took := g.ask(t, &http.Client{}, "k1", "id", "b", "X-Deadline-Ms", "400")
+				status, body, took := g.ask(t, &http.Client{}, "k1", "id", "b", "X-Deadline-Ms", c.within)
 				if status != c.status || body != c.body || took < c.least {
 					t.Error("struck:", status, body, took)
 				}
@@ -183,14 +200,15 @@
 			client := &http.Client{}
 			for i := range 50 {
 				id := fmt.Sprint("other-", i)
-				status, body, took := g.ask(t, client, "k10", id, "b", "X-Deadline-Ms", "400", headerTenant, "ship-1")
-				if status != 200 || body != id+" 1 b" || took > 140*time.Millisecond {
+				status, body, took := g.ask(t, client, "k10", id, "b", headerTenant, "ship-1")
+				if status != 200 || body != id+" 1 b" {
 					t.Error("another's:", status, body, took)
 				}
 				if n, tenant := g.toy.of(id); n != 1 || tenant != "ship-10" {
 					t.Error(id, "ran", n, "times for", tenant)
 				}
 			}
+			g.pause.Unlock()
 			wg.Wait()
 			if n, _ := g.toy.of("id"); n != c.runs {
 				t.Error("ran", n, "times")
@@ -253,6 +271,7 @@
 // held. The rule follows the name.
 func TestKeyPassedOn(t *testing.T) {
 	g := newStage(t, bane.Strike{Kind: bane.Delay, Delay: 300 * time.Millisecond})
+	g.pause.Lock()
 	adopt := func(epoch, ship1, ship10 string) {
 		c, err := creed.Parse([]byte(strings.NewReplacer("00000001", epoch, `["k1"]`, ship1, `["k10"]`, ship10).Replace(text)))
 		if err != nil {
@@ -270,9 +289,13 @@
 		time.Sleep(time.Millisecond)
 	}
 	adopt("00000002", `["k2"]`, `["k1"]`)
-	if status, _, took := g.ask(t, &http.Client{}, "k1", "passed on", "b"); status != 200 || took > 200*time.Millisecond {
+	if status, _, took := g.ask(t, &http.Client{}, "k1", "passed on", "b"); status != 200 {
 		t.Error("another's by now:", status, took)
 	}
+	if n, _ := g.toy.of("held"); n != 0 || g.plane.held.Load() != 1 {
+		t.Error("the held one ran", n, "times,", g.plane.held.Load(), "held: another's may have waited for it")
+	}
+	g.pause.Unlock()
 	if status, _, took := g.ask(t, &http.Client{}, "k2", "its new key", "b"); status != 200 || took < 300*time.Millisecond {
 		t.Error("with the new key:", status, took)
 	}
@@ -317,6 +340,7 @@
 	for g.plane.held.Load() > 0 {
 		time.Sleep(time.Millisecond)
 	}
+	g.pause.Lock()
 	for i := range 80 {
 		c := knock("held", i)
 		defer c.Close()
@@ -328,10 +352,14 @@
 		}
 	}
 	for i := range 100 {
-		if status, _, took := g.ask(t, client, "k10", fmt.Sprint("other-", i), "b"); status != 200 || took > 300*time.Millisecond {
+		if status, _, took := g.ask(t, client, "k10", fmt.Sprint("other-", i), "b"); status != 200 {
 			t.Error("another's, beside those held:", status, took)
 		}
 	}
+	if n := g.plane.held.Load(); n < int64(most) {
+		t.Error(n, "held while others were answered")
+	}
+	g.pause.Unlock()
 	for g.plane.held.Load() > 0 {
 		time.Sleep(time.Millisecond)
 	}
