Close a way round to a holder once it answers straight again

Cause: while a way round is open each add goes straight and round. The straight answer closed the way, and the one that came round, a few milliseconds later, opened it again for 3 s: a single late answer kept the way open for as long as there was traffic (a metastable state). Ruled out: a pause before a way is looked for (a cut would be gone round later); closing ways by time (the first add after it is late again). Change: an answer that comes round opens a way only if that add, or a later one, was not answered straight; toll.Answer.Stamped tells which add it is to.

--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -149,7 +149,7 @@
 	case of == ofToll:
 		if a, ok := msg.(toll.Answer); ok && !a.Ask {
 			if d := k.round[from]; d != nil {
-				d.straight()
+				d.straight(a)
 			}
 		}
 		k.send(k.counter.Take(now, from, msg))
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -28,9 +28,10 @@
 
 // detour is a way round to one holder.
 type detour struct {
-	by    string
-	till  plane.Time // an answer that came straight ends it sooner
-	tried plane.Time // when a way was last looked for
+	by       string
+	till     plane.Time // an answer that came straight ends it sooner
+	tried    plane.Time // when a way was last looked for
+	answered plane.Time // the stamp of the newest add that was answered straight
 }
 
 // may reports whether to look for a way now. Answers that are late on a full link, or from a
@@ -45,7 +46,20 @@
 }
 
 // straight ends a way round: its end has answered by itself.
-func (d *detour) straight() { d.by, d.till = "", 0 }
+func (d *detour) straight(a toll.Answer) {
+	d.by, d.till = "", 0
+	if stamp, ok := a.Stamped(); ok {
+		d.answered = max(d.answered, stamp)
+	}
+}
+
+// open takes a way that an answer has come by, if that add, or a later one, wasn't answered straight too: else each way
+// would keep itself open, since while there is one each add goes both ways.
+func (d *detour) open(now plane.Time, by string, a toll.Answer) {
+	if stamp, ok := a.Stamped(); ok && stamp > d.answered {
+		d.by, d.till = by, now+detourFor
+	}
+}
 
 const (
 	detourFor = 3 * time.Second
@@ -137,8 +151,7 @@
 			}
 		}
 	case v.Answer != nil:
-		d := k.detour(v.From)
-		d.by, d.till = v.By, now+detourFor
+		k.detour(v.From).open(now, v.By, *v.Answer)
 		k.send(k.meter.Take(now, v.From, *v.Answer))
 	}
 }
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -1,6 +1,7 @@
 package knot
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 			if d.may(now, gateways) {
 				looks++
 			}
-			d.straight()
+			d.straight(toll.Answer{})
 		}
 		if looks < most*3/4 || looks > most || looks*gateways > 10*450 {
 			t.Errorf("%d gateways: %d looks of each in 10 s", gateways, looks)
@@ -64,3 +65,66 @@
 		}
 	}
 }
+
+// seldom is a meter whose holder's answers were late once.
+type seldom struct {
+	unheard
+	late bool
+}
+
+func (s *seldom) Mute(plane.Time, string) bool { return s.late }
+func (s *seldom) Tick(now plane.Time) []plane.Send {
+	return []plane.Send{{To: "h:1", Msg: toll.Add{Life: 1, Stamp: now}}}
+}
+
+// TestWayCloses: a holder that was late once and answers again isn't told round for good. While a way is open
+// each add goes both ways, and the answer that comes round, a little later than the straight one, must not open it anew.
+// Where nothing comes straight the way stays open.
+func TestWayCloses(t *testing.T) {
+	for _, brief := range []bool{false, true} {
+		for _, back := range []bool{true, false} { // the holder answers straight again
+			m := &seldom{late: true}
+			now := plane.Time(time.Hour)
+			k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, m, nil, now)
+			k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
+			ways := 0
+			for i := range 40 {
+				now += 50 * time.Millisecond
+				var adds []toll.Add
+				var round []Via
+				for _, s := range k.Tick(now).Send {
+					switch v := s.Msg.(type) {
+					case toll.Add:
+						adds = append(adds, v)
+					case Via:
+						if v.Add != nil {
+							round = append(round, v)
+						}
+					}
+				}
+				m.late = !back && i%10 == 9
+				if i > 1 {
+					ways += len(round)
+				}
+				answer := func(a toll.Add) toll.Answer {
+					if brief { // flags, the life in four bytes, the period, the stamp
+						return toll.Answer{Brief: binary.AppendUvarint([]byte{0, 0, 0, 0, 1, 7}, uint64(a.Stamp))}
+					}
+					return toll.Answer{Life: 1, Stamp: a.Stamp}
+				}
+				if back && i > 0 {
+					for _, a := range adds {
+						k.Take(now+2*time.Millisecond, "h:1", answer(a))
+					}
+				}
+				for _, v := range round {
+					a := answer(*v.Add)
+					k.Take(now+4*time.Millisecond, "w:1", Via{From: "h:1", To: "g:1", By: "w:1", Answer: &a})
+				}
+			}
+			if back && ways > 2 || !back && ways < 30 {
+				t.Errorf("shortened %v, answers straight again %v: %d adds went round", brief, back, ways)
+			}
+		}
+	}
+}
