Let first reads of many gateways go together for longer

Need: at the peak of the plan nearly every request is the first of its tenant at its gateway, and first reads go every 25 ms: 40 adds a second from each of 490 gateways. Ruled out: another cadence for all (85 tenants: more refused for few bytes); fewer adds only under strain (that is the pace, and it comes late). Change: above 250 gateways they go together over 0.1 ms for each gateway, at most the 50 ms that lie between any two adds. Up to 250 nothing differs. TestCrowdGap.

--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -23,6 +23,7 @@
 	crowdRead = 25 * time.Millisecond  // the same, where first reads would fill the wire with heads of messages:
 	quickRate = 10.0                   // so many a second may come after firstGap,
 	quickMost = 10.0                   // and so many at once
+	crowdEach = 100 * time.Microsecond // for each gateway, of many: a holder gets no more than 10,000 of them a second
 
 	chargeGap  = 2 * time.Second        // after which what gateways passed while they were lost unknown is worked off
 	freshGap   = 30 * time.Millisecond  // within which an answer is back that is not late
--- a/internal/toll/share_test.go
+++ b/internal/toll/share_test.go
@@ -369,3 +369,21 @@
 		}
 	}
 }
+
+// TestCrowdGap: first reads beyond some a second go together, of many gateways over as long as lies between any two adds;
+// of up to 250 as ever, and those that are few aren't held up by the size of the fleet.
+func TestCrowdGap(t *testing.T) {
+	for gateways, want := range map[int]plane.Time{1: 25, 91: 25, 250: 25, 300: 30, 490: 49, 1000: 50} {
+		var q quick
+		now := plane.Time(time.Hour)
+		for range int(quickMost) {
+			if got := q.gap(now, gateways); got != firstGap {
+				t.Errorf("%d gateways: a rare first read waits %v", gateways, got)
+			}
+			q.left--
+		}
+		if got := q.gap(now, gateways); got != want*time.Millisecond {
+			t.Errorf("%d gateways: first reads go together over %v, not %d ms", gateways, got, want)
+		}
+	}
+}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -12,7 +12,7 @@
 	m.tickAt = now
 	least := leastGap
 	if m.novel {
-		least = m.quick.gap(now)
+		least = m.quick.gap(now, m.gateways)
 	}
 	switch {
 	case m.reader >= 0 && !m.slots[m.reader].late(now): // a repetition isn't paced: the holder would be taken as mute
@@ -94,16 +94,17 @@
 
 // quick is how many first reads may still follow another message closely. Where a gateway sees few
 // tenants that is all of them; where it sees thousands, each of them once, a message for each would be
-// most of what control sends, and those of some 25 ms go together.
+// most of what control sends, and those of some 25 ms go together; of more than 250 gateways, of as
+// long as the holder has for one add of each, up to what lies between any two adds.
 type quick struct {
 	left float64
 	at   plane.Time
 }
 
-func (q *quick) gap(now plane.Time) plane.Time {
+func (q *quick) gap(now plane.Time, gateways int) plane.Time {
 	q.left = min(quickMost, q.left+(now-q.at).Seconds()*quickRate)
 	if q.at = now; q.left < 1 {
-		return crowdRead
+		return min(leastGap, max(crowdRead, plane.Time(gateways)*crowdEach))
 	}
 	return firstGap
 }
