--- a/cmd/asterlab/scale.go
+++ b/cmd/asterlab/scale.go
@@ -39,6 +39,7 @@
 	f.DurationVar(&o.Phase, "phase", 8*time.Second, "how long a phase is")
 	f.DurationVar(&o.Apart, "apart", 400*time.Millisecond, "between the starts of two racks; 0: all at once")
 	f.DurationVar(&o.Within, "within", time.Minute, "for all to come up")
+	f.IntVar(&o.MemMb, "memory", 1024, "that each gateway's settings give it, in MB")
 	f.StringSliceVar(&o.Only, "only", nil, "these phases only")
 	f.StringVar(&o.Folder, "folder", "", "for the state of the core; empty: the temporary one")
 	f.BoolVar(&o.Bare, "bare", false, "hollow gateways without the data plane: what they cost is control")
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -33,6 +33,7 @@
 	Bare                 bool          // hollow gateways without the data plane: what is left is control
 	Profile              string        // of the processor, of the first process of hollow gateways; "": none
 	Apart                time.Duration // between racks that start; 0: all at once
+	MemMb                int           // that each gateway's settings give it
 	Phase                time.Duration
 	Within               time.Duration // to come up
 	Only                 []string      // phases; empty: all
@@ -77,6 +78,8 @@
 		return nil, fmt.Errorf("--real must be above the core's %d and at most 60 and --gateways, not %d", o.Core, o.Real)
 	case o.Regions < 1 || o.Regions > 5:
 		return nil, fmt.Errorf("--regions must be from 1 to 5, not %d", o.Regions)
+	case o.MemMb < 64:
+		return nil, fmt.Errorf("--memory must be 64 or more, not %d", o.MemMb)
 	case o.Servers < o.Services || o.Routes < 1 || o.Tenants < 1:
 		return nil, fmt.Errorf("--servers, --routes and --tenants: at least one each, and servers for %d services", o.Services)
 	}
@@ -283,6 +286,7 @@
 	x.r.Figure["gateways"], x.r.Figure["hollow"], x.r.Figure["real"], x.r.Figure["core"] = x.o.Gateways, hollow, x.o.Real, x.o.Core
 	x.r.Figure["servers"], x.r.Figure["routes"], x.r.Figure["tenants"], x.r.Figure["regions"] = x.o.Servers, x.o.Routes, x.o.Tenants, x.o.Regions
 	x.r.Figure["services"], x.r.Figure["rate"], x.r.Figure["config_bytes"] = x.o.Services, x.o.Rate, len(x.text)
+	x.r.Figure["given_mb"] = x.o.MemMb
 	x.r.Figure["by_phase"], x.r.Figure["bare"] = x.phases, x.o.Bare
 	x.r.Figure["disk_mb"], x.r.Figure["machine_memory_mb"] = round3(x.disk()), round3(x.memory)
 	if load, err := os.ReadFile("/proc/loadavg"); err == nil { // of the whole machine: others' work makes figures worse
--- a/internal/lab/scalefleet.go
+++ b/internal/lab/scalefleet.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -167,7 +168,7 @@
 	set := map[string]any{"NodeName": n.name, "Serves": serves, "IpAddr": n.ip, "Zone": n.zone, "Region": zones[n.zone],
 		"Zones": zones, "Bind": bind, "PortRange": []int{f.port + 3, f.port + 5}, "Genesis": true, "QuorumMember": n.core,
 		"Bootstrap": []string{f.nodes[0].control(f.port), f.nodes[1].control(f.port), f.nodes[2].control(f.port)},
-		"BoundsReq": map[string]any{"CpuFraction": 1, "CpuCount": 1, "MemMb": 1024, "FdLimit": 6000}, "HeartbeatMs": scaleBeat.Milliseconds(),
+		"BoundsReq": map[string]any{"CpuFraction": 1, "CpuCount": 1, "MemMb": cmp.Or(f.o.MemMb, 1024), "FdLimit": 6000}, "HeartbeatMs": scaleBeat.Milliseconds(),
 		"FaultBudget": map[string]int{"MachineLosses": f.o.losses()}, "FaultRules": map[string]int{"LongestS": 600}}
 	if n.core {
 		set["StateDir"] = filepath.Join(f.dir, n.name)
