Ask round the fewer, and gateways the more seldom, the larger the fleet

Need: with ways that close, knot.Via was still 14% of a hollow gateway's bytes at 91 gateways in three regions, and at 490, where the machine is short of processors, 700 MB in all. Cause: the second holder asks all gateways for signs of life; one 110 ms away was asked round after 50 ms, before its sign could have come; and all whose signs stayed out were asked round at each tick, two messages each: a process that is late itself sent ever more of them. Ruled out: no asking round among many (half of a fleet behind a cut would be missed for good). Change: who is far is asked round only when its sign could be there; at most 100 gateways are asked round at a tick, in turn, and none by a process of a large fleet that stood still itself. Above 250 gateways questions come 0.36 ms apart for each gateway (90 ms before, 176 at 490), adds to the holder that is not read 0.2 ms (50 ms, 98 at 490), and first reads that follow closely are 2,500 a second for all. Up to 100 near gateways nothing differs; up to 250 only what is far.

--- a/internal/knot/knot.go
+++ b/internal/knot/knot.go
@@ -89,10 +89,11 @@
 	bane    *bane.Machine
 	cede    *cede.Machine
 	round   map[string]*detour // to holders
-	turn    int
-	swift   int        // changes of membership taken in since the tick
-	late    bool       // there are more
-	looked  plane.Time // when they were last taken in, and how many processes there were
+	turn    int                // where to go on among ways,
+	asking  int                // and among those that leave questions unanswered
+	swift   int                // changes of membership taken in since the tick
+	late    bool               // there are more
+	looked  plane.Time         // when they were last taken in, and how many processes there were
 	seen    int
 	tickAt  plane.Time
 	stood   bool // this process stood still before the tick: it is not others that are late
--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -63,7 +63,8 @@
 
 const (
 	detourFor = 3 * time.Second
-	detours   = 2 // tried at once
+	detours   = 2     // tried at once
+	mostBlind = fewer // gateways asked round between two ticks
 	lookGap   = 100 * time.Millisecond
 	lookEach  = 2500 * time.Microsecond // for each gateway: a holder is told of by 800 ways a second at most
 )
@@ -97,13 +98,22 @@
 	return d
 }
 
-// look asks for the signs of life that the counter wants.
+// look asks for the signs of life that the counter wants, and round where they stay out. Where more stay out than a
+// part of a large fleet, it is rather this process that is late, or the links: then some are asked round, in turn,
+// and none by one that stood still itself. Else each late answer would cost two messages more, in ever larger numbers.
 func (k *Knot) look(now plane.Time, asks []plane.Send) {
 	k.send(asks)
-	for _, s := range asks {
-		if k.counter.Blind(now, s.To) {
-			k.around(s.To, Via{From: k.self, To: s.To, Ask: true})
-		}
+	if k.stood {
+		return
+	}
+	blind := lo.Filter(asks, func(s plane.Send, _ int) bool { return k.counter.Blind(now, s.To) })
+	if n := len(blind); n > mostBlind {
+		at := k.asking % n
+		k.asking += mostBlind
+		blind = append(blind[at:], blind[:at]...)[:mostBlind]
+	}
+	for _, s := range blind {
+		k.around(s.To, Via{From: k.self, To: s.To, Ask: true})
 	}
 }
 
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"testing"
 	"time"
 
@@ -128,3 +129,47 @@
 		}
 	}
 }
+
+// TestAskedRoundInTurn: of a large fleet whose signs of life stay out a part is asked round at a tick, all in turn, and
+// none by a process that stood still itself; in a small one all at once.
+func TestAskedRoundInTurn(t *testing.T) {
+	for _, c := range []struct {
+		silent int
+		stood  bool
+		most   int
+	}{{8, false, 8}, {99, false, 99}, {489, false, mostBlind}, {489, true, 0}} {
+		now := plane.Time(time.Hour)
+		k := New(Config{Self: "h:1", Name: "h", Zone: "z", Life: 1}, unheard{}, nil, now)
+		for _, w := range []string{"w:1", "w:2", "w:3"} {
+			k.bond.Take(now, w, bond.Hello{Node: bond.Node{Addr: w, Name: w, Zone: "z", Life: 1}})
+		}
+		nodes := []string{"h:1"}
+		for i := range c.silent {
+			nodes = append(nodes, fmt.Sprintf("g%03d:1", i))
+		}
+		k.counter.Nodes(nodes)
+		k.counter.Tick(now)
+		for _, n := range nodes[1:] {
+			k.counter.Take(now, n, toll.Add{Life: 1, Signs: true, Near: true})
+		}
+		all := map[string]bool{}
+		for range 100 {
+			now += 50 * time.Millisecond
+			k.counter.Take(now, "w:1", toll.Add{Life: 1, Near: true})
+			k.stood = c.stood
+			k.look(now, k.counter.Tick(now))
+			round := map[string]bool{}
+			for _, s := range k.end().Send {
+				if v, is := s.Msg.(Via); is && v.Ask {
+					round[v.To], all[v.To] = true, true
+				}
+			}
+			if len(round) > c.most {
+				t.Fatalf("%d silent: %d asked round at a tick", c.silent, len(round))
+			}
+		}
+		if want := map[bool]int{false: c.silent, true: 0}[c.stood]; len(all) != want {
+			t.Errorf("%d silent, stood still %v: %d were ever asked round", c.silent, c.stood, len(all))
+		}
+	}
+}
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -23,7 +23,9 @@
 	crowdRead = 25 * time.Millisecond  // the same, where first reads would fill the wire with heads of messages:
 	quickRate = 10.0                   // so many a second may come after firstGap,
 	quickMost = 10.0                   // and so many at once
-	crowdEach = 100 * time.Microsecond // for each gateway, of many: a holder gets no more than 10,000 of them a second
+	crowdEach = 100 * time.Microsecond // for each gateway, of many: a holder gets no more than 10,000 of them a second,
+	quickAll  = 2500.0                 // so many of those that follow closely,
+	spareEach = 200 * time.Microsecond // and the one that is not read 5,000 adds
 
 	chargeGap  = 2 * time.Second        // after which what gateways passed while they were lost unknown is worked off
 	freshGap   = 30 * time.Millisecond  // within which an answer is back that is not late
--- a/internal/toll/sight.go
+++ b/internal/toll/sight.go
@@ -10,6 +10,8 @@
 const (
 	few      = 100
 	countGap = 10 * time.Millisecond
+	blindGap = 50 * time.Millisecond  // from tick to tick
+	askEach  = 360 * time.Microsecond // for each gateway, between questions: some 2,800 of them a second at the most
 )
 
 // sights is which gateways a counter hears, so that a cut is known before the members
@@ -105,7 +107,7 @@
 		return nil
 	}
 	s.asking = watching
-	again := now-s.repeatAt >= lostGap
+	again := now-s.repeatAt >= s.each(lostGap)
 	for _, n := range s.nodes {
 		v := s.seen[n]
 		if !watching && !(used && n == fellow) {
@@ -113,7 +115,7 @@
 			s.seen[n] = v
 			continue
 		}
-		if n == s.self || !v.signs || now-v.heard < askGap || v.asked != 0 && !again {
+		if n == s.self || !v.signs || now-v.heard < s.each(askGap) || v.asked != 0 && !again {
 			continue
 		}
 		if v.asked == 0 {
@@ -128,10 +130,22 @@
 	return out
 }
 
-// blind says that a gateway was asked before and hasn't answered.
+// each is a gap between questions, longer where there are more than 250 gateways to be asked.
+func (s *sights) each(gap time.Duration) time.Duration {
+	return max(gap, time.Duration(len(s.nodes))*askEach)
+}
+
+// blind says that a gateway was asked before and hasn't answered: one near by at the tick before, one that is far for
+// as long as its answer may take.
 func (s *sights) blind(now plane.Time, node string) bool {
 	v := s.seen[node]
-	return v.asked != 0 && v.asked < now && now-v.asked >= v.way.beyond(lostGap)
+	if v.asked == 0 || v.asked == now {
+		return false
+	}
+	if v.way.beyond(blindGap) > 0 {
+		return now-v.asked >= v.way.stretch(blindGap)
+	}
+	return true
 }
 
 // missing is how many gateways are out of sight.
--- a/internal/toll/sight_test.go
+++ b/internal/toll/sight_test.go
@@ -1,6 +1,7 @@
 package toll
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -31,3 +32,58 @@
 		t.Errorf("%d missing after a freeze", n)
 	}
 }
+
+// TestBlind: one near by that leaves a question unanswered is asked round at the next tick, as ever; one that is 110 ms away
+// not before its sign could have come.
+func TestBlind(t *testing.T) {
+	for _, way := range []time.Duration{2 * time.Millisecond, 40 * time.Millisecond, 110 * time.Millisecond} {
+		c := NewCounter("a", 1)
+		c.Nodes([]string{"a", "b", "c"})
+		now := time.Minute
+		c.Tick(now)
+		c.Take(now, "b", Add{Life: 1, Signs: true, Asked: now - way})
+		var asked, blind time.Duration
+		for end := now + time.Second; now < end && blind == 0; {
+			now += 50 * time.Millisecond
+			c.Take(now, "c", Add{Life: 1, Signs: true, Near: true})
+			for _, s := range c.Tick(now) {
+				if s.To == "b" && asked == 0 {
+					asked = now
+				}
+			}
+			if c.Blind(now, "b") {
+				blind = now - asked
+			}
+		}
+		if want := map[bool]time.Duration{false: 50 * time.Millisecond, true: 150 * time.Millisecond}[way > 50*time.Millisecond]; blind != want {
+			t.Errorf("%v there and back: asked round after %v, not %v", way, blind, want)
+		}
+	}
+}
+
+// TestAsksBounded: what a holder asks doesn't grow with the fleet beyond some 2,800 questions a second; at sites as they
+// are nothing differs.
+func TestAsksBounded(t *testing.T) {
+	for gateways, most := range map[int]int{11: 11 * 10, 91: 91 * 10, 490: 2800, 1000: 2800} {
+		c := NewCounter("a", 1)
+		nodes := []string{"a"}
+		for i := range gateways {
+			nodes = append(nodes, fmt.Sprintf("g%04d", i))
+		}
+		c.Nodes(nodes)
+		now := time.Minute
+		c.Tick(now)
+		for _, n := range nodes[1:] {
+			c.Take(now, n, Add{Life: 1, Signs: true, Near: true})
+		}
+		asks := 0
+		for end := now + 4*time.Second; now < end; {
+			now += 50 * time.Millisecond
+			c.Take(now, "z", Add{Life: 1, Near: true})
+			asks += len(c.Tick(now))
+		}
+		if asks /= 4; asks > most || asks < most/3 {
+			t.Errorf("%d silent gateways are asked %d times a second, %d at the most", gateways, asks, most)
+		}
+	}
+}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -45,7 +45,7 @@
 			gap = easeGap
 		}
 		if now-m.nearAt < nearGap && m.nearAt != 0 { // others may read the other holder: it must know as much
-			gap = s.pace(leastGap)
+			gap = s.pace(max(leastGap, plane.Time(m.gateways)*spareEach))
 		}
 		switch {
 		case s.addr == "":
@@ -102,7 +102,7 @@
 }
 
 func (q *quick) gap(now plane.Time, gateways int) plane.Time {
-	q.left = min(quickMost, q.left+(now-q.at).Seconds()*quickRate)
+	q.left = min(quickMost, q.left+(now-q.at).Seconds()*min(quickRate, quickAll/float64(max(1, gateways))))
 	if q.at = now; q.left < 1 {
 		return min(leastGap, max(crowdRead, plane.Time(gateways)*crowdEach))
 	}
