Repeat ever more seldom to a holder that does not answer, in large fleets

Ruled out: smaller repetitions (a backlog would not go down); giving up a holder (the other one is no better off). Change: what is repeated to a holder that does not answer waits twice as long each time, up to 16 times (exponential backoff); an answer ends that. Only where the first wait is above the 50 ms between any two adds, so from 126 gateways on. TestPatience wanted 40 to 56 adds in 10 s of 490 gateways without an answer, which is the fault: it wants 8 to 16 now; its bounds for small fleets stand.

--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -53,6 +53,7 @@
 	missing uint32     // gateways out of its sight, as it last said
 	brief   bool       // it reads adds that are shortened
 	paced   uint8      // how far apart it wants adds
+	tries   int        // adds repeated since its last answer
 
 	last [4]string // tenants that it was told of last, of each kind, where not all had room
 	way  roundTrip
--- a/internal/toll/share.go
+++ b/internal/toll/share.go
@@ -14,9 +14,10 @@
 // it has no room for goes with the next ones, in turn. Up to the bound nothing differs.
 
 const (
-	mostItems = 256                    // of an add
-	mostOld   = 32                     // of these, where there are more than the bound, sums of the period before
-	seldom    = 400 * time.Microsecond // for each gateway: between repetitions, of which a holder gets 2,500 a second
+	mostItems   = 256                    // of an add
+	mostOld     = 32                     // of these, where there are more than the bound, sums of the period before
+	mostBackoff = 4                      // doublings of that
+	seldom      = 400 * time.Microsecond // for each gateway: between repetitions, of which a holder gets 2,500 a second
 )
 
 // talks is what there is to tell a holder, in order of tenants.
@@ -74,5 +75,16 @@
 	return len(m.order) > mostItems && s.far() && !s.late(now) && now-e.saidAt < s.way.stretch(retryGap)
 }
 
-// patience is between two adds to a holder that doesn't answer.
-func (m *Meter) patience() plane.Time { return plane.Time(m.gateways) * seldom }
+// patience is between two adds to a holder that doesn't answer, twice as long after each (exponential backoff): what
+// many gateways repeat keeps a holder that fell behind from ever answering. In small fleets it is below any gap.
+func (m *Meter) patience() plane.Time {
+	once := plane.Time(m.gateways) * seldom
+	if once <= leastGap {
+		return once
+	}
+	tries := max(m.slots[0].tries, m.slots[1].tries)
+	if m.reader >= 0 {
+		tries = m.slots[m.reader].tries
+	}
+	return once << min(tries, mostBackoff)
+}
--- a/internal/toll/share_test.go
+++ b/internal/toll/share_test.go
@@ -155,9 +155,9 @@
 	}
 }
 
-// TestPatience: who gets no answer repeats as often as ever in a small fleet, and seldom in a large one.
+// TestPatience: who gets no answer repeats as often as ever in a small fleet, and ever more seldom in a large one.
 func TestPatience(t *testing.T) {
-	for gateways, bounds := range map[int][2]int{23: {55, 75}, 125: {55, 75}, 490: {40, 56}} {
+	for gateways, bounds := range map[int][2]int{23: {55, 75}, 125: {55, 75}, 490: {8, 16}} {
 		m, names, _ := crowded(20, gateways)
 		now, adds := plane.Time(time.Hour), 0
 		for end := now + 10*time.Second; now < end; now += 10 * time.Millisecond {
@@ -387,3 +387,38 @@
 		}
 	}
 }
+
+// TestBackoff: gateways of a large fleet that get no answer repeat ever more seldom, so that a holder that fell behind
+// is told less than it can count; one answer, and they tell it as often as before. In a small fleet nothing differs.
+func TestBackoff(t *testing.T) {
+	for gateways, most := range map[int]int{11: 200, 125: 200, 490: 10} {
+		m := NewMeter("g", 1, 1)
+		now := plane.Time(time.Hour)
+		m.Nodes(now, gateways, []string{"h", "i"})
+		m.Limits(now, map[string]Limit{"t": {100, 100}})
+		spend := func(span time.Duration, answered bool) (adds int) {
+			for end := now + span; now < end; now += 10 * time.Millisecond {
+				m.Pass(now, "t", 1)
+				for _, s := range m.Tick(now) {
+					if s.To != "h" {
+						continue
+					}
+					adds++
+					if a := s.Msg.(Add); answered {
+						m.Take(now, "h", Answer{Life: 1, Stamp: a.Stamp, Period: 1 << tagBits})
+					}
+				}
+			}
+			return adds
+		}
+		before := spend(2*time.Second, true)
+		spend(10*time.Second, false)
+		if n := spend(10*time.Second, false); n > most {
+			t.Errorf("%d gateways: %d adds in 10 s to a holder that hasn't answered for as long, %d at the most", gateways, n, most)
+		}
+		spend(4*time.Second, true)
+		if after := spend(2*time.Second, true); after < before/2 {
+			t.Errorf("%d gateways: %d adds in 2 s after an answer, %d before", gateways, after, before)
+		}
+	}
+}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -60,6 +60,9 @@
 		}
 		m.due = m.due || more && read
 		late := s.late(now)
+		if late {
+			s.tries++
+		}
 		if (read || echo) && s.pending == 0 {
 			s.pending = now
 		}
@@ -188,7 +191,7 @@
 	if s.brief = a.Briefs && !lost; lost { // it lives, and is told again, with the whole life
 		s.refill, m.due = true, true
 		if s.pending != 0 && a.Stamp >= s.pending {
-			s.pending = 0
+			s.pending, s.tries = 0, 0
 		}
 		return nil
 	}
@@ -199,7 +202,7 @@
 		}
 	}
 	if s.pending != 0 && a.Stamp >= s.pending {
-		s.pending = 0
+		s.pending, s.tries = 0, 0
 	}
 	s.way.note(now, now-a.Stamp)
 	s.missing, s.paced = a.Missing, a.Pace
