--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -70,7 +70,9 @@
 )
 
 // count sends what the meter wants told, and round what keeps silent. A holder that
-// gets an add twice counts it once.
+// gets an add twice counts it once. Of a large fleet only a question goes round until a way is known: where
+// the holder can't keep up, each of hundreds would carry its whole add by two ways else, and there is no way then
+// that is quicker. The next add takes the way that was found.
 func (k *Knot) count(now plane.Time) {
 	adds := k.meter.Tick(now)
 	k.send(adds)
@@ -83,6 +85,9 @@
 		if d.till > now {
 			k.send([]plane.Send{{To: d.by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
 		} else if !k.stood && k.meter.Mute(now, s.To) && d.may(now, k.seen) {
+			if k.seen > fewer {
+				add = add.Question()
+			}
 			k.around(s.To, Via{From: k.self, To: s.To, Add: &add})
 		}
 	}
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -173,3 +173,41 @@
 		}
 	}
 }
+
+// wordy is a meter whose adds carry something, and whose holder never answers straight.
+type wordy struct{ unheard }
+
+func (wordy) Tick(now plane.Time) []plane.Send {
+	return []plane.Send{{To: "h:1", Msg: toll.Add{Life: 1, Stamp: now, Read: true, List: 7, Packed: make([]byte, 900), Items: make([]toll.Item, 9)}}}
+}
+
+// TestOnlyAQuestionGoesRound: of a large fleet what looks for a way round carries no items, and the add after an answer that
+// came by it carries all of them; in a small one the first does already.
+func TestOnlyAQuestionGoesRound(t *testing.T) {
+	for known, first := range map[int]int{11: 909, 91: 909, 490: 0} {
+		now := plane.Time(time.Hour)
+		k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, wordy{}, nil, now)
+		k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
+		k.Tick(now)
+		k.seen = known
+		k.round["h:1"] = &detour{}
+		var sizes []int
+		for range 2 {
+			now += 50 * time.Millisecond
+			for _, s := range k.Tick(now).Send {
+				v, is := s.Msg.(Via)
+				if !is || v.Add == nil {
+					continue
+				}
+				sizes = append(sizes, len(v.Add.Packed)+len(v.Add.Items))
+				if v.Add.Life != 1 || v.Add.List != 7 || !v.Add.Read && !v.Add.Echo {
+					t.Errorf("%d gateways: %+v is answered by nobody", known, *v.Add)
+				}
+				k.Take(now, "w:1", Via{From: "h:1", To: "g:1", By: "w:1", Answer: &toll.Answer{Life: 1, Stamp: v.Add.Stamp}})
+			}
+		}
+		if len(sizes) != 2 || sizes[0] != first || sizes[1] != 909 {
+			t.Errorf("%d gateways: %d of what is told goes round, want %d and 909", known, sizes, first)
+		}
+	}
+}
--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -12,6 +12,7 @@
 const (
 	periodGap = 20 * time.Second
 	nameLife  = 2 * periodGap
+	hundreds  = 250                    // gateways, above which it is half of that
 	issueGap  = 500 * time.Millisecond // between periods, where holders disagree
 	listenGap = 500 * time.Millisecond // after which a holder knows the levels
 	lapse     = 5 * time.Second        // without any add, what is known of levels is void
@@ -264,7 +265,11 @@
 func (l *ledger) add(now plane.Time, who []one, it Item) (others, mine uint64) {
 	n := l.name(it.Period)
 	if n == nil {
-		l.names = append(l.names, tally{period: it.Period})
+		next := tally{period: it.Period}
+		if k := len(l.names); k > 0 { // as many will have a sum as had
+			next.sums = room(l.names[k-1].sums.n)
+		}
+		l.names = append(l.names, next)
 		n = &l.names[len(l.names)-1]
 	}
 	n.at = now
@@ -295,13 +300,23 @@
 }
 
 // Tick asks for signs of life where they matter, and forgets names that nobody has
-// used for two periods.
+// used for two periods, or one.
 func (c *Counter) Tick(now plane.Time) []plane.Send {
 	c.tickAt = now
 	c.sweep(now)
 	return c.sights.tick(now)
 }
 
+// keeps is how long a name that nobody uses is kept. The names of a period are most of a holder's memory where gateways
+// are hundreds, and all have left one some seconds after its end. Who was cut off for longer and says what it had in it
+// is told no others' sums of that time; it learns from the level.
+func (c *Counter) keeps() plane.Time {
+	if len(c.sights.nodes) > hundreds {
+		return periodGap
+	}
+	return nameLife
+}
+
 func (c *Counter) sweep(now plane.Time) {
 	if now-c.sweptAt < periodGap/2 {
 		return
@@ -314,7 +329,7 @@
 	}
 	c.lives.sweep(now)
 	for tenant, l := range c.ledgers {
-		l.names = slices.DeleteFunc(l.names, func(n tally) bool { return now-n.at > nameLife })
+		l.names = slices.DeleteFunc(l.names, func(n tally) bool { return now-n.at > c.keeps() })
 		if len(l.names) == 0 && now-l.at > nameLife {
 			delete(c.ledgers, tenant)
 			if i, ok := c.rosters.place(tenant); ok {
--- a/internal/toll/message.go
+++ b/internal/toll/message.go
@@ -24,6 +24,15 @@
 	Brief []byte `cbor:"12,keyasint,omitempty"`
 }
 
+// Question is an add without all that it tells: whether the holder is there. One that is shortened stays as it is.
+func (a Add) Question() Add {
+	if len(a.Brief) > 0 {
+		return a
+	}
+	a.Read, a.Echo, a.Near, a.Items, a.Packed = false, true, false, nil, nil
+	return a
+}
+
 // Item is one gateway's sum in one name. Units are thousandths.
 type Item struct {
 	Tenant string `cbor:"1,keyasint"`
--- a/internal/toll/sim_test.go
+++ b/internal/toll/sim_test.go
@@ -319,7 +319,7 @@
 		}
 	}
 	for _, b := range f.boxes {
-		if b.dead || b.frozen || f.now < b.tickAt && !b.meter.Due() {
+		if b.dead || b.frozen || f.now < b.tickAt && !b.meter.Due(f.now) {
 			continue
 		}
 		if f.now >= b.tickAt {
--- a/internal/toll/sums_test.go
+++ b/internal/toll/sums_test.go
@@ -1,8 +1,14 @@
 package toll
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
+	"time"
+
+	"asterwell/internal/plane"
 )
 
 // TestSumsTable: the table says what a map would, with few lives and many, also where their numbers lie apart.
@@ -21,7 +27,7 @@
 			if was, there := like[life]; was != units || there != known {
 				t.Fatalf("seed %d: life %d has %d %v, not %d %v", seed, life, units, known, was, there)
 			}
-			units = rng.Uint64()
+			units = rng.Uint64() >> rng.IntN(64)
 			s.set(life, units)
 			like[life] = units
 		}
@@ -36,6 +42,58 @@
 	}
 }
 
+// TestNamesSize: what a holder keeps of a fleet of the size to design for, 0.93 million sums in each of two periods, is within 42 MB, so that
+// with all else that it has it stays below what its collector is bound to. Of the period before the last but one nothing is left.
+func TestNamesSize(t *testing.T) {
+	var c *Counter
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	const gateways, tenants = 490, 12000
+	limits := map[string]Limit{}
+	for i := range tenants {
+		limits[fmt.Sprintf("tenant-%05d", i)] = Limit{10, 10}
+	}
+	r := NewRoster(limits)
+	names := make([]string, gateways)
+	for g := range names {
+		names[g] = fmt.Sprintf("10.0.%d.%d:7", g/250, g%250)
+	}
+	before := heap()
+	c = NewCounter(names[0], 1)
+	c.Nodes(names)
+	c.Enter(r)
+	rng, now := rand.New(rand.NewPCG(1, 1)), plane.Time(time.Hour)
+	sums := 0
+	for period := uint64(1); period <= 3; period++ {
+		sums = 0
+		for g, from := range names {
+			var items []Item
+			for i, tenant := range r.names {
+				if rng.Float64() > math.Exp(-531/float64(i+1)) { // as the plan's peak lets a gateway see it in 20 s
+					items = append(items, Item{Tenant: tenant, Period: period << tagBits, Sum: milli, Fresh: milli, Gap: r.gaps[i]})
+				}
+			}
+			sums += len(items)
+			c.Take(now, from, Add{Life: uint64(g + 1), Period: period << tagBits, Stamp: now, Items: items})
+			now += periodGap / gateways
+			c.Tick(now)
+		}
+	}
+	used := float64(heap()-before) / 1e6
+	if t.Logf("%d sums in a period, %.1f MB", sums, used); sums < 900_000 || used > 42 {
+		t.Errorf("%.1f MB for %d sums in a period", used, sums)
+	}
+	now += periodGap * 3 / 2
+	if c.Tick(now); len(c.ledgers) > 0 && len(c.ledgers[r.names[0]].names) > 0 {
+		t.Errorf("%d names are left after a period and a half without traffic", len(c.ledgers[r.names[0]].names))
+	}
+	runtime.KeepAlive(c)
+}
+
 // BenchmarkCount is what a holder does for an add of ten items, of 12,000 tenants and 490 gateways: by index of a
 // roster, and far from any cache.
 func BenchmarkCount(b *testing.B) {
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -4,24 +4,31 @@
 	"asterwell/internal/plane"
 )
 
-// Due says that an add should go out before the next tick.
-func (m *Meter) Due() bool { return m.due || m.novel }
+// Due says that an add should go out before the next tick, and may.
+func (m *Meter) Due(now plane.Time) bool {
+	return (m.due || m.novel) && (m.sentAt == 0 || now-m.sentAt >= m.least(now))
+}
 
-// Tick returns the adds that are due. Nothing is sent for idle tenants.
-func (m *Meter) Tick(now plane.Time) []plane.Send {
-	m.tickAt = now
+// least is what lies between the last add and the next at least.
+func (m *Meter) least(now plane.Time) plane.Time {
 	least := leastGap
 	if m.novel {
 		least = m.quick.gap(now, m.gateways)
 	}
 	switch {
 	case m.reader >= 0 && !m.slots[m.reader].late(now): // a repetition isn't paced: the holder would be taken as mute
-		least = m.slots[m.reader].pace(least)
+		return m.slots[m.reader].pace(least)
 	case m.patience() > leastGap: // but of many gateways none repeats often
-		least = m.patience()
+		return m.patience()
 	}
+	return least
+}
+
+// Tick returns the adds that are due. Nothing is sent for idle tenants.
+func (m *Meter) Tick(now plane.Time) []plane.Send {
+	m.tickAt = now
 	since := now - m.sentAt
-	if since < least && m.sentAt != 0 {
+	if since < m.least(now) && m.sentAt != 0 {
 		return nil
 	}
 	ease := now >= m.easeAt
--- a/internal/weave/meter.go
+++ b/internal/weave/meter.go
@@ -19,7 +19,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ok, after = l.m.Pass(now, tenant, units)
-	return ok, after, l.m.Due()
+	return ok, after, l.m.Due(now)
 }
 
 // Nodes, Enter, Take and Tick are what the knot tells it.
--- a/internal/yarn/proc.go
+++ b/internal/yarn/proc.go
@@ -243,7 +243,7 @@
 // pass takes a unit of a tenant's quota.
 func (p *proc) pass(tenant string) bool {
 	ok, _ := p.meter.Pass(p.clock(), tenant, 1)
-	if p.meter.Due() && !p.due {
+	if p.meter.Due(p.clock()) && !p.due {
 		p.due = true
 		life := p.life
 		p.w.after(0, func() {
