Let hundreds of gateways turn to another holder without bringing it down

All turn to the second holder and back, each turn tells all that is known, 256 items an add from each of 490, 2.5 million a second; and each holder issues a period above the other's every half second, so that each tenant had dozens of names.

Ruled out: no telling again of a holder that was told all along: what it dropped would never be heard. A longer gap between periods of holders that disagree: gateways would measure sums of one against the other's.

Change: above 250 gateways an add has room for 64 items, and a tenant has four names at a holder at most, the oldest go. Up to 250 nothing differs.

TestNamesToAndFro (40 names without the bound), TestFewItems.

--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -12,7 +12,8 @@
 const (
 	periodGap = 20 * time.Second
 	nameLife  = 2 * periodGap
-	hundreds  = 250                    // gateways, above which it is half of that
+	hundreds  = 250                    // gateways, above which it is half of that,
+	mostNames = 4                      // and a tenant has no more of them: where gateways go to and fro between holders, each issues period after period
 	issueGap  = 500 * time.Millisecond // between periods, where holders disagree
 	listenGap = 500 * time.Millisecond // after which a holder knows the levels
 	lapse     = 5 * time.Second        // without any add, what is known of levels is void
@@ -32,6 +33,7 @@
 	total  uint64
 	sums   sums // by the life's number
 	at     plane.Time
+	began  plane.Time
 }
 
 // ledger is one tenant.
@@ -203,6 +205,9 @@
 		l.refresh(now, c.since, it)
 		level := l.level
 		others, mine := l.add(now, who, it)
+		if len(l.names) > mostNames && len(c.sights.nodes) > hundreds {
+			l.names = slices.Delete(l.names, 0, 1)
+		}
 		if c.thawed && now-c.since < listenGap {
 			l.level = level // seconds of adds in a lump
 		} else if late > 0 {
@@ -265,8 +270,8 @@
 func (l *ledger) add(now plane.Time, who []one, it Item) (others, mine uint64) {
 	n := l.name(it.Period)
 	if n == nil {
-		next := tally{period: it.Period}
-		if k := len(l.names); k > 0 { // as many will have a sum as had
+		next := tally{period: it.Period, began: now}
+		if k := len(l.names); k > 0 && now-l.names[k-1].began >= periodGap/2 { // as many will have a sum as had
 			next.sums = room(l.names[k-1].sums.n)
 		}
 		l.names = append(l.names, next)
--- /dev/null
+++ b/internal/toll/names_test.go
@@ -0,0 +1,87 @@
+package toll
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"asterwell/internal/plane"
+)
+
+// TestFewItems: of hundreds of gateways that turn to a holder that may be new each tells some of what it knows in an add, and
+// all of it soon: were it a whole add each, the holder would be late again, and they would turn back.
+func TestFewItems(t *testing.T) {
+	for gateways, want := range map[int]int{250: mostItems, 490: fewItems} {
+		m, names, limits := crowded(2000, gateways)
+		now, most, heard := plane.Time(time.Hour), 0, map[string]bool{}
+		run := func(d time.Duration, holder string, c *Counter) {
+			for end := now + d; now < end; now += 10 * time.Millisecond {
+				m.Pass(now, names[int(now/(10*time.Millisecond))%len(names)], 1)
+				for _, s := range m.Tick(now) {
+					if s.To != holder {
+						continue
+					}
+					items := itemsOf(t, m, s.Msg.(Add))
+					for _, it := range items {
+						if most = max(most, len(items)); holder == "i" {
+							heard[it.Tenant] = true
+						}
+					}
+					for _, back := range c.Take(now, "g", s.Msg) {
+						m.Take(now+time.Millisecond, holder, back.Msg)
+					}
+				}
+				c.Tick(now)
+			}
+		}
+		c, other := NewCounter("h", 1), NewCounter("i", 2)
+		c.Limits(limits)
+		other.Limits(limits)
+		run(18*time.Second, "h", c)
+		run(10*time.Second, "i", other)
+		if most != want {
+			t.Errorf("%d gateways: up to %d items in an add, not %d", gateways, most, want)
+		}
+		if len(heard) < 1700 { // of the 1,800 and more that were passed in this period
+			t.Errorf("%d gateways: the new holder has heard of %d tenants", gateways, len(heard))
+		}
+	}
+}
+
+// TestNamesToAndFro: where hundreds of gateways go to and fro between two holders, each of which issues its own period above the
+// other's, a tenant has a few names at each holder all the same; the sums in the newest are right. In a small fleet all
+// names are kept for their time.
+func TestNamesToAndFro(t *testing.T) {
+	for gateways, most := range map[int]int{91: 100, 490: mostNames} {
+		names := make([]string, gateways)
+		for g := range names {
+			names[g] = fmt.Sprintf("10.0.%d.%d:7", g/250, g%250)
+		}
+		holders := []*Counter{NewCounter(names[0], 1), NewCounter(names[1], 1)}
+		for _, c := range holders {
+			c.Nodes(names)
+			c.Limits(map[string]Limit{"t": {100, 100}})
+		}
+		now, period, had := plane.Time(time.Hour), uint64(0), 0
+		for turn := range 40 {
+			c := holders[turn%2]
+			now += 510 * time.Millisecond
+			for again := range 2 { // then all say what they have in the number that was issued for the first of them
+				for g, from := range names[2:] {
+					for _, s := range c.Take(now, from, Add{Life: uint64(g + 1), Period: period, Stamp: now, Read: true,
+						Items: []Item{{Tenant: "t", Period: period, Sum: milli, Fresh: milli, Gap: 1e4}}}) {
+						a := s.Msg.(Answer)
+						if period = max(period, a.Period); again == 1 && g == gateways-3 && a.Totals[0].Others != uint64(gateways-3)*milli {
+							t.Errorf("%d gateways, turn %d: others have %d", gateways, turn, a.Totals[0].Others)
+						}
+					}
+				}
+			}
+			c.Tick(now)
+			had = max(had, len(c.ledgers["t"].names))
+		}
+		if had > most || had < min(most, 20) {
+			t.Errorf("%d gateways: a tenant has %d names at a holder", gateways, had)
+		}
+	}
+}
--- a/internal/toll/share.go
+++ b/internal/toll/share.go
@@ -15,7 +15,9 @@
 
 const (
 	mostItems   = 256                    // of an add
-	mostOld     = 32                     // of these, where there are more than the bound, sums of the period before
+	fewItems    = 64                     // of hundreds of gateways: a holder counts 600,000 items a second, not 2.5 million
+	oldPart     = 8                      // of these, where there are more than the bound, sums of the period before:
+	mostOld     = mostItems / oldPart    // so many
 	mostBackoff = 4                      // doublings of that
 	seldom      = 400 * time.Microsecond // for each gateway: between repetitions, of which a holder gets 2,500 a second
 )
@@ -23,16 +25,24 @@
 // talks is what there is to tell a holder, in order of tenants.
 type talks struct{ old, cur []*entry }
 
+// bound is how many items an add has room for.
+func bound(gateways int) int {
+	if gateways > hundreds {
+		return fewItems
+	}
+	return mostItems
+}
+
 // some is what an add has room for: what was passed and told to nobody, and what somebody waits for, goes before the
 // rest; all of a kind go in turn.
-func (t *talks) some(now plane.Time, s *slot) {
-	if t.len() <= mostItems {
+func (t *talks) some(now plane.Time, s *slot, most int) {
+	if t.len() <= most {
 		return
 	}
 	untold, over := split(t.old, func(e *entry) bool { return e.old.sum > e.old.acked })
 	urgent, rest := split(t.cur, func(e *entry) bool { return e.asked || e.seen && e.room(now) < e.limit.Burst/4 })
-	over, s.last[0] = next(over, s.last[0], mostOld)
-	room := mostItems - len(over)
+	over, s.last[0] = next(over, s.last[0], most/oldPart)
+	room := most - len(over)
 	untold, s.last[1] = next(untold, s.last[1], max(room/2, room-len(t.cur)))
 	room -= len(untold)
 	urgent, s.last[2] = next(urgent, s.last[2], max(room/2, room-len(rest)))
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -154,7 +154,7 @@
 	}
 	s.refill = false // walk was all there are
 	all := t.len()
-	t.some(now, s)
+	t.some(now, s, bound(m.gateways))
 	out, places = make([]Item, 0, t.len()), make([]int32, 0, t.len())
 	for k, j := 0, 0; k < len(t.old) || j < len(t.cur); {
 		if k < len(t.old) && (j == len(t.cur) || byTenant(t.old[k], t.cur[j]) <= 0) {
