Show what a gateway's decisions about quotas go by: reed quotas, and the trace

Cause: a broken quota left no record of whose counters a gateway read, or of how far it was from what its holder knew, so that hypotheses of the incident could not be told apart. Ruled out: reading it from the totals in the log, which count refusals only. No decision changes.

--- a/cmd/reed/help.go
+++ b/cmd/reed/help.go
@@ -70,6 +70,14 @@
 
     reed epochs
     for g in 10.0.0.1:8042 10.0.0.2:8042 10.0.0.3:8042; do reed --at $g epochs; done`,
+	"reed quotas": `Whose counters one gateway reads, how many gateways it makes shares for, and how many requests it has passed and refused
+since its start: by the first or the second holder, unread (a start allowance), by its own share (no holder answers). A
+gateway that is often behind its holder passes more than the tenant has left.
+
+Examples:
+
+    reed --at 10.0.0.2:8042 quotas
+    reed quotas --json | jq '.BehindUnits'`,
 	"reed drain": `Makes one gateway send clients elsewhere: it is not ready at once, ends each connection behind its next answer and after
 2.5 s the idle ones, and serves what still comes. It goes on with all else: servers' beats, quotas, agreement. A drain does
 not outlive the process. Refused (2) where no other gateway is ready, unless --alone. Nobody but the one that is named is
--- a/cmd/reed/main.go
+++ b/cmd/reed/main.go
@@ -118,6 +118,7 @@
 				Flags: []cli.Flag{asJSON, &cli.BoolFlag{Name: "here", Usage: "what the one gateway knows; ask no homes"},
 					&cli.BoolFlag{Name: "ended", Usage: "those that have ended, too"}}},
 			{Name: "epochs", Usage: "who is primary, backup and witness, and the changes of it", Action: r.epochs, Flags: []cli.Flag{asJSON}},
+			{Name: "quotas", Usage: "what one gateway's decisions about quotas went by", Action: r.quotas, Flags: []cli.Flag{asJSON}},
 			{Name: "drain", Usage: "send clients of one gateway elsewhere, or take them again", ArgsUsage: "[NAME]", Action: r.drain,
 				Arguments: []cli.Argument{&cli.StringArg{Name: "name", UsageText: "[NAME]"}},
 				Flags: []cli.Flag{asJSON, &cli.BoolFlag{Name: "stop", Usage: "take clients again"},
--- a/cmd/reed/show.go
+++ b/cmd/reed/show.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 
@@ -14,12 +15,14 @@
 	"asterwell/internal/tell"
 )
 
-func (r *reed) members(ctx context.Context, c *cli.Command) error {
+// shows asks one gateway for something, and prints it as it came or as text.
+func shows[T any](ctx context.Context, r *reed, c *cli.Command, ask func(*tell.Client, context.Context) (*T, *tell.Answer, error),
+	write func(io.Writer, *T) error) error {
 	client, err := r.client(c)
 	if err != nil {
 		return err
 	}
-	m, a, err := client.Members(ctx)
+	v, a, err := ask(client, ctx)
 	if err != nil {
 		return err
 	}
@@ -27,23 +30,19 @@
 		_, err := r.out.Write(a.Body)
 		return err
 	}
-	return tell.WriteMembers(r.out, m)
+	return write(r.out, v)
+}
+
+func (r *reed) members(ctx context.Context, c *cli.Command) error {
+	return shows(ctx, r, c, (*tell.Client).Members, tell.WriteMembers)
 }
 
 func (r *reed) epochs(ctx context.Context, c *cli.Command) error {
-	client, err := r.client(c)
-	if err != nil {
-		return err
-	}
-	e, a, err := client.Epochs(ctx)
-	if err != nil {
-		return err
-	}
-	if c.Bool("json") {
-		_, err := r.out.Write(a.Body)
-		return err
-	}
-	return tell.WriteEpochs(r.out, e)
+	return shows(ctx, r, c, (*tell.Client).Epochs, tell.WriteEpochs)
+}
+
+func (r *reed) quotas(ctx context.Context, c *cli.Command) error {
+	return shows(ctx, r, c, (*tell.Client).Quotas, tell.WriteQuotas)
 }
 
 func (r *reed) services(ctx context.Context, c *cli.Command) error {
--- a/internal/tell/show.go
+++ b/internal/tell/show.go
@@ -41,6 +41,11 @@
 	return show[glass.Epochs](ctx, c, "epochs")
 }
 
+// Quotas asks one gateway what its decisions about quotas went by.
+func (c *Client) Quotas(ctx context.Context) (*glass.Quotas, *Answer, error) {
+	return show[glass.Quotas](ctx, c, "quotas")
+}
+
 // Services asks one gateway for all servers.
 func (c *Client) Services(ctx context.Context) (*glass.Services, *Answer, error) {
 	return show[glass.Services](ctx, c, "services")
@@ -218,3 +223,17 @@
 	}
 	return fmt.Sprintf("%.0f d", s/86400)
 }
+
+// WriteQuotas prints what one gateway's decisions about quotas went by.
+func WriteQuotas(to io.Writer, q *glass.Quotas) error {
+	fmt.Fprintf(to, "as %s sees it%s\n\n", q.Asked, apart(q.ContactS))
+	fmt.Fprintf(to, "reads %s, another one %d times, unanswered for %d ms\n", cmp.Or(q.Holder, "nobody"), q.HolderChanges, q.UnansweredMs)
+	fmt.Fprintf(to, "shares for %d gateways, %d in touch\n", q.SharesFor, q.InTouch)
+	fmt.Fprintf(to, "behind its holder in %d answers, by %.1f units at the most\n\n", q.BehindAnswers, q.BehindUnits)
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "BASIS\tPASSED\tREFUSED")
+	for _, d := range q.Decided {
+		fmt.Fprintf(w, "%s\t%d\t%d\n", d.Basis, d.Passed, d.Refused)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/toll/basis.go
@@ -0,0 +1,88 @@
+package toll
+
+import "asterwell/internal/plane"
+
+// Basis is what a gateway goes by when it decides a request: whose sums it reads, or its own share.
+type Basis uint8
+
+const (
+	ByFirst  Basis = iota // the first holder's sums
+	BySecond              // the second holder's, since the first doesn't answer
+	Unread                // it hasn't read the tenant yet: a start allowance
+	ByShare               // no holder answers: its even share
+	bases
+)
+
+// String names a basis as metrics and traces do.
+func (b Basis) String() string {
+	return [bases]string{"first_holder", "second_holder", "unread", "own_share"}[b]
+}
+
+// Bases are all there are.
+func Bases() []Basis { return []Basis{ByFirst, BySecond, Unread, ByShare} }
+
+// basis is what the next decision about a tenant goes by.
+func (m *Meter) basis(now plane.Time, e *entry) Basis {
+	switch {
+	case e.mute || m.reader < 0 && m.silent(now):
+		return ByShare
+	case !e.seen:
+		return Unread
+	case m.reader == 1:
+		return BySecond
+	}
+	return ByFirst
+}
+
+// Tally counts the requests decided by one basis since the start.
+type Tally struct{ Passed, Refused uint64 }
+
+// Account is what a meter shows of its quotas: which basis its decisions had, and what it knows of the fleet.
+type Account struct {
+	Decided   [bases]Tally
+	Holder    string // the one that is read; "": none answers
+	Changes   uint64 // of the holder that is read, since the start
+	Gateways  int    // that shares are made for,
+	InTouch   int    // of these, in sight
+	UnheardMS int64  // since the oldest read that is not answered
+
+	// Behind is by how many units a holder's level was above what this gateway reckoned with, at the most in
+	// one answer; Answers is how many answers were a unit or more above it.
+	Behind  float64
+	Answers uint64
+}
+
+// Account tells them.
+func (m *Meter) Account(now plane.Time) Account {
+	a := Account{Decided: m.decided, Changes: m.changes, Behind: m.behind, Answers: m.behindAnswers, Gateways: m.even(now), InTouch: m.present()}
+	if m.reader >= 0 {
+		s := &m.slots[m.reader]
+		a.Holder = s.addr
+		if s.pending != 0 {
+			a.UnheardMS = (now - s.pending).Milliseconds()
+		}
+	}
+	return a
+}
+
+// BasisOf is what a tenant's next request would be decided by; false: it has no limit here.
+func (m *Meter) BasisOf(now plane.Time, tenant string) (Basis, bool) {
+	e := m.entries[tenant]
+	if e == nil {
+		return 0, false
+	}
+	return m.basis(now, e), true
+}
+
+// compare notes by how much a holder's level is above what is reckoned with here.
+func (m *Meter) compare(e *entry, t Total, stamp plane.Time) {
+	if !e.seen || !t.Sure {
+		return
+	}
+	behind := float64(t.Level)/milli + e.unheard() - float64(e.tat-stamp)/e.gap
+	if behind < 1 {
+		return
+	}
+	m.behind = max(m.behind, behind)
+	m.behindAnswers++
+}
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -111,6 +111,12 @@
 	novel        bool       // a tenant that is not seen is in demand
 	quick        quick
 	rosters      rosters
+
+	decided [bases]Tally
+	changes uint64 // of the reader
+
+	behind        float64 // see Account
+	behindAnswers uint64
 }
 
 // NewMeter makes the meter of one life of a gateway. The seed shifts its adds
@@ -254,6 +260,17 @@
 		return true, 0
 	}
 	m.touch(now, e)
+	ok, after := m.decide(now, e, units)
+	if t := &m.decided[m.basis(now, e)]; ok {
+		t.Passed++
+	} else {
+		t.Refused++
+	}
+	return ok, after
+}
+
+// decide tests an entry that is up to date, and takes the units if they may pass.
+func (m *Meter) decide(now plane.Time, e *entry, units float64) (bool, time.Duration) {
 	if !e.seen {
 		e.asked = true
 	}
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -129,6 +129,9 @@
 			break
 		}
 	}
+	if reader != m.reader {
+		m.changes++
+	}
 	if reader != m.reader && reader >= 0 {
 		m.slots[reader].refill, m.readAt = true, now
 	}
@@ -294,6 +297,7 @@
 			e.ease(now+since, float64(t.Level)/milli)
 		}
 	}
+	m.compare(e, t, stamp)
 	e.weigh(now, own, n)
 }
 
--- a/internal/weave/calls.go
+++ b/internal/weave/calls.go
@@ -37,6 +37,7 @@
 	{"GET", "/api/members", "the gateways, and who watches whom", (*Process).members},
 	{"GET", "/api/services", "the servers, and how old the news of them is", (*Process).services},
 	{"GET", "/api/epochs", "who does what in agreement, and since when", (*Process).epochs},
+	{"GET", "/api/quotas", "what its decisions about quotas went by", (*Process).quotas},
 	{"POST", "/api/drain/", "clients shall go elsewhere, or come again", (*Process).drain},
 	{"GET", "/api/frames", "what went between processes, by kind", (*Process).counted},
 	{"GET", "/api/log", "its last lines", (*Process).log},
--- /dev/null
+++ b/internal/weave/quotas.go
@@ -0,0 +1,32 @@
+package weave
+
+import (
+	"cmp"
+
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/glass"
+	"asterwell/internal/plane"
+	"asterwell/internal/toll"
+)
+
+// account is what the meter's decisions went by.
+func (l *meter) account(now plane.Time) toll.Account {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.m.Account(now)
+}
+
+// quotas shows operators what this gateway's decisions about quotas went by.
+func (p *Process) quotas(ctx *fasthttp.RequestCtx, _ string) {
+	p.show(ctx, func(p *Process) any {
+		a, name := p.meter.account(p.now()), named(p.knot.Gateways(p.now()))
+		return glass.Quotas{Asked: p.set.NodeName, Mesh: p.self, ContactS: p.contactS(), Holder: cmp.Or(name(a.Holder), a.Holder),
+			HolderChanges: a.Changes, SharesFor: a.Gateways, InTouch: a.InTouch, UnansweredMs: a.UnheardMS,
+			BehindUnits: a.Behind, BehindAnswers: a.Answers,
+			Decided: lo.Map(toll.Bases(), func(b toll.Basis, _ int) glass.Decision {
+				return glass.Decision{Basis: b.String(), Passed: a.Decided[b].Passed, Refused: a.Decided[b].Refused}
+			})}
+	})
+}
--- a/internal/yarn/proc.go
+++ b/internal/yarn/proc.go
@@ -240,8 +240,8 @@
 	})
 }
 
-// pass takes a unit of a tenant's quota.
-func (p *proc) pass(tenant string) bool {
+// pass takes a unit of a tenant's quota, and says what that went by.
+func (p *proc) pass(tenant string) (bool, toll.Basis) {
 	ok, _ := p.meter.Pass(p.clock(), tenant, 1)
 	if p.meter.Due(p.clock()) && !p.due {
 		p.due = true
@@ -253,5 +253,6 @@
 			}
 		})
 	}
-	return ok
+	basis, _ := p.meter.BasisOf(p.clock(), tenant)
+	return ok, basis
 }
--- a/internal/yarn/traffic.go
+++ b/internal/yarn/traffic.go
@@ -12,7 +12,7 @@
 	limit   toll.Limit
 	offer   float64 // requests a second
 	hot     float64 // times that, for a while
-	runs    []time.Duration
+	runs    []run
 	cools   time.Duration // when it last was
 	worst   float64       // within a span, since the bound was first passed
 	offered int           // since
@@ -56,7 +56,8 @@
 		return
 	}
 	t.offered++
-	if !p.pass(who.Name) {
+	ok, basis := p.pass(who.Name)
+	if !ok {
 		t.refused++
 		w.stats.Refused++
 		w.window.owed--
@@ -68,7 +69,7 @@
 		if s == nil || !s.up || s.mute > w.now || w.chance(s.grey) {
 			continue
 		}
-		w.after(ms, func() { w.arrives(t, p, s) })
+		w.after(ms, func() { w.arrives(t, p, s, basis) })
 		w.window.served++
 		w.stats.Served++
 		return
@@ -108,12 +109,12 @@
 }
 
 // arrives judges a request at its server.
-func (w *world) arrives(t *tenant, p *proc, s *server) {
+func (w *world) arrives(t *tenant, p *proc, s *server, basis toll.Basis) {
 	if s.touched && w.now > s.ackedAt+drainTime && w.inTouch(p) {
 		w.breaks("DRAIN", "%s sends to %s %v after it may leave", p.name, s.id, w.now-s.ackedAt)
 	}
-	t.runs = append(t.runs, w.now)
-	for t.runs[0] <= w.now-quotaSpan {
+	t.runs = append(t.runs, run{w.now, p, basis})
+	for t.runs[0].at <= w.now-quotaSpan {
 		t.runs = t.runs[1:]
 	}
 	l := w.limit(t)
@@ -124,6 +125,9 @@
 				w.breaks("QUOTA", "%s has %.0f requests within %v, at most %.0f may be", t.name, t.worst, quotaSpan, most)
 			})
 		}
+		if t.worst == 0 || n >= t.worst+8 {
+			w.explainQuota(t)
+		}
 		t.worst = n
 	}
 	w.stats.Fill = max(w.stats.Fill, float64(len(t.runs))/most)
