Count cuts of a link, so that the end of one doesn't end another

Ruled out: the gate of readiness in knot (the trace shows its proof answered by another member). Change: a link is cut by as many cuts as lie on it, a machine is dark by as many outages. The check is as it was.

--- a/internal/yarn/net.go
+++ b/internal/yarn/net.go
@@ -79,11 +79,11 @@
 	if len(w.cuts) == 0 {
 		return false
 	}
-	if _, cut := w.cuts[[2]string{from, to}]; cut {
+	if len(w.cuts[link{from, to}]) > 0 {
 		return true
 	}
-	since, cut := w.cuts[[2]string{to, from}]
-	return cut && w.now-since > stalls
+	back := w.cuts[link{to, from}]
+	return len(back) > 0 && w.now-back[0].since > stalls
 }
 
 // apart tells whether there is no path in both directions.
@@ -92,7 +92,7 @@
 		return false
 	}
 	for _, l := range []link{{a.addr, b.addr}, {b.addr, a.addr}} {
-		if _, cut := w.cuts[l]; cut || w.holds[l] != nil {
+		if len(w.cuts[l]) > 0 || w.holds[l] != nil {
 			return true
 		}
 	}
--- a/internal/yarn/play.go
+++ b/internal/yarn/play.go
@@ -121,7 +121,7 @@
 			if p.gone {
 				continue
 			}
-			p.lossy, p.deaf, p.dark = 0, 0, false
+			p.lossy, p.deaf, p.darkBy = 0, 0, nil
 			if p.disk != nil {
 				p.disk.pace = w.pace
 			}
--- a/internal/yarn/proc.go
+++ b/internal/yarn/proc.go
@@ -36,10 +36,11 @@
 
 	lossy float64
 	deaf  float64 // part of its answers to callers that is lost
-	dark  bool    // not even clients, servers and operators reach it
-	calls map[uint64]func(any)
-	last  uint64
-	due   bool
+	// darkBy are the outages in which not even clients, servers and operators reach it.
+	darkBy []*cut
+	calls  map[uint64]func(any)
+	last   uint64
+	due    bool
 
 	table   *creed.Table
 	version uint32
@@ -221,7 +222,7 @@
 		}
 	}
 	w.after(patience, func() { finish(nil) })
-	if p.dark {
+	if p.dark() {
 		return
 	}
 	w.after(far, func() {
@@ -232,7 +233,7 @@
 		p.last++
 		id := p.last
 		p.calls[id] = func(v any) {
-			if !p.dark && !w.chance(p.deaf) {
+			if !p.dark() && !w.chance(p.deaf) {
 				w.after(far, func() { finish(v) })
 			}
 		}
--- a/internal/yarn/script.go
+++ b/internal/yarn/script.go
@@ -61,8 +61,8 @@
 		{"prove P", func(w *world, a *args) error { return w.each(a, "", w.prove, nil) }},
 		{"poll P EVERY for TIME", (*world).doPoll},
 		{"dark P [for TIME]", func(w *world, a *args) error {
-			set := func(dark bool) func(*proc) { return func(p *proc) { p.dark = dark; w.cutOff(p, dark) } }
-			return w.each(a, "is dark", set(true), set(false))
+			c := &cut{since: w.now}
+			return w.each(a, "is dark", func(p *proc) { w.darken(c, p) }, func(p *proc) { w.lighten(c, p) })
 		}},
 		{"lossy P PART [for TIME]", (*world).doLossy},
 		{"slow P TIMES [for TIME]", (*world).doSlow},
@@ -446,28 +446,6 @@
 	return nil
 }
 
-// cutOff parts one machine from all, or joins it again.
-func (w *world) cutOff(p *proc, apart bool) {
-	for _, o := range w.procs {
-		if o != p {
-			w.cut(p, o, apart)
-			w.cut(o, p, apart)
-		}
-	}
-}
-
-func (w *world) cut(from, to *proc, apart bool) {
-	link := [2]string{from.addr, to.addr}
-	if _, is := w.cuts[link]; apart && !is {
-		w.cuts[link] = w.now
-	} else if !apart {
-		delete(w.cuts, link)
-	}
-	if from.core && to.core {
-		w.touch.core = w.now
-	}
-}
-
 func (w *world) doCut(a *args) error {
 	d, oneway := a.span(), a.has("oneway")
 	from, to := w.sides(a)
@@ -475,22 +453,23 @@
 		return a.err
 	}
 	w.takeLead(from)
-	set := func(apart bool) {
+	c := &cut{since: w.now}
+	each := func(do func(c *cut, from, to *proc)) {
 		for _, p := range from {
 			for _, q := range to {
 				if p == q {
 					continue
 				}
-				w.cut(p, q, apart)
+				do(c, p, q)
 				if !oneway {
-					w.cut(q, p, apart)
+					do(c, q, p)
 				}
 			}
 		}
 	}
-	set(true)
+	each(w.sever)
 	if d > 0 {
-		w.after(d, func() { w.change(func() { set(false); w.healed(append(slices.Clone(from), to...)) }) })
+		w.after(d, func() { w.change(func() { each(w.rejoin); w.healed(append(slices.Clone(from), to...)) }) })
 	}
 	return nil
 }
--- a/internal/yarn/touch.go
+++ b/internal/yarn/touch.go
@@ -37,16 +37,16 @@
 			continue
 		}
 		slow := p.disk != nil && p.disk.pace > w.pace
-		if !runs(p) || p.lossy > 0 || p.dark || slow {
+		if !runs(p) || p.lossy > 0 || p.dark() || slow {
 			w.hit(p)
 		}
-		if p.lossy > 0 || p.deaf > 0 || p.dark {
+		if p.lossy > 0 || p.deaf > 0 || p.dark() {
 			t.links = w.now
 		}
 		for _, c := range counts {
 			if w.apart(p, c) {
 				p.lone = w.now
-			} else if runs(p) && !c.dark && (!p.dark || p == c) {
+			} else if runs(p) && !c.dark() && (!p.dark() || p == c) {
 				p.met = w.now
 			}
 		}
@@ -60,7 +60,7 @@
 func (w *world) most(c *proc) bool {
 	n, core := 0, w.core()
 	for _, o := range core {
-		if c.up && !c.frozen() && o.up && !o.frozen() && !w.apart(c, o) && !c.dark && !o.dark {
+		if c.up && !c.frozen() && o.up && !o.frozen() && !w.apart(c, o) && !c.dark() && !o.dark() {
 			n++
 		}
 	}
--- a/internal/yarn/traffic.go
+++ b/internal/yarn/traffic.go
@@ -79,7 +79,7 @@
 func (w *world) front() *proc {
 	ready, up := w.ready[:0], 0
 	for _, p := range w.procs {
-		if p.up && !p.dark {
+		if p.up && !p.dark() {
 			up++
 			if p.k.Ready() || p.leaving && w.rng.IntN(2) == 0 {
 				ready = append(ready, p)
@@ -88,7 +88,7 @@
 	}
 	if len(ready) == 0 && up > 0 {
 		for _, p := range w.procs {
-			if p.up && !p.dark {
+			if p.up && !p.dark() {
 				ready = append(ready, p)
 			}
 		}
--- a/internal/yarn/world.go
+++ b/internal/yarn/world.go
@@ -36,9 +36,9 @@
 	byName map[string]*proc
 	seeds  []string
 	losses int
-	pace   time.Duration               // of a sync, where no disk is in trouble
-	cuts   map[[2]string]time.Duration // from, to: since when
-	torn   map[link]time.Duration      // when the connection was last reset
+	pace   time.Duration          // of a sync, where no disk is in trouble
+	cuts   map[link][]*cut        // from, to: those that lie on it, the oldest first
+	torn   map[link]time.Duration // when the connection was last reset
 	holds  map[link]*holding
 	led    *proc // the leader at the last raise
 	heals  []*heal
@@ -68,7 +68,7 @@
 
 func newWorld(seed uint64, bug Bug, trace func(string)) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 0x7a21)), readings: &knot.Readings{}, bug: bug, wire: seed%8 == 0, pace: 5 * ms, trace: trace, sum: xxhash.New(),
-		byAddr: map[string]*proc{}, byName: map[string]*proc{}, cuts: map[[2]string]time.Duration{}, holds: map[link]*holding{}, torn: map[link]time.Duration{},
+		byAddr: map[string]*proc{}, byName: map[string]*proc{}, cuts: map[link][]*cut{}, holds: map[link]*holding{}, torn: map[link]time.Duration{},
 		ruling: ruling{sent: map[uint32]bool{}},
 		orders: map[uint32]*order{}, byID: map[string]*server{}}
 	w.stats.Seed = seed
