--- a/cmd/asterlab/days.go
+++ b/cmd/asterlab/days.go
@@ -45,7 +45,7 @@
 	f.Uint64Var(&from, "from", 1, "first seed")
 	f.IntVar(&count, "count", 100, "how many seeds")
 	f.StringVar(&script, "script", "", "play this script in place of drawn ones, with the first seed")
-	f.StringVar(&on, "on", "", "a site: draw every kind of trouble that any site lists, at any moment; 'all': the sites by turns")
+	f.StringVar(&on, "on", "", "a site: draw every kind of trouble that any site lists, at any moment; 'all': the sites by turns; 'contact': gateways lose and find each other in every pattern")
 	f.BoolVar(&first, "first", false, "end at the first that breaks a rule")
 	f.BoolVar(&trace, "trace", false, "play one day, and print what happens")
 	return c
@@ -58,6 +58,8 @@
 	switch {
 	case on == "":
 		return yarn.Draw, nil
+	case on == "contact":
+		return yarn.DrawContact, nil
 	case on == "all":
 		return func(seed uint64) string { return yarn.DrawAny(seed, sites[seed%uint64(len(sites))]) }, nil
 	case i >= 0:
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -211,3 +211,34 @@
 		}
 	}
 }
+
+// A gateway found a way round to the first holder by another one, which was cut off itself a moment later. It went on
+// sending by that one, and looked for no other way until the first had run out after three seconds; the holder heard nothing of
+// its units meanwhile (day 700507: "mute true till 2.78s" in each tick). A way whose answers stay out is no way.
+func TestDeadWayIsReplaced(t *testing.T) {
+	now := plane.Time(time.Hour)
+	meter := &seldom{}
+	k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, meter, nil, now)
+	for _, other := range []string{"w:1", "x:1"} {
+		k.bond.Take(now, other, bond.Hello{Node: bond.Node{Addr: other, Name: other, Zone: "z", Life: 1}})
+	}
+	k.detour("h:1").open(now, "w:1", toll.Answer{Stamp: now})
+	by := func() map[string]bool {
+		ways := map[string]bool{}
+		for range 6 {
+			now += 50 * time.Millisecond
+			for _, s := range k.Tick(now).Send {
+				if v, is := s.Msg.(Via); is && v.Add != nil {
+					ways[s.To] = true
+				}
+			}
+		}
+		return ways
+	}
+	if ways := by(); len(ways) != 1 || !ways["w:1"] {
+		t.Errorf("answers come: goes by %v", ways)
+	}
+	if meter.late = true; !by()["x:1"] {
+		t.Error("answers stay out, and no other way is looked for")
+	}
+}
--- /dev/null
+++ b/internal/toll/holder_test.go
@@ -0,0 +1,26 @@
+package toll
+
+import (
+	"testing"
+	"time"
+)
+
+// A gateway that was cut off had counted for itself, and after its return it read the first holder again. That holder
+// knew of 80 units in use, of a burst of 60, and said so in each answer; the gateway had 9 units of its own in mind,
+// and added to these only what others passed from then on. It passed ten times its part for as long as the crowd
+// lasted (day 701089: "level 81.0 room 2.7 tat-level -23.7"). What a holder knows must hold here from its first answer on.
+func TestNewHolderLevelHolds(t *testing.T) {
+	now := time.Minute
+	m := NewMeter("a", 1, 1)
+	m.Nodes(0, 8, []string{"b", "c"})
+	m.Limits(0, map[string]Limit{"t": {60, 60}})
+	e := m.entries["t"]
+	m.tickAt = now
+	m.Take(now, "b", Answer{Life: 1, Period: 1, Stamp: now})
+	m.touch(now, e)
+	e.seen, e.tat, e.pushed, e.cur.based = true, now+e.span(9), now, true
+	m.Take(now, "b", Answer{Life: 1, Period: 1, Stamp: now - time.Millisecond, Totals: []Total{{Tenant: "t", Period: 1, Level: 80000, Sure: true}}})
+	if ok, after := m.Pass(now, "t", 1); ok || after < 300*time.Millisecond {
+		t.Errorf("80 of 60 units are in use, as its holder says: passes %v, told to come back after %v", ok, after)
+	}
+}
--- /dev/null
+++ b/internal/yarn/quotadays_test.go
@@ -0,0 +1,19 @@
+package yarn
+
+import "testing"
+
+// Gateways that lost one holder of the counters and found another, or were cut off and came back, went on with their own
+// idea of how much of a tenant's burst was in use. A holder's answers moved it up only by what others had passed since
+// the last answer, so nothing ever brought it up to what the holder knew. On the day 701089 every answer told a gateway
+// that was back from a cut of 68 to 87 units in use, of a burst of 60, and it reckoned with 51 to 60: it passed 18
+// requests in half a second, each other one two. On the day 700507 a gateway sent its sums by way of another one that
+// had been cut off meanwhile, and looked for no other way for three seconds, so that nobody counted them.
+func TestContactKeepsQuota(t *testing.T) {
+	t.Parallel()
+	days := recordedDays(t, "quota-")
+	side(len(days), func(i int) {
+		if s := Run(days[i].script, days[i].seed, Sound, nil); s.Broken != "" {
+			t.Errorf("%s: %v", days[i].name, s)
+		}
+	})
+}
