Look for another way round to a holder while answers by the open one stay out

Cause: a way round a cut was kept for 3 s whatever came of it; where the gateway that it went by was cut off itself, the holder heard nothing of the sender's units, and counted it as in touch. Ruled out: shorter ways (each look costs four messages on links that may be full). Change: a muted holder is looked for while a way is open too, as seldom as before.

--- a/internal/knot/via.go
+++ b/internal/knot/via.go
@@ -84,7 +84,9 @@
 		d := k.detour(s.To)
 		if d.till > now {
 			k.send([]plane.Send{{To: d.by, Msg: Via{From: k.self, To: s.To, Add: &add}}})
-		} else if !k.stood && k.meter.Mute(now, s.To) && d.may(now, k.seen) {
+		}
+		// A way that is open is no reason not to look for another: whom it goes by may be gone.
+		if !k.stood && k.meter.Mute(now, s.To) && d.may(now, k.seen) {
 			if k.seen > fewer {
 				add = add.Question()
 			}
