Take what a holder knows to be in use as the least that is in use here

Cause: answers moved a gateway's TAT up by what others had passed since the answer before, and down to the holder's level, never up to it. Ruled out: new names for each change of holder (they were new, sums of others begin at nothing there by design).

--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -163,6 +163,11 @@
 	e.tat = min(e.tat, now+e.span(level+e.unheard()))
 }
 
+// lift takes in what a holder knew to be in use at a time, where that is more than is reckoned with here.
+func (e *entry) lift(at plane.Time, level float64) {
+	e.tat = max(e.tat, at+e.span(level+e.unheard()))
+}
+
 func (e *entry) unsent() float64 { return float64(e.cur.sum-e.sent) / milli }
 
 // unheard is what was passed and no holder is known to have counted.
--- a/internal/toll/pack.go
+++ b/internal/toll/pack.go
@@ -100,6 +100,9 @@
 // levels on the wire are eighths of units, rounded up.
 const levelGrain = milli / 8
 
+// rounded is by how many units a level may have been rounded up.
+const rounded = 1.0 / 8
+
 // place is a tenant's in the newest roster.
 func (r *rosters) place(tenant string) (i int, ok bool) {
 	if r[0] == nil {
--- a/internal/toll/sync.go
+++ b/internal/toll/sync.go
@@ -172,7 +172,7 @@
 		places = append(places, e.place)
 		out = append(out, Item{Tenant: e.tenant, Period: e.cur.period, Sum: e.cur.sum,
 			Fresh: e.cur.sum - min(e.cur.acked, e.told[i]), Gap: uint64(e.gap / 1e3 / (1 - m.reserve(e))),
-			Used: e.used(now), Near: e.nearAt != 0 && now-e.nearAt < nearGap})
+			Used: m.vouch(now, e, i), Near: e.nearAt != 0 && now-e.nearAt < nearGap})
 		if i == m.reader {
 			e.saidAt = now
 		}
@@ -183,6 +183,15 @@
 	return out, places, len(out) < all
 }
 
+// vouch is what a holder is told to be in use of a tenant's burst: by one that hasn't learned it from that holder.
+// What a holder has told is not told back to it, or what each gateway reckons with on top would add up.
+func (m *Meter) vouch(now plane.Time, e *entry, i int) uint64 {
+	if i == m.reader && now-m.readAt >= vouchGap {
+		return 0
+	}
+	return e.used(now)
+}
+
 // Take hears an answer of a holder.
 func (m *Meter) Take(now plane.Time, from string, msg any) []plane.Send {
 	a, ok := msg.(Answer)
@@ -296,6 +305,9 @@
 		if fresh && now-stamp <= s.way.stretch(freshGap) && m.trusts(now) {
 			e.ease(now+since, float64(t.Level)/milli)
 		}
+		if t.Sure { // sums only tell what was added since the answer before, which may have been another holder's
+			e.lift(stamp, float64(t.Level)/milli-rounded)
+		}
 	}
 	m.compare(e, t, stamp)
 	e.weigh(now, own, n)
