Count who a new holder has never heard as missing until it answers

Ruled out: waiting for the members' news (1.3 s and more). Change: a new holder asks all members that it has not heard, also where no tenant is near its limit yet, and counts who doesn't answer as out of touch; one is told by gateways what they reckon with for 1.5 s, not 2. TestSight wants more now: a member never heard is asked and missed; a process that is known to answer no questions is not, as before.

--- a/internal/toll/counter.go
+++ b/internal/toll/counter.go
@@ -173,6 +173,7 @@
 	thawed := c.tickAt != 0 && now-c.tickAt > listenGap
 	if !c.heard || now-c.heardAt > lapse || thawed {
 		c.heard, c.since, c.thawed = true, now, thawed
+		c.sights.begin(now)
 	}
 	c.heardAt = now
 	c.sights.hear(now, from, a)
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -30,7 +30,7 @@
 	chargeGap  = 2 * time.Second        // after which what gateways passed while they were lost unknown is worked off
 	freshGap   = 30 * time.Millisecond  // within which an answer is back that is not late
 	trustGap   = time.Second            // after which a holder that is read anew has been told what it missed
-	vouchGap   = 2 * time.Second        // in which a holder that is read anew is told what others' holders knew
+	vouchGap   = 1500 * time.Millisecond // in which a holder that is read anew is told what others' holders knew
 	companyGap = 300 * time.Millisecond // without adds of others a holder may be cut off
 	settle     = 300 * time.Millisecond // after a change of period, before the old name is reread
 	believe    = time.Minute            // after which gateways that are missing are taken as gone
--- a/internal/toll/sight.go
+++ b/internal/toll/sight.go
@@ -38,6 +38,13 @@
 	way          roundTrip
 }
 
+// answers says that a question is worth asking. Who was never heard here may be out of reach since before this holder
+// began: it counts as missing until it has shown that it is not.
+func (v sight) answers() bool { return v.signs || v.heard == 0 }
+
+// begin looks for all at once: a holder that is new knows of nobody who is out of reach.
+func (s *sights) begin(now plane.Time) { s.watchAt = now }
+
 // names takes the gateways there are, the two holders first.
 func (s *sights) names(nodes []string) {
 	s.nodes = nodes
@@ -115,7 +122,7 @@
 			s.seen[n] = v
 			continue
 		}
-		if n == s.self || !v.signs || now-v.heard < s.each(askGap) || v.asked != 0 && !again {
+		if n == s.self || !v.answers() || now-v.heard < s.each(askGap) || v.asked != 0 && !again {
 			continue
 		}
 		if v.asked == 0 {
@@ -158,7 +165,7 @@
 	}
 	defer func() { s.missed, s.missedAt = n, now }()
 	for _, v := range s.seen {
-		if v.signs && v.asked != 0 && now-v.asked >= v.way.stretch(lostGap) {
+		if v.answers() && v.asked != 0 && now-v.asked >= v.way.stretch(lostGap) {
 			n++
 		}
 	}
--- a/internal/toll/sight_test.go
+++ b/internal/toll/sight_test.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// TestSight: who answers questions and falls silent is missed, a process that knows none is
-// not, and nobody is after the counter itself stood still.
+// TestSight: who answers questions and falls silent is missed, and who was never heard by this counter; a process that
+// knows no questions is not, and nobody is after the counter itself stood still.
 func TestSight(t *testing.T) {
 	c := NewCounter("a", 1)
-	c.Nodes([]string{"a", "b", "c", "d"})
+	c.Nodes([]string{"a", "b", "c", "d", "e"})
 	now, asked := time.Minute, map[string]bool{}
 	pass := func(d time.Duration) uint32 {
 		for end := now + d; now < end; now += 50 * time.Millisecond {
@@ -24,7 +24,8 @@
 	c.Tick(now)
 	c.Take(now, "b", Add{Life: 1, Signs: true})
 	c.Take(now, "c", Add{Life: 1})
-	if n := pass(400 * time.Millisecond); n != 1 || !asked["b"] || asked["c"] || asked["d"] {
+	c.Take(now, "d", Add{Life: 1, Signs: true})
+	if n := pass(400 * time.Millisecond); n != 2 || !asked["b"] || asked["c"] || asked["d"] || !asked["e"] {
 		t.Errorf("%d missing, asked %v", n, asked)
 	}
 	now += time.Second
