Leave gateways out of touch a quarter of a quota's margin unreserved, not half

Cause: one half was left to gateways out of touch for as long as they were, the other was reckoned for each change of contact; several within 5 s spent it more than once.

--- a/internal/toll/entry.go
+++ b/internal/toll/entry.go
@@ -126,9 +126,10 @@
 }
 
 // bears is the part of the rate that gateways out of touch may pass without a reserve
-// for them: half of what the quota's margin is worth in 5 s, a tenth and 20 units.
+// for them: a quarter of what the quota's margin is worth in 5 s, a tenth and 20 units. The rest bears what nobody has heard
+// of yet, at each of several changes of contact within 5 s.
 func (e *entry) bears() float64 {
-	return (0.1*(5*e.limit.Rate+e.limit.Burst) + 20) / 2 / (5 * e.limit.Rate)
+	return (0.1*(5*e.limit.Rate+e.limit.Burst) + 20) / 4 / (5 * e.limit.Rate)
 }
 
 // miss takes in that so many gateways have gone out of sight. Before that was known
--- a/internal/toll/meter.go
+++ b/internal/toll/meter.go
@@ -27,16 +27,16 @@
 	quickAll  = 2500.0                 // so many of those that follow closely,
 	spareEach = 200 * time.Microsecond // and the one that is not read 5,000 adds
 
-	chargeGap  = 2 * time.Second        // after which what gateways passed while they were lost unknown is worked off
-	freshGap   = 30 * time.Millisecond  // within which an answer is back that is not late
-	trustGap   = time.Second            // after which a holder that is read anew has been told what it missed
+	chargeGap  = 2 * time.Second         // after which what gateways passed while they were lost unknown is worked off
+	freshGap   = 30 * time.Millisecond   // within which an answer is back that is not late
+	trustGap   = time.Second             // after which a holder that is read anew has been told what it missed
 	vouchGap   = 1500 * time.Millisecond // in which a holder that is read anew is told what others' holders knew
-	companyGap = 300 * time.Millisecond // without adds of others a holder may be cut off
-	settle     = 300 * time.Millisecond // after a change of period, before the old name is reread
-	believe    = time.Minute            // after which gateways that are missing are taken as gone
-	young      = 3 * time.Second        // in which one that has met no other gateway may be cut off
-	unknown    = 32                     // gateways, at least, that a young meter reckons with
-	nearGap    = 500 * time.Millisecond // so long after it, holders are told that a tenant was near its limit
+	companyGap = 300 * time.Millisecond  // without adds of others a holder may be cut off
+	settle     = 300 * time.Millisecond  // after a change of period, before the old name is reread
+	believe    = time.Minute             // after which gateways that are missing are taken as gone
+	young      = 3 * time.Second         // in which one that has met no other gateway may be cut off
+	unknown    = 32                      // gateways, at least, that a young meter reckons with
+	nearGap    = 500 * time.Millisecond  // so long after it, holders are told that a tenant was near its limit
 )
 
 // slot is one of the two holders.
