--- a/internal/yarn/quotadays_test.go
+++ b/internal/yarn/quotadays_test.go
@@ -17,3 +17,27 @@
 		}
 	})
 }
+
+// A core machine that has just started, and meets only one other, makes shares for these two; on the day 739 it passes
+// 80 to 110 units a second of a tenant of 129, while nine gateways that it can't reach pass the rest. The other days
+// have up to three changes of holders within two seconds.
+func TestContactOpen(t *testing.T) {
+	t.Parallel()
+	days := recordedDays(t, "open-")
+	side(len(days), func(i int) {
+		if s := Run(days[i].script, days[i].seed, Sound, nil); s.Broken != "" {
+			t.Errorf("%s: %v", days[i].name, s)
+		}
+	})
+}
+
+// TestDrawnContact plays days on which gateways lose and find each other in every pattern.
+func TestDrawnContact(t *testing.T) {
+	t.Parallel()
+	side(days/4, func(i int) {
+		seed := uint64(5001 + i)
+		if s := Run(DrawContact(seed), seed, Sound, nil); s.Broken != "" {
+			t.Errorf("%v\n%s", s, s.Script)
+		}
+	})
+}
