Soak real processes: signals, restarts and changes in series, clients that stay

Cause: nothing played real processes under series of SIGHUP, SIGTERM, kills and freezes that overlap, with clients that use their open connections until the process is gone, and judged quotas by what servers got. Ruled out: the field, which is the gateway in service alone.

--- a/cmd/asterlab/main.go
+++ b/cmd/asterlab/main.go
@@ -155,7 +155,7 @@
 	c.AddCommand(srv)
 	c.AddCommand(measureEven(&seed, &gateway, print), measurePolicy(&seed, &gateway, print), measureRollout(&seed, print), measureFaults(&seed, print),
 		measureGrown(&seed, print), measureRecovery(&seed, print), measureScale(&seed, print), measureStages(&seed, print), measureAgreement(&seed, print), measureState(&seed, print),
-		measureFrozen(print), measureControl(&seed, print))
+		measureFrozen(print), measureControl(&seed, print), measureSoak(&seed, print))
 	var repo string
 	var most int
 	hunt := func(use, short string, do func(string, []string, uint64, int) (*lab.Report, error)) {
--- /dev/null
+++ b/internal/lab/soak_test.go
@@ -0,0 +1,75 @@
+package lab
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A plan is the same each time, takes one of the core at a time, and is without unplanned trouble for every third seed.
+func TestSoakPlan(t *testing.T) {
+	seen := map[soakAction]bool{}
+	for seed := range uint64(200) {
+		plan := drawSoak(seed, 5, 20*time.Second)
+		if !reflect.DeepEqual(plan, drawSoak(seed, 5, 20*time.Second)) || len(plan) == 0 {
+			t.Fatalf("seed %d: %d events, or others the second time", seed, len(plan))
+		}
+		var lost []time.Duration
+		for _, e := range plan {
+			seen[e.action] = true
+			if seed%3 == 0 && !e.action.planned() {
+				t.Errorf("seed %d: %v at %v", seed, e.action, e.at)
+			}
+			if e.action == soakKillAll || e.node < 3 && (e.action == soakTerminate || !e.action.planned()) {
+				lost = append(lost, e.at)
+			}
+		}
+		for i := 1; i < len(lost); i++ {
+			if gap := (lost[i] - lost[i-1]).Abs(); gap < soakCoreRest {
+				t.Errorf("seed %d: the core loses machines %v apart", seed, gap)
+			}
+		}
+	}
+	if len(seen) != 6 {
+		t.Errorf("only %v are drawn", seen)
+	}
+}
+
+// Each rule is found where it breaks, and no other.
+func TestSoakRules(t *testing.T) {
+	at := time.Unix(1000, 0)
+	one := func(status int, took time.Duration) sentOne {
+		return sentOne{id: "a", node: "n1", key: "k", at: at, took: took, status: status}
+	}
+	ran := func(times int) map[string][]time.Time {
+		return map[string][]time.Time{"a": make([]time.Time, times)}
+	}
+	for want, r := range map[string]*soakRun{
+		"":        {sent: []sentOne{one(200, time.Millisecond)}, arrivals: ran(1)},
+		"TWICE":   {sent: []sentOne{one(200, time.Millisecond)}, arrivals: ran(2)},
+		"MIXED":   {sent: []sentOne{one(-1, time.Millisecond)}},
+		"REFUSED": {sent: []sentOne{one(429, time.Millisecond)}, arrivals: ran(1)},
+		"LOST":    {sent: []sentOne{one(0, time.Second)}, arrivals: ran(1)},
+		"LATE":    {sent: []sentOne{one(503, 2*time.Second)}},
+	} {
+		r.limit = soakLimit{"k", 60, 60}
+		if got := r.check(); want == "" && len(got) > 0 || want != "" && (len(got) != 1 || !strings.HasPrefix(got[0], want+":")) {
+			t.Errorf("%q: found %q", want, got)
+		}
+	}
+	kept := &soakRun{sent: []sentOne{one(0, time.Second)}, arrivals: ran(1), trouble: []time.Time{at.Add(-time.Second)}}
+	if got := kept.check(); len(got) > 0 {
+		t.Errorf("an unplanned trouble was a second before: %q", got)
+	}
+	many := &soakRun{arrivals: map[string][]time.Time{}, limit: soakLimit{"k", 10, 10}}
+	for i := range 90 { // 86 are allowed in 5 s
+		id := string(rune('A' + i))
+		sent := at.Add(time.Duration(i) * 10 * time.Millisecond)
+		many.sent = append(many.sent, sentOne{id: id, key: "k", at: sent, status: 200})
+		many.arrivals[id] = []time.Time{sent.Add(time.Millisecond)}
+	}
+	if got := many.check(); len(got) != 1 || !strings.HasPrefix(got[0], "QUOTA:") {
+		t.Errorf("90 of 86: %q", got)
+	}
+}
--- /dev/null
+++ b/internal/lab/soakrules.go
@@ -0,0 +1,100 @@
+package lab
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// soakRun is what a soak's clients and servers have seen.
+type soakRun struct {
+	sent     []sentOne
+	arrivals map[string][]time.Time // at servers, by the request's id
+	trouble  []time.Time            // when something unplanned befell any process
+	limit    soakLimit
+}
+
+// soakLimit is the quota of the tenant whose requests have it.
+type soakLimit struct {
+	key         string
+	rate, burst float64
+}
+
+const (
+	soakWindow  = 5 * time.Second        // in which a quota holds
+	soakContact = 3 * time.Second        // after an unplanned trouble, in which lost requests are excused
+	soakLate    = 700 * time.Millisecond // a final answer may come later than the request's deadline, on a busy machine
+)
+
+// check returns what broke, at most a few of each kind.
+func (r *soakRun) check() (broken []string) {
+	count := map[string]int{}
+	note := func(rule, format string, args ...any) {
+		if count[rule]++; count[rule] <= 3 {
+			broken = append(broken, rule+": "+fmt.Sprintf(format, args...))
+		}
+	}
+	for _, s := range r.sent {
+		ran := len(r.arrivals[s.id])
+		switch {
+		case s.status == -1:
+			note("MIXED", "%s got another request's answer from %s", s.id, s.node)
+		case ran > 1:
+			note("TWICE", "%s ran %d times", s.id, ran)
+		case ran > 0 && promisesNotRun(s.status):
+			note("REFUSED", "%s got %d from %s and ran", s.id, s.status, s.node)
+		case ran > 0 && s.status == 0 && !r.troubled(s):
+			note("LOST", "%s ran and %s gave no answer within %v", s.id, s.node, s.took.Round(time.Millisecond))
+		case s.status > 0 && s.took > deadlineMs*time.Millisecond+soakLate && !r.troubled(s):
+			note("LATE", "%s got %d from %s after %v", s.id, s.status, s.node, s.took.Round(time.Millisecond))
+		}
+	}
+	if most, at := r.worstWindow(); float64(most) > r.bound() {
+		note("QUOTA", "%d requests of %.0f in 5 s from %v on", most, r.bound(), at.Format("15:04:05.000"))
+	}
+	return broken
+}
+
+// promisesNotRun tells of a status that the request has not run, and never will.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
+
+// troubled says that something unplanned happened shortly before a request, or while it lasted.
+func (r *soakRun) troubled(s sentOne) bool {
+	return slices.ContainsFunc(r.trouble, func(at time.Time) bool {
+		return at.After(s.at.Add(-soakContact)) && at.Before(s.at.Add(s.took+time.Second))
+	})
+}
+
+func (r *soakRun) bound() float64 {
+	return (r.limit.rate*soakWindow.Seconds()+r.limit.burst)*1.1 + 20
+}
+
+// worstWindow is the most requests of the limited tenant that were sent within a window, and arrived in it.
+func (r *soakRun) worstWindow() (most int, from time.Time) {
+	type span struct{ sent, arrived time.Time }
+	var all []span
+	for _, s := range r.sent {
+		if at := r.arrivals[s.id]; s.key == r.limit.key && len(at) > 0 {
+			all = append(all, span{s.at, at[0]})
+		}
+	}
+	slices.SortFunc(all, func(a, b span) int { return a.sent.Compare(b.sent) })
+	for i := range all {
+		n := 0
+		for _, s := range all[i:] {
+			if s.sent.Sub(all[i].sent) > soakWindow {
+				break
+			}
+			if s.arrived.Sub(all[i].sent) <= soakWindow {
+				n++
+			}
+		}
+		if n > most {
+			most, from = n, all[i].sent
+		}
+	}
+	return most, from
+}
