--- a/internal/accord/accord_test.go
+++ b/internal/accord/accord_test.go
@@ -57,7 +57,7 @@
 
 // fleet is a primary with version 2 prepared, and three nodes that it knows of.
 func fleet(bug Bug) (*Machine, plane.Time) {
-	m, now := New(Config{Self: "a", Name: "a", Zone: "x"}), plane.Time(time.Hour)
+	m, now := New(Config{Self: "a", Name: "a", Zone: "x"}), time.Hour
 	m.SetBug(bug)
 	m.Nodes([]Node{{Name: "a", Zone: "x", Addr: "a"}, {Name: "b", Zone: "x", Addr: "b"}, {Name: "c", Zone: "y", Addr: "c"}})
 	one := Enter(pact.Doc{}, doc(1, `"Mode":"together","Confirm":3`))
@@ -202,7 +202,7 @@
 // TestTaken: what is read beside the loop is put in force in order, the gate goes by it only then, and one that was to be taken
 // up together and has been overtaken meanwhile is left out.
 func TestTaken(t *testing.T) {
-	m, now := New(Config{Self: "a", Name: "a", Zone: "x"}), plane.Time(time.Hour)
+	m, now := New(Config{Self: "a", Name: "a", Zone: "x"}), time.Hour
 	keep := func(d pact.Doc, reads uint32) {
 		t.Helper()
 		if out := m.Doc(now, d, true); out.Adopt != nil || (out.Read == nil) != (reads == 0) || out.Read != nil && out.Read.Version != reads {
--- a/internal/accord/world/proc.go
+++ b/internal/accord/world/proc.go
@@ -38,8 +38,7 @@
 	calls            uint64
 	wishes           map[uint64]wished // calls to withdraw
 	puts             map[uint64]uint32 // calls to put, and what
-	refuses          bool
-	heard            map[string]said // of each node, in this life
+	heard            map[string]said   // of each node, in this life
 }
 
 func (p *Proc) clock() plane.Time { return p.base + time.Duration(float64(p.w.now)*p.rate) }
@@ -126,7 +125,7 @@
 		return
 	}
 	p.input(func() knot.Out { return p.k.Tick(p.clock()) })
-	next := time.Duration(50 * ms)
+	next := 50 * ms
 	if p.frozen() {
 		next = p.thaws - p.w.now
 	}
--- a/internal/cede/cede_test.go
+++ b/internal/cede/cede_test.go
@@ -11,10 +11,10 @@
 // are lost are those that are never taken.
 func TestExplore(t *testing.T) {
 	for _, b := range []Bounds{
-		{Procs: 2, Starts: 2, Stops: 1, Restarts: 1, Agains: 1, Doubled: 1, States: 100_000},
-		{Procs: 2, Starts: 3, Stops: 1, Agains: 2, States: 100_000},
+		{Procs: 2, Starts: 2, Stops: 1, Restarts: 1, Repeats: 1, Doubled: 1, States: 100_000},
+		{Procs: 2, Starts: 3, Stops: 1, Repeats: 2, States: 100_000},
 		{Procs: 3, Starts: 3, States: 100_000},
-		{Procs: 3, Starts: 3, Stops: 1, Restarts: 1, Agains: 1, States: 50_000},
+		{Procs: 3, Starts: 3, Stops: 1, Restarts: 1, Repeats: 1, States: 50_000},
 	} {
 		got := Explore(b)
 		t.Logf("%+v: %d states, whole: %v", b, got.States, got.Whole)
@@ -27,7 +27,7 @@
 // TestGuards: each guard taken out is met.
 func TestGuards(t *testing.T) {
 	for _, bug := range []Bug{Hasty, Stale, Both} {
-		got := Explore(Bounds{Procs: 2, Starts: 3, Stops: 1, Agains: 2, Bug: bug})
+		got := Explore(Bounds{Procs: 2, Starts: 3, Stops: 1, Repeats: 2, Bug: bug})
 		t.Logf("bug %d: %s after %d states: %q", bug, got.Broken, got.States, got.Trace)
 		if got.Broken == "" {
 			t.Errorf("bug %d is not met in %d states", bug, got.States)
--- a/internal/cede/explore.go
+++ b/internal/cede/explore.go
@@ -13,11 +13,11 @@
 // Bounds of a small model: every order in which the messages of a few processes may arrive, be
 // lost and be doubled, and what operators and restarts may do in between.
 type Bounds struct {
-	Procs                           int
-	Starts, Stops, Restarts, Agains int // Agains: asks that are repeated or end without an answer
-	Doubled                         int // messages that come twice
-	States                          int // at most; 0: all
-	Bug                             Bug
+	Procs                            int
+	Starts, Stops, Restarts, Repeats int // Repeats: asks that are repeated or end without an answer
+	Doubled                          int // messages that come twice
+	States                           int // at most; 0: all
+	Bug                              Bug
 }
 
 // Explored is what a model came to.
@@ -34,13 +34,13 @@
 }
 
 type state struct {
-	all                                      []*Machine
-	lives                                    []int
-	net                                      []sent
-	starts, stops, restarts, agains, doubled int
-	last                                     *state
-	form                                     string // the step that led here
-	args                                     []any
+	all                                       []*Machine
+	lives                                     []int
+	net                                       []sent
+	starts, stops, restarts, repeats, doubled int
+	last                                      *state
+	form                                      string // the step that led here
+	args                                      []any
 }
 
 // key is all that matters of a state.
@@ -58,7 +58,7 @@
 	for _, m := range s.net {
 		b = append(binary.AppendUvarint(b, m.word.ID), byte(m.from), byte(m.to), byte(m.word.Kind))
 	}
-	return string(append(b, byte(s.starts), byte(s.stops), byte(s.restarts), byte(s.agains), byte(s.doubled)))
+	return string(append(b, byte(s.starts), byte(s.stops), byte(s.restarts), byte(s.repeats), byte(s.doubled)))
 }
 
 func bit(b bool) byte {
@@ -139,10 +139,10 @@
 				c.all[i] = boot(i, c.lives[i])
 				take(c, i, Out{})
 			}
-			if s.agains < b.Agains && len(s.all[i].calls) > 0 {
+			if s.repeats < b.Repeats && len(s.all[i].calls) > 0 {
 				for _, at := range []plane.Time{againEvery, time.Second} {
 					c := s.copy("%c after %v", 'a'+i, at)
-					c.agains++
+					c.repeats++
 					c.all[i].sent = 0
 					take(c, i, c.all[i].Tick(at))
 				}
--- a/internal/cluster/world/world.go
+++ b/internal/cluster/world/world.go
@@ -91,7 +91,6 @@
 	refuses bool
 	freeze  time.Duration // it stands still for so long once the leader's next answer is there
 	text    string
-	held    time.Duration
 }
 
 type link struct {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -14,7 +14,8 @@
 func TestZone(t *testing.T) {
 	z := &Zone{}
 	a, b := &Server{Zone: z}, &Server{Zone: z}
-	if z.Silent(a, 0) || z.Silent(a, 0) {
+	first, second := z.Silent(a, 0), z.Silent(a, 0)
+	if first || second {
 		t.Fatal("one server took the zone with it")
 	}
 	z.Alive()
--- a/internal/knot/via_test.go
+++ b/internal/knot/via_test.go
@@ -18,7 +18,7 @@
 	for gateways, most := range map[int]int{1: 110, 11: 110, 40: 110, 91: 50, 490: 10} {
 		var d detour
 		looks := 0
-		for now := plane.Time(time.Hour); now < time.Hour+10*time.Second; now += 20 * time.Millisecond {
+		for now := time.Hour; now < time.Hour+10*time.Second; now += 20 * time.Millisecond {
 			if d.may(now, gateways) {
 				looks++
 			}
@@ -49,7 +49,7 @@
 		gap   time.Duration
 		looks bool
 	}{{11, 50 * time.Millisecond, true}, {11, 300 * time.Millisecond, true}, {490, 50 * time.Millisecond, true}, {490, 300 * time.Millisecond, false}} {
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, unheard{}, nil, now)
 		k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
 		k.Tick(now)
@@ -85,7 +85,7 @@
 	for _, brief := range []bool{false, true} {
 		for _, back := range []bool{true, false} { // the holder answers straight again
 			m := &seldom{late: true}
-			now := plane.Time(time.Hour)
+			now := time.Hour
 			k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, m, nil, now)
 			k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
 			ways := 0
@@ -138,7 +138,7 @@
 		stood  bool
 		most   int
 	}{{8, false, 8}, {99, false, 99}, {489, false, mostBlind}, {489, true, 0}} {
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		k := New(Config{Self: "h:1", Name: "h", Zone: "z", Life: 1}, unheard{}, nil, now)
 		for _, w := range []string{"w:1", "w:2", "w:3"} {
 			k.bond.Take(now, w, bond.Hello{Node: bond.Node{Addr: w, Name: w, Zone: "z", Life: 1}})
@@ -185,7 +185,7 @@
 // came by it carries all of them; in a small one the first does already.
 func TestOnlyAQuestionGoesRound(t *testing.T) {
 	for known, first := range map[int]int{11: 909, 91: 909, 490: 0} {
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, wordy{}, nil, now)
 		k.bond.Take(now, "w:1", bond.Hello{Node: bond.Node{Addr: "w:1", Name: "w", Zone: "z", Life: 1}})
 		k.Tick(now)
@@ -216,7 +216,7 @@
 // sending by that one, and looked for no other way until the first had run out after three seconds; the holder heard nothing of
 // its units meanwhile (day 700507: "mute true till 2.78s" in each tick). A way whose answers stay out is no way.
 func TestDeadWayIsReplaced(t *testing.T) {
-	now := plane.Time(time.Hour)
+	now := time.Hour
 	meter := &seldom{}
 	k := New(Config{Self: "g:1", Name: "g", Zone: "z", Seeds: []string{"h:1"}, Life: 1}, meter, nil, now)
 	for _, other := range []string{"w:1", "x:1"} {
--- a/internal/lab/controlorders.go
+++ b/internal/lab/controlorders.go
@@ -176,11 +176,11 @@
 			}
 		})
 	}
-	for _, b := range []cede.Bounds{{Procs: 2, Starts: 3, Stops: 1, Agains: 2, States: 50_000}, {Procs: 3, Starts: 3, States: 50_000}} {
+	for _, b := range []cede.Bounds{{Procs: 2, Starts: 3, Stops: 1, Repeats: 2, States: 50_000}, {Procs: 3, Starts: 3, States: 50_000}} {
 		met(fmt.Sprintf("drains, %+v", b), noneStays, cede.Explore(b).Broken)
 	}
 	drains := func(bug cede.Bug) bool {
-		return cede.Explore(cede.Bounds{Procs: 2, Starts: 3, Stops: 1, Agains: 2, Bug: bug}).Broken != ""
+		return cede.Explore(cede.Bounds{Procs: 2, Starts: 3, Stops: 1, Repeats: 2, Bug: bug}).Broken != ""
 	}
 	mutants := []func(seed uint64) bool{
 		func(s uint64) bool { return yarn.Run(scripts["stops"], s, yarn.Numberless, nil).Broken == "EXPECT" },
--- a/internal/lab/stages.go
+++ b/internal/lab/stages.go
@@ -107,7 +107,7 @@
 type journey struct {
 	due, sent, got int64
 	status         int
-	in, out        int64 // of the server
+	in             int64 // at the server
 	direct         int64 // the same request straight to the server, from its due time; 0: none
 }
 
@@ -131,10 +131,10 @@
 	var mu sync.Mutex
 	seen := map[string]*journey{}
 	f.served = func(ctx *fasthttp.RequestCtx) {
-		now, id := time.Now().UnixNano(), string(ctx.Request.Header.Peek("X-Attempt-Id"))
+		now, id := time.Now().UnixNano(), ctx.Request.Header.Peek("X-Attempt-Id")
 		mu.Lock()
 		defer mu.Unlock()
-		if j := seen[id]; j != nil && j.in == 0 {
+		if j := seen[string(id)]; j != nil && j.in == 0 {
 			j.in = now
 		}
 	}
--- a/internal/pact/explore.go
+++ b/internal/pact/explore.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"asterwell/internal/plane"
 )
 
 // Bounds of an exploration: what may go wrong, how often time passes, and where to end.
@@ -206,7 +204,7 @@
 
 // first founds a core, has it keep version 1, and lets all come to rest.
 func (x *explorer) first() *state {
-	const begin = plane.Time(time.Hour)
+	const begin = time.Hour
 	var cells []*cell
 	for i := range x.n {
 		x.names = append(x.names, fmt.Sprintf("n%d", i))
--- a/internal/pact/spread_test.go
+++ b/internal/pact/spread_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"asterwell/internal/plane"
 )
 
 // TestAskedInTurns: where 480 processes start without a document that ten others hold, they ask all ten, not the first of
@@ -21,7 +19,7 @@
 			peers = append(peers, Peer{Addr: fmt.Sprintf("10.0.0.%d:7", k), Up: true, Member: k < 8, Held: uint32(3 - k/10)})
 		}
 		m.Peers(time.Hour, peers)
-		for now := plane.Time(time.Hour); now < time.Hour+2*time.Second; now += 50 * time.Millisecond {
+		for now := time.Hour; now < time.Hour+2*time.Second; now += 50 * time.Millisecond {
 			for _, s := range m.Tick(now).Send {
 				if _, is := s.Msg.(Pull); is {
 					asked[s.To]++
@@ -59,7 +57,7 @@
 			body[i] = byte(i * i >> 7 * 31) // packs badly
 		}
 		m.d.Kept = Doc{Version: 3, Body: bytes.Clone(body)}
-		now, sent := plane.Time(time.Hour), 0
+		now, sent := time.Hour, 0
 		for range 9 {
 			for _, s := range m.Take(now, "b:1", Pull{Deltas: c.deltas}).Send {
 				if _, is := s.Msg.(Push); is && s.To == "b:1" {
--- a/internal/program/members.go
+++ b/internal/program/members.go
@@ -41,7 +41,6 @@
 	}
 	listOK  struct{}
 	srvConf struct{ *SRV }
-	wakeUp  struct{}
 )
 
 func newMembers(world seam.Seam, conf *SRV, seed uint64, now func() time.Duration) *members {
--- a/internal/program/srv_test.go
+++ b/internal/program/srv_test.go
@@ -127,11 +127,10 @@
 // servers. Its own address is "client".
 type dnsStand struct {
 	*scenario.Stage
-	dns        *standin.Server
-	cmd        *exec.Cmd
-	path       string
-	list, text map[string]string
-	addr       map[string]string
+	dns  *standin.Server
+	cmd  *exec.Cmd
+	path string
+	addr map[string]string
 }
 
 func record(i int, addr string, more string) string {
--- a/internal/sim/sched.go
+++ b/internal/sim/sched.go
@@ -31,13 +31,12 @@
 }
 
 type task struct {
-	proc    *Proc
-	next    func() (struct{}, bool)
-	stop    func()
-	yield   func(struct{}) bool
-	started bool
-	ready   bool
-	done    bool
+	proc  *Proc
+	next  func() (struct{}, bool)
+	stop  func()
+	yield func(struct{}) bool
+	ready bool
+	done  bool
 }
 
 // killed unwinds a task whose process has been killed.
--- a/internal/sim/standin_node.go
+++ b/internal/sim/standin_node.go
@@ -81,7 +81,6 @@
 	idle    time.Duration // connections are closed after that, without a word
 	caught  bool          // turns all away, as one that drains does
 	done    int
-	since   time.Duration
 }
 
 // start begins a process at the node's address.
--- a/internal/standin/snag/proxy.go
+++ b/internal/standin/snag/proxy.go
@@ -179,7 +179,7 @@
 		}
 		f := p.plan.take(n > 0)
 		if own != nil {
-			f, own = Fault{Kind: Before, At: len(own), Stale: own}, nil
+			f = Fault{Kind: Before, At: len(own), Stale: own}
 		}
 		var more bool
 		if own, more = w.exchange(in, back, f, p.plan); !more {
--- a/internal/toll/late_test.go
+++ b/internal/toll/late_test.go
@@ -11,7 +11,7 @@
 // moments, and all that come in time, count.
 func TestLate(t *testing.T) {
 	c := NewCounter("h", 1)
-	const begin, gap = plane.Time(time.Hour), 20000 // 50 units a second
+	const begin, gap = time.Hour, 20000 // 50 units a second
 	clock := func(i int) plane.Time { return time.Minute + time.Duration(i)*100*time.Millisecond }
 	at := func(i int) plane.Time { return begin + time.Duration(i)*100*time.Millisecond }
 	add := func(now plane.Time, i int, sum uint64) float64 {
--- a/internal/toll/names_test.go
+++ b/internal/toll/names_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"asterwell/internal/plane"
 )
 
 // TestFewItems: of hundreds of gateways that turn to a holder that may be new each tells some of what it knows in an add, and
@@ -13,7 +11,7 @@
 func TestFewItems(t *testing.T) {
 	for gateways, want := range map[int]int{250: mostItems, 490: fewItems} {
 		m, names, limits := crowded(2000, gateways)
-		now, most, heard := plane.Time(time.Hour), 0, map[string]bool{}
+		now, most, heard := time.Hour, 0, map[string]bool{}
 		run := func(d time.Duration, holder string, c *Counter) {
 			for end := now + d; now < end; now += 10 * time.Millisecond {
 				m.Pass(now, names[int(now/(10*time.Millisecond))%len(names)], 1)
@@ -62,7 +60,7 @@
 			c.Nodes(names)
 			c.Limits(map[string]Limit{"t": {100, 100}})
 		}
-		now, period, had := plane.Time(time.Hour), uint64(0), 0
+		now, period, had := time.Hour, uint64(0), 0
 		for turn := range 40 {
 			c := holders[turn%2]
 			now += 510 * time.Millisecond
--- a/internal/toll/share_test.go
+++ b/internal/toll/share_test.go
@@ -45,7 +45,7 @@
 	m, names, limits := crowded(3000, 23)
 	c := NewCounter("h", 1)
 	c.Limits(limits)
-	now, told, most := plane.Time(time.Hour), map[string]bool{}, 0
+	now, told, most := time.Hour, map[string]bool{}, 0
 	run := func(span time.Duration, holders map[string]*Counter) {
 		for end := now + span; now < end; now += 10 * time.Millisecond {
 			for _, s := range m.Tick(now) {
@@ -118,7 +118,7 @@
 	m, names, limits := crowded(3000, 23)
 	c := NewCounter("h", 1)
 	c.Limits(limits)
-	now, most, lumps := plane.Time(time.Hour), 0, 0
+	now, most, lumps := time.Hour, 0, 0
 	for end := now + 40*time.Second; now < end; now += 10 * time.Millisecond {
 		if now < end-20*time.Second {
 			m.Pass(now, names[int(now/(10*time.Millisecond))%len(names)], 1)
@@ -159,7 +159,7 @@
 func TestPatience(t *testing.T) {
 	for gateways, bounds := range map[int][2]int{23: {55, 75}, 125: {55, 75}, 490: {8, 16}} {
 		m, names, _ := crowded(20, gateways)
-		now, adds := plane.Time(time.Hour), 0
+		now, adds := time.Hour, 0
 		for end := now + 10*time.Second; now < end; now += 10 * time.Millisecond {
 			m.Pass(now, names[int(now/time.Millisecond)%20], 1)
 			for _, s := range m.Tick(now) {
@@ -177,7 +177,7 @@
 // TestRestsIdle: a gateway that no request comes to goes through none of its tenants at a tick.
 func TestRestsIdle(t *testing.T) {
 	m, _, _ := crowded(12000, 490)
-	now := plane.Time(time.Hour)
+	now := time.Hour
 	for range 100 {
 		now += 50 * time.Millisecond
 		m.Tick(now)
@@ -203,7 +203,7 @@
 		if far {
 			way = 55 * time.Millisecond
 		}
-		now, passed, told, adds := plane.Time(time.Hour), 0, 0, 0
+		now, passed, told, adds := time.Hour, 0, 0, 0
 		step := func(lose bool) {
 			now += 5 * time.Millisecond
 			for _, s := range m.Tick(now) {
@@ -277,7 +277,7 @@
 		n    int
 	}
 	var wait []letter
-	now, spare, waited, dropped, stands := plane.Time(time.Hour), 0.0, time.Duration(0), 0, false
+	now, spare, waited, dropped, stands := time.Hour, 0.0, time.Duration(0), 0, false
 	step := func(pass bool) {
 		now += 10 * time.Millisecond
 		for g, m := range meters {
@@ -356,7 +356,7 @@
 		after time.Duration
 	}{{0, 0, retryGap}, {0, 2 * time.Millisecond, retryGap}, {0, 110 * time.Millisecond, 185 * time.Millisecond}, {25, 0, time.Second}} {
 		m, names, _ := crowded(20, 490)
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		if c.way > 0 {
 			m.slots[0].way.note(now, c.way)
 		}
@@ -375,7 +375,7 @@
 func TestCrowdGap(t *testing.T) {
 	for gateways, want := range map[int]plane.Time{1: 25, 91: 25, 250: 25, 300: 30, 490: 49, 1000: 50} {
 		var q quick
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		for range int(quickMost) {
 			if got := q.gap(now, gateways); got != firstGap {
 				t.Errorf("%d gateways: a rare first read waits %v", gateways, got)
@@ -393,7 +393,7 @@
 func TestBackoff(t *testing.T) {
 	for gateways, most := range map[int]int{11: 200, 125: 200, 490: 10} {
 		m := NewMeter("g", 1, 1)
-		now := plane.Time(time.Hour)
+		now := time.Hour
 		m.Nodes(now, gateways, []string{"h", "i"})
 		m.Limits(now, map[string]Limit{"t": {100, 100}})
 		spend := func(span time.Duration, answered bool) (adds int) {
--- a/internal/toll/sums_test.go
+++ b/internal/toll/sums_test.go
@@ -7,8 +7,6 @@
 	"runtime"
 	"testing"
 	"time"
-
-	"asterwell/internal/plane"
 )
 
 // TestSumsTable: the table says what a map would, with few lives and many, also where their numbers lie apart.
@@ -66,7 +64,7 @@
 	c = NewCounter(names[0], 1)
 	c.Nodes(names)
 	c.Enter(r)
-	rng, now := rand.New(rand.NewPCG(1, 1)), plane.Time(time.Hour)
+	rng, now := rand.New(rand.NewPCG(1, 1)), time.Hour
 	sums := 0
 	for period := uint64(1); period <= 3; period++ {
 		sums = 0
--- a/internal/toll/wire_test.go
+++ b/internal/toll/wire_test.go
@@ -16,7 +16,6 @@
 	messages      float64
 	first, second float64 // by the holders
 	adds, answers float64 // of gateway
-	items, totals float64 // bytes for each of these in messages, heads among them
 	refused       float64 // part of the requests
 }
 
--- a/internal/vault/snapshot.go
+++ b/internal/vault/snapshot.go
@@ -60,9 +60,11 @@
 		return nil, &Failed{path, "reading the copy", fs.ErrNotExist}
 	}
 	db, err := connect(path, "&mode=ro&immutable=1")
-	defer db.Close()
 	var have, owner int
-	if err == nil {
+	if err != nil {
+		db.Close()
+	} else {
+		defer db.Close()
 		err = db.QueryRow(`SELECT (SELECT user_version FROM pragma_user_version),
 			(SELECT application_id FROM pragma_application_id)`).Scan(&have, &owner)
 	}
