Rename omen to logring: it is a ring buffer of log lines

Cause: the name said nothing of what it does. Ruled out: a name of its own for the writer. Change: package and files only, no logic. Result: vet, its tests and weave's pass.

--- a/internal/omen/omen.go
+++ b/internal/logring/logring.go
@@ -1,6 +1,6 @@
-// Package omen keeps what the system says of itself: the last lines in a ring in
+// Package logring keeps what the system says of itself: the last lines in a ring in
 // memory, written out when something goes wrong, and little else.
-package omen
+package logring
 
 import (
 	"fmt"
--- a/internal/omen/omen_test.go
+++ b/internal/logring/logring_test.go
@@ -1,4 +1,4 @@
-package omen
+package logring
 
 import (
 	"bytes"
--- a/internal/weave/weave.go
+++ b/internal/weave/weave.go
@@ -23,9 +23,9 @@
 	"asterwell/internal/bane"
 	"asterwell/internal/creed"
 	"asterwell/internal/knot"
+	"asterwell/internal/logring"
 	"asterwell/internal/lore"
 	"asterwell/internal/mesh"
-	"asterwell/internal/omen"
 	"asterwell/internal/pact"
 	"asterwell/internal/plane"
 	"asterwell/internal/protocol"
@@ -41,7 +41,7 @@
 	path  string // of the settings
 	set   *creed.Settings
 	say   *log.Logger
-	ring  *omen.Ring
+	ring  *logring.Ring
 	start time.Time
 	self  string // the mesh address
 	box   *actor.Box[any]
@@ -141,7 +141,7 @@
 	p := &Process{path: path, set: set, link: shared.Link, bare: shared.Bare, readings: shared.Readings, serving: map[string]bool{}, start: time.Now(), box: actor.NewBox[any](nil), disk: actor.NewBox[*pact.Write](nil), texts: actor.NewBox[*knot.Text](nil), rows: actor.NewBox[[]lore.Row](nil),
 		rules: actor.NewBox[*bane.Write](nil), judge: bane.NewJudge(), tape: &tape{},
 		self: meshAddr(set.IpAddr, set)}
-	p.ring = omen.NewRing(shared.Log, set.NodeName, 256, log.InfoLevel)
+	p.ring = logring.NewRing(shared.Log, set.NodeName, 256, log.InfoLevel)
 	p.say = &log.Logger{Handler: p.ring, Level: log.DebugLevel}
 	now, seed := p.now(), seam.Real.Random()
 	member := set.QuorumMember && set.StateDir != ""
