Rename graft to delta: it is delta encoding of texts

Cause: the name said nothing of what it does. Ruled out: diff, which reed has for people. Change: package and files only, one local variable that hid the package's new name; no logic. Result: vet and its tests pass.

--- a/internal/graft/graft.go
+++ b/internal/delta/delta.go
@@ -1,10 +1,10 @@
-// Package graft has a text as a difference to another one (delta encoding): what a change of a
+// Package delta has a text as a difference to another one (delta encoding): what a change of a
 // large configuration is, most of which stays as it was.
 //
 // A difference is a row of steps: so many bytes of the base from there on, or bytes of its own.
 // It names both texts by their sums, so that it is never put on another base, and what comes
 // out is never another text. Pure: no clock, no chance.
-package graft
+package delta
 
 import (
 	"bytes"
--- a/internal/graft/graft_test.go
+++ b/internal/delta/delta_test.go
@@ -1,4 +1,4 @@
-package graft
+package delta
 
 import (
 	"bytes"
--- a/internal/lab/texts_test.go
+++ b/internal/lab/texts_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"asterwell/internal/creed"
-	"asterwell/internal/graft"
+	"asterwell/internal/delta"
 	digest "asterwell/internal/ledger"
 	"asterwell/internal/pact"
 )
@@ -22,11 +22,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	delta, _ := graft.Make(one, two)
-	whole, _ := graft.Whole(two)
+	difference, _ := delta.Make(one, two)
+	whole, _ := delta.Whole(two)
 	disk := pact.Disk{Life: 1, Kept: pact.Doc{Version: 1, Body: one}, Next: pact.Doc{Version: 2, Body: two}}
 	packed, _ := disk.Bytes()
-	b.Logf("%d bytes; a difference of %d, %d packed, %d on disk", len(two), len(delta.Steps), len(whole.Steps), len(packed))
+	b.Logf("%d bytes; a difference of %d, %d packed, %d on disk", len(two), len(difference.Steps), len(whole.Steps), len(packed))
 	for _, s := range []struct {
 		name string
 		do   func()
@@ -35,10 +35,10 @@
 		{"table", func() { c.Table() }},
 		{"rollout", func() { creed.RolloutOf(two) }},
 		{"digest", func() { digest.Digest(two) }},
-		{"sum", func() { graft.Sum(two) }},
-		{"difference", func() { graft.Make(one, two) }},
-		{"apply", func() { _, _ = delta.Apply(one) }},
-		{"pack", func() { graft.Whole(two) }},
+		{"sum", func() { delta.Sum(two) }},
+		{"difference", func() { delta.Make(one, two) }},
+		{"apply", func() { _, _ = difference.Apply(one) }},
+		{"pack", func() { delta.Whole(two) }},
 		{"unpack", func() { _, _ = whole.Apply(nil) }},
 		{"disk", func() { _, _ = disk.Bytes() }},
 		{"compare", func() { creed.Diff(c, c) }},
--- a/internal/pact/delta.go
+++ b/internal/pact/delta.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"asterwell/internal/graft"
+	"asterwell/internal/delta"
 )
 
 // Delta is a committed document as a difference to the one before it, or to none: most of what
@@ -11,7 +11,7 @@
 type Delta struct {
 	From uint32      `cbor:"1,keyasint,omitempty"` // version of the base; 0: none
 	Head Doc         `cbor:"2,keyasint"`           // the document without its body
-	Body graft.Delta `cbor:"3,keyasint"`
+	Body delta.Delta `cbor:"3,keyasint"`
 }
 
 func (d Delta) size() int { return len(d.Body.Steps) + len(d.Head.Side) + 64 }
@@ -40,7 +40,7 @@
 	if old.Version == 0 || old.Version == doc.Version {
 		return
 	}
-	if body, ok := graft.Make(old.Body, doc.Body); ok {
+	if body, ok := delta.Make(old.Body, doc.Body); ok {
 		m.keepDelta(Delta{From: old.Version, Head: doc.head(), Body: body})
 	}
 }
@@ -89,7 +89,7 @@
 	}
 	if m.packed.Head.Version != kept.Version || m.packed.Head.Rev != kept.Rev {
 		m.packed = Delta{Head: kept.head()}
-		if body, ok := graft.Whole(kept.Body); ok {
+		if body, ok := delta.Whole(kept.Body); ok {
 			m.packed.Body = body
 		}
 	}
@@ -106,7 +106,7 @@
 	if !last.Head.Above(m.d.Kept) {
 		return
 	}
-	if kept := m.d.Kept; kept.Version == last.Head.Version && graft.Sum(kept.Body) == last.Body.To { // amended
+	if kept := m.d.Kept; kept.Version == last.Head.Version && delta.Sum(kept.Body) == last.Body.To { // amended
 		m.commit(last.Head.with(kept.Body))
 		return
 	}
--- a/internal/pact/name.go
+++ b/internal/pact/name.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"slices"
 
-	"asterwell/internal/graft"
+	"asterwell/internal/delta"
 )
 
 // A promise names the texts that its member holds: version, digest, and all that is beside them. The text
@@ -31,7 +31,7 @@
 
 // nameOnly is a document without its text: the difference of that text to itself.
 func (d Doc) nameOnly() Doc {
-	d.Packed = graft.Same(d.Body)
+	d.Packed = delta.Same(d.Body)
 	d.Body = nil
 	return d
 }
--- a/internal/pact/pack.go
+++ b/internal/pact/pack.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"asterwell/internal/graft"
+	"asterwell/internal/delta"
 )
 
 // A large document goes packed wherever it goes whole: in promises, copies and appends too,
@@ -76,7 +76,7 @@
 	if len(base) == 0 || len(d.Body) == 0 {
 		return m.packDoc(d)
 	}
-	p := m.parcel1(d.Body, base, func() (graft.Delta, bool) { return graft.Make(base, d.Body) })
+	p := m.parcel1(d.Body, base, func() (delta.Delta, bool) { return delta.Make(base, d.Body) })
 	if p.as == nil {
 		return m.packDoc(d)
 	}
@@ -125,7 +125,7 @@
 // parcelled is a body with what it packs to, or with its difference to a base.
 type parcelled struct {
 	body, base []byte
-	as         *graft.Delta // nil: to nothing shorter
+	as         *delta.Delta // nil: to nothing shorter
 }
 
 // fewParcels is how many of them are kept: what is committed and what is on its way, whole and as a
@@ -136,14 +136,14 @@
 	if len(d.Body) < packFrom {
 		return d
 	}
-	if p := m.parcel1(d.Body, nil, func() (graft.Delta, bool) { return graft.Whole(d.Body) }); p.as != nil {
+	if p := m.parcel1(d.Body, nil, func() (delta.Delta, bool) { return delta.Whole(d.Body) }); p.as != nil {
 		d.Body, d.Packed = nil, p.as
 	}
 	return d
 }
 
 // parcel1 makes one, or has it from before: the same goes to several, and again.
-func (m *Machine) parcel1(body, base []byte, make func() (graft.Delta, bool)) parcelled {
+func (m *Machine) parcel1(body, base []byte, make func() (delta.Delta, bool)) parcelled {
 	one := func(a, b []byte) bool { return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0]) }
 	i := slices.IndexFunc(m.parcels, func(p parcelled) bool { return one(p.body, body) && one(p.base, base) })
 	if i >= 0 {
@@ -170,13 +170,13 @@
 			return d
 		}
 		var body []byte
-		err := graft.ErrBase
+		err := delta.ErrBase
 		for _, base := range [][]byte{nil, m.d.Kept.Body, m.d.Next.Body} {
-			if errors.Is(err, graft.ErrBase) {
+			if errors.Is(err, delta.ErrBase) {
 				body, err = d.Packed.Apply(base)
 			}
 		}
-		if promise && errors.Is(err, graft.ErrBase) {
+		if promise && errors.Is(err, delta.ErrBase) {
 			return d
 		}
 		if err != nil {
--- a/internal/pact/pact.go
+++ b/internal/pact/pact.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"asterwell/internal/graft"
+	"asterwell/internal/delta"
 	"asterwell/internal/ledger"
 	"asterwell/internal/plane"
 )
@@ -56,7 +56,7 @@
 	// Past is of the versions before this one: it stays while the version does, amended or not.
 	Past []byte `cbor:"9,keyasint,omitempty"`
 
-	Packed *graft.Delta `cbor:"10,keyasint,omitempty"` // the body, on the wire only: see pack.go
+	Packed *delta.Delta `cbor:"10,keyasint,omitempty"` // the body, on the wire only: see pack.go
 }
 
 // Above says which of two documents takes the other's place.
