Let a fleet of the laboratory have 240 processes

Cause: a soak should have as many as the machine bears; 60 was the most. Ruled out: several on one address (their ports are alike). Change: the bound.

--- a/internal/lab/faultfleet.go
+++ b/internal/lab/faultfleet.go
@@ -132,10 +132,13 @@
 	}
 }
 
+// mostNodes is how many have an address of their own on loopback.
+const mostNodes = 240
+
 // newFaultFleet makes a fleet with its files in a folder below one; empty: the temporary one.
 func newFaultFleet(binary string, nodes int, below string) (*faultFleet, error) {
-	if nodes < 3 || nodes > 60 {
-		return nil, fmt.Errorf("--nodes must be from 3 to 60, not %d", nodes)
+	if nodes < 3 || nodes > mostNodes {
+		return nil, fmt.Errorf("--nodes must be from 3 to %d, not %d", mostNodes, nodes)
 	}
 	if _, err := os.Stat(binary); err != nil {
 		return nil, fmt.Errorf("loom: %w", err)
