--- a/internal/toll/doc.go
+++ b/internal/toll/doc.go
@@ -18,8 +18,8 @@
 // # What it keeps to, in units
 //
 // In 5 s a tenant of rate R and burst B may pass 5R + B, and a margin of 0.1 (5R + B) + 20
-// on top. Half of the margin goes to gateways that are out of touch and for which nothing
-// is reserved (entry.bears); the other half bears what nobody has heard of yet: up to the
+// on top. A quarter of the margin goes to gateways that are out of touch and for which nothing
+// is reserved (entry.bears); the rest bears what nobody has heard of yet: up to the
 // lead at each gateway for 50 ms and a way there and back, and, where a cut comes with a
 // crowd, what the other side passes in the 0.25 to 0.4 s until it is known.
 //
@@ -79,6 +79,8 @@
 //     holder says is so old that others' units of that time, at the tenant's whole rate, are
 //     added to the level. A tenant that has only rested passes 1 unit and its even share of
 //     the burst before the first read is back (entry.rest).
+//   - Levels as a floor: TAT is at least what the holder that answers says is in use. As written it
+//     goes by what others have added since the last read, which may have been another holder's.
 //   - A gateway without a tick for 400 ms was frozen: its tenants are unseen. So is one
 //     so deep in debt (two bursts and a second) that it must have been misread.
 //   - A change of limit leaves the room there was, at most the new burst.
--- a/internal/yarn/drawany_test.go
+++ b/internal/yarn/drawany_test.go
@@ -47,16 +47,14 @@
 	}
 }
 
-// TestAnyDays plays days of every deployment. QUOTA is known to break now and then, and counts apart.
+// TestAnyDays plays days of every deployment.
 func TestAnyDays(t *testing.T) {
 	t.Parallel()
 	for i, on := range Deployments {
 		t.Run(on.Name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(days) / 10 * uint64(4-i/2*3) / 4 {
-				switch s := PlayAny(seed, on); s.Broken {
-				case "", "QUOTA":
-				default:
+				if s := PlayAny(seed, on); s.Broken != "" {
 					t.Errorf("%v\n%s", s, s.Script)
 				}
 			}
--- a/internal/yarn/quotadays_test.go
+++ b/internal/yarn/quotadays_test.go
@@ -20,7 +20,8 @@
 
 // A core machine that has just started, and meets only one other, makes shares for these two; on the day 739 it passes
 // 80 to 110 units a second of a tenant of 129, while nine gateways that it can't reach pass the rest. The other days
-// have up to three changes of holders within two seconds.
+// have up to three changes of holders within two seconds. On the day ready-707 a leaver ends while another of three core machines
+// is cut off: one seat is left, and a gateway that has just started takes its word for contact with most of the core.
 func TestContactOpen(t *testing.T) {
 	t.Parallel()
 	days := recordedDays(t, "open-")
