--- a/internal/yarn/contact_test.go
+++ b/internal/yarn/contact_test.go
@@ -40,11 +40,7 @@
 // "core2 calls itself ready, and has had no way to most of the core since it was started". The process was right.
 func TestOverlappingCuts(t *testing.T) {
 	t.Parallel()
-	for _, day := range recordedDays(t, "ready-") {
-		if s := Run(day.script, day.seed, Sound, nil); s.Broken != "" {
-			t.Errorf("%s: %v", day.name, s)
-		}
-	}
+	playRecorded(t, "ready-")
 	w := newWorld(1, Sound, nil)
 	a, b := w.add("a", "z", false, true), w.add("b", "z", false, true)
 	first, second := &cut{}, &cut{}
--- a/internal/yarn/quotadays_test.go
+++ b/internal/yarn/quotadays_test.go
@@ -10,12 +10,7 @@
 // had been cut off meanwhile, and looked for no other way for three seconds, so that nobody counted them.
 func TestContactKeepsQuota(t *testing.T) {
 	t.Parallel()
-	days := recordedDays(t, "quota-")
-	side(len(days), func(i int) {
-		if s := Run(days[i].script, days[i].seed, Sound, nil); s.Broken != "" {
-			t.Errorf("%s: %v", days[i].name, s)
-		}
-	})
+	playRecorded(t, "quota-")
 }
 
 // A core machine that has just started, and meets only one other, makes shares for these two; on the day 739 it passes
@@ -24,12 +19,7 @@
 // is cut off: one seat is left, and a gateway that has just started takes its word for contact with most of the core.
 func TestContactOpen(t *testing.T) {
 	t.Parallel()
-	days := recordedDays(t, "open-")
-	side(len(days), func(i int) {
-		if s := Run(days[i].script, days[i].seed, Sound, nil); s.Broken != "" {
-			t.Errorf("%s: %v", days[i].name, s)
-		}
-	})
+	playRecorded(t, "open-")
 }
 
 // TestDrawnContact plays days on which gateways lose and find each other in every pattern.
@@ -42,3 +32,14 @@
 		}
 	})
 }
+
+// playRecorded plays the recorded days whose names begin so; each has to keep all rules.
+func playRecorded(t *testing.T, prefix string) {
+	t.Helper()
+	days := recordedDays(t, prefix)
+	side(len(days), func(i int) {
+		if s := Run(days[i].script, days[i].seed, Sound, nil); s.Broken != "" {
+			t.Errorf("%s: %v", days[i].name, s)
+		}
+	})
+}
