--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 
 var scenarios = map[string]scenario{
 	"truncated-body": truncatedBody,
+	"frozen-upload":  frozenUpload,
 }
 
 func main() {
