--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 type scenario func(f *fleet, rec *record, trouble bool) (int, error)
 
 var scenarios = map[string]scenario{
-	"truncated-body": truncatedBody,
-	"frozen-upload":  frozenUpload,
+	"truncated-body":     truncatedBody,
+	"frozen-upload":      frozenUpload,
+	"pipelined-shutdown": pipelinedShutdown,
 }
 
 func main() {
