--- a/review/standin/frozen.go
+++ b/review/standin/frozen.go
@@ -46,7 +46,7 @@
 
 func frozenUpload(f *fleet, rec *record, trouble bool) (int, error) {
 	r := &runs{of: map[string]int{}}
-	err := f.open(rec, route{"r-nomi", "effectful", "/nomi/", "nomi", int(uploadAim.Milliseconds()), int(uploadLimit.Milliseconds())}, r.run)
+	err := f.open(rec, route{"r-nomi", "effectful", "/nomi/", "nomi", int(uploadAim.Milliseconds()), int(uploadLimit.Milliseconds()), 2}, r.run)
 	if err != nil {
 		return 0, err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -56,6 +58,13 @@
 		return 0, err
 	}
 	defer f.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() { // what it started ends with it
+		<-interrupted
+		f.stop()
+		os.Exit(cannotRun)
+	}()
 	rec.add("disruption: %v", trouble)
 	code, err := play(f, rec, trouble)
 	switch {
--- a/review/standin/truncated.go
+++ b/review/standin/truncated.go
@@ -43,7 +43,7 @@
 
 func truncatedBody(f *fleet, rec *record, trouble bool) (int, error) {
 	b := &bodies{ran: map[string]int{}}
-	err := f.open(rec, route{"r-nomi", "effectful", "/nomi/", "nomi", int(nominationAim.Milliseconds()), int(nominationLimit.Milliseconds())}, b.run)
+	err := f.open(rec, route{"r-nomi", "effectful", "/nomi/", "nomi", int(nominationAim.Milliseconds()), int(nominationLimit.Milliseconds()), 2}, b.run)
 	if err != nil {
 		return 0, err
 	}
