--- /dev/null
+++ b/internal/transport/client_conn.go
@@ -0,0 +1,303 @@
+package transport
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"asterwell/internal/hostenv"
+)
+
+// ClientConn is a client's connection. A reader goroutine, the pump, always reads from
+// it, so that a disconnect is noticed while a request is in progress.
+type ClientConn struct {
+	net.Conn
+	listener    *Listener
+	number      uint64           // in order of acceptance
+	readable    hostenv.Notifier // notifies the serving goroutine
+	bufferFree  hostenv.Notifier // notifies the pump that its buffer can be reused
+	unread      []byte
+	deadline    time.Time
+	bodyPaced   bool        // a body is being read: the timeout counts from the last byte
+	stopReading func() bool // reading ends once it returns true; nil: never
+
+	// Guarded by listener.mu. While busy, a request has begun to arrive and its response
+	// has not been sent; while serving, it has arrived completely. pending means that the
+	// pump holds bytes not yet read. since is when the current state began.
+	busy, pending, serving, served, closed bool
+	since                                  time.Time
+	data                                   []byte // read by the pump, not yet taken by Read
+	bufferInUse                            bool   // Read still uses the pump's buffer
+	err                                    error  // non-nil once the connection has ended
+}
+
+// idleLonger orders connections by the time in their state, then by acceptance.
+func (c *ClientConn) idleLonger(o *ClientConn) bool {
+	return c.since.Before(o.since) || c.since.Equal(o.since) && c.number < o.number
+}
+
+func (c *ClientConn) pump() {
+	buf := make([]byte, 4096)
+	for {
+		n, err := c.Conn.Read(buf)
+		if n > 0 {
+			c.listener.mu.Lock()
+			if c.pending = true; !c.busy {
+				c.busy, c.since = true, c.listener.host.Now()
+			}
+			c.data, c.bufferInUse = buf[:n], true
+			c.listener.mu.Unlock()
+			c.readable.Notify()
+			if !c.awaitBuffer() {
+				c.linger(buf)
+				return
+			}
+		}
+		if err != nil {
+			c.listener.mu.Lock()
+			c.fail(err)
+			if c.closed { // otherwise the server closes it once it notices the error
+				c.remove()
+			}
+			c.listener.mu.Unlock()
+			return
+		}
+	}
+}
+
+// awaitBuffer waits until the pump's buffer is free again. It returns false if the
+// connection has ended.
+func (c *ClientConn) awaitBuffer() bool {
+	for {
+		c.listener.mu.Lock()
+		held, gone := c.bufferInUse, c.err != nil
+		c.listener.mu.Unlock()
+		if gone || !held {
+			return !gone
+		}
+		c.bufferFree.Wait(-1)
+	}
+}
+
+// Limits on what is read and discarded from a client after its last response.
+const (
+	lingerTimeout  = time.Second
+	lingerMaxBytes = 2 << 20
+)
+
+// linger reads and discards what still arrives after the last response. Closing
+// immediately would reset the connection, and a client that is still sending could lose
+// the response in transit, such as one that says that its request is too large.
+func (c *ClientConn) linger(buf []byte) {
+	for limit := lingerMaxBytes; ; {
+		n, err := c.Conn.Read(buf)
+		if limit -= n; err != nil || limit < 0 {
+			c.listener.mu.Lock()
+			c.remove()
+			c.listener.mu.Unlock()
+			return
+		}
+	}
+}
+
+// fail marks the connection as ended. The caller holds the listener's lock.
+func (c *ClientConn) fail(err error) {
+	if c.err == nil {
+		c.err = err
+		c.readable.Notify()
+		c.bufferFree.Notify()
+	}
+}
+
+// World returns the host of the connection.
+func (c *ClientConn) Host() hostenv.Host { return c.listener.host }
+
+// Notifier returns the notifier of the goroutine that serves the connection.
+func (c *ClientConn) Notifier() hostenv.Notifier { return c.readable }
+
+// Await waits until done returns true, and returns false if the connection ends first.
+// It calls done after each notification.
+func (c *ClientConn) Await(done func() bool) bool { return c.AwaitFor(-1, done) }
+
+// AwaitFor is Await with a timeout; a negative limit means none.
+func (c *ClientConn) AwaitFor(limit time.Duration, done func() bool) bool {
+	end := c.listener.host.Now().Add(limit)
+	for !done() {
+		c.listener.mu.Lock()
+		gone := c.err != nil
+		c.listener.mu.Unlock()
+		wait := time.Duration(-1)
+		if limit >= 0 {
+			wait = max(0, end.Sub(c.listener.host.Now()))
+		}
+		if gone || wait == 0 {
+			return false
+		}
+		c.readable.Wait(wait)
+	}
+	return true
+}
+
+// Read returns what the pump has read. Only one goroutine may call it.
+func (c *ClientConn) Read(p []byte) (int, error) {
+	for len(c.unread) == 0 {
+		c.listener.mu.Lock()
+		got, err := c.data, c.err
+		if got != nil {
+			c.data, c.pending = nil, false
+		}
+		c.listener.mu.Unlock()
+		if got != nil {
+			c.unread = got
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+		if c.stopReading != nil && c.stopReading() {
+			return 0, ErrStopped
+		}
+		wait := time.Duration(-1)
+		if !c.deadline.IsZero() {
+			if wait = c.deadline.Sub(c.listener.host.Now()); wait <= 0 {
+				if c.listener.idle(c) { // no request has begun, so no timeout response is due
+					return 0, io.EOF
+				}
+				return 0, os.ErrDeadlineExceeded
+			}
+		}
+		c.readable.Wait(wait)
+	}
+	if c.bodyPaced {
+		c.deadline = c.listener.host.Now().Add(requestTimeout)
+	}
+	n := copy(p, c.unread)
+	if c.unread = c.unread[n:]; len(c.unread) == 0 { // the pump reads on, to notice a disconnect
+		c.listener.mu.Lock()
+		c.bufferInUse = false
+		c.listener.mu.Unlock()
+		c.bufferFree.Notify()
+	}
+	return n, nil
+}
+
+// toHostTime converts a deadline of the HTTP library, which uses the system clock, to
+// the host's clock. The library's timeouts are whole seconds.
+func (c *ClientConn) toHostTime(deadline time.Time) time.Time {
+	if deadline.IsZero() {
+		return deadline
+	}
+	return c.listener.host.Now().Add(time.Until(deadline).Round(time.Second))
+}
+
+// Pace replaces the timeout of the whole request by one between two reads of its body.
+// Read ends with ErrStopped once enough returns true; it is called after each notification.
+func (c *ClientConn) Pace(enough func() bool) {
+	c.bodyPaced, c.stopReading = true, enough
+	c.deadline = c.listener.host.Now().Add(requestTimeout)
+}
+
+// Write writes in pieces, each with its own timeout: a slow client may take long for the whole.
+func (c *ClientConn) Write(p []byte) (n int, err error) {
+	for first := true; first || len(p) > 0; first = false {
+		now := p[:min(len(p), pieceSize)]
+		if err := c.Conn.SetWriteDeadline(c.listener.host.Now().Add(writeTimeout)); err != nil {
+			return n, err
+		}
+		k, err := c.Conn.Write(now)
+		if n += k; err != nil {
+			return n, err
+		}
+		p = p[k:]
+	}
+	return n, nil
+}
+
+// ReadFrom writes each piece as soon as it has been read.
+func (c *ClientConn) ReadFrom(r io.Reader) (n int64, err error) {
+	buf := pieceBuffers.Get().(*[pieceSize]byte)
+	defer pieceBuffers.Put(buf)
+	for {
+		k, err := r.Read(buf[:])
+		if k > 0 {
+			if _, err := c.Write(buf[:k]); err != nil {
+				return n, err
+			}
+			n += int64(k)
+		}
+		if err == io.EOF {
+			return n, nil
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+}
+
+var pieceBuffers = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
+// SetReadDeadline bounds Read; the pump is not affected.
+func (c *ClientConn) SetReadDeadline(t time.Time) error {
+	c.deadline, c.bodyPaced, c.stopReading = c.toHostTime(t), false, nil
+	return nil
+}
+
+// SetWriteDeadline does nothing: Write sets a deadline for each piece.
+func (c *ClientConn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetDeadline is SetReadDeadline.
+func (c *ClientConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// Idle marks the response as sent. It closes the connection if the listener is draining.
+func (c *ClientConn) Idle() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.serving, c.served = false, true
+	if c.busy, c.since = c.pending, c.listener.host.Now(); !c.busy {
+		if c.listener.roomAvailable.Notify(); c.listener.draining { // it may be closed to make room
+			c.drop()
+		}
+	}
+}
+
+// serve marks the request as received completely.
+func (c *ClientConn) serve() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.serving, c.since = true, c.listener.host.Now()
+}
+
+// drop closes the connection; while it lingers it counts as open. The caller holds the
+// listener's lock.
+func (c *ClientConn) drop() {
+	if c.closed {
+		return
+	}
+	c.closed, c.serving, c.since = true, false, c.listener.host.Now()
+	ended := c.err != nil
+	c.fail(net.ErrClosed)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.busy && !ended {
+		half.CloseWrite()
+		c.Conn.SetReadDeadline(c.listener.host.Now().Add(lingerTimeout)) // the pump closes it after that
+		return
+	}
+	c.remove()
+}
+
+// remove closes the socket and forgets the connection. The caller holds the listener's
+// lock.
+func (c *ClientConn) remove() {
+	delete(c.listener.conns, c)
+	c.listener.roomAvailable.Notify()
+	c.Conn.Close()
+}
+
+// Close closes the connection.
+func (c *ClientConn) Close() error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.drop()
+	return nil
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,78 @@
+package transport
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Client timeouts. A request must arrive completely within requestTimeout, counted from
+// its first byte, or from the connect for the first request. A connection without a
+// request is closed after idleTimeout.
+const (
+	requestTimeout = 3 * time.Second // for a streamed body, between two reads
+	idleTimeout    = 2 * time.Second
+	writeTimeout   = 5 * time.Second // for each piece of a response
+)
+
+// NewServer returns an HTTP server for a listener. It keeps header names and request
+// data unchanged, and accepts bodies up to maxBody bytes.
+func NewServer(handler fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                       rejectAmbiguous(handler),
+		ErrorHandler:                  malformed,
+		Logger:                        discardLogger{},
+		MaxRequestBodySize:            maxBody,
+		ReadBufferSize:                8192,
+		StreamRequestBody:             maxBody >= MaxStream,
+		ReadTimeout:                   requestTimeout,
+		IdleTimeout:                   idleTimeout,
+		WriteTimeout:                  writeTimeout,
+		DisableHeaderNamesNormalizing: true,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultServerHeader:         true,
+		NoDefaultContentType:          true,
+		ConnState:                     connStateChanged,
+	}
+}
+
+// rejectAmbiguous rejects requests that another recipient could parse differently, and
+// marks the connection as serving.
+func rejectAmbiguous(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if conn, ok := ctx.Conn().(*ClientConn); ok {
+			conn.serve()
+		}
+		if HasConflictingLengths(ctx.Request.Header.RawHeaders()) {
+			ctx.Error("Content-Length and Transfer-Encoding\n", fasthttp.StatusBadRequest)
+			ctx.SetConnectionClose()
+			return
+		}
+		handler(ctx)
+	}
+}
+
+func connStateChanged(nc net.Conn, s fasthttp.ConnState) {
+	if c, ok := nc.(*ClientConn); ok && s == fasthttp.StateIdle {
+		c.Idle()
+	}
+}
+
+// malformed answers an invalid request. The connection is closed after that.
+func malformed(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if _, ok := err.(*fasthttp.ErrSmallBuffer); ok {
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	} else if err == fasthttp.ErrBodyTooLarge {
+		status = fasthttp.StatusRequestEntityTooLarge
+	} else if e, ok := err.(net.Error); ok && e.Timeout() {
+		status = fasthttp.StatusRequestTimeout
+	}
+	ctx.Error(fasthttp.StatusMessage(status)+"\n", status)
+}
+
+// discardLogger drops the library's log, which reports each client that disconnects.
+type discardLogger struct{}
+
+func (discardLogger) Printf(string, ...any) {}
