transport: a connection is idle only once the HTTP library's buffer is empty

Cause: idle meant 'a response has been sent and the pump holds no bytes'. The HTTP library reads ahead, and a request in its buffer was seen by nobody. Ruled out: the core (it had the answer 3.2 s before the end of GraceS), the end of the process (it waits for open connections), the deadline. All else that closes connections went by the same flag: the limit of connections, a response sent while the listener drains, the idle timeout (400 in place of 408 for a body that came in part), and bytes read in the moment of a close, whose request was served without a way to answer.

One state with named phases takes the place of five flags. A connection becomes idle when the library, after a response, asks for bytes and there are none; closing it and taking its bytes exclude each other under one lock.

TestExpendable names phases in place of flags: the case 'half its second request' had the flags of one that has been served, which is the same phase as 'half a request' now; a request that is not yet parsed is a new case.

--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -23,42 +23,30 @@
 	bodyPaced   bool        // a body is being read: the timeout counts from the last byte
 	stopReading func() bool // reading ends once it returns true; nil: never
 
-	// Guarded by listener.mu. While busy, a request has begun to arrive and its response
-	// has not been sent; while serving, it has arrived completely. pending means that the
-	// pump holds bytes not yet read. since is when the current state began.
-	busy, pending, serving, served, closed bool
-	since                                  time.Time
-	data                                   []byte // read by the pump, not yet taken by Read
-	bufferInUse                            bool   // Read still uses the pump's buffer
-	err                                    error  // non-nil once the connection has ended
+	// Guarded by listener.mu.
+	state       connState
+	data        []byte // read by the pump, not yet taken by Read
+	bufferInUse bool   // Read still uses the pump's buffer
+	err         error  // non-nil once the connection has ended
 }
 
-// idleLonger orders connections by the time in their state, then by acceptance.
+// idleLonger orders connections by the time in their phase, then by acceptance.
 func (c *ClientConn) idleLonger(o *ClientConn) bool {
-	return c.since.Before(o.since) || c.since.Equal(o.since) && c.number < o.number
+	return c.state.since.Before(o.state.since) || c.state.since.Equal(o.state.since) && c.number < o.number
 }
 
 func (c *ClientConn) pump() {
 	buf := make([]byte, 4096)
 	for {
 		n, err := c.Conn.Read(buf)
-		if n > 0 {
-			c.listener.mu.Lock()
-			if c.pending = true; !c.busy {
-				c.busy, c.since = true, c.listener.host.Now()
-			}
-			c.data, c.bufferInUse = buf[:n], true
-			c.listener.mu.Unlock()
-			c.readable.Notify()
-			if !c.awaitBuffer() {
-				c.linger(buf)
-				return
-			}
+		if n > 0 && (!c.offer(buf[:n]) || !c.awaitBuffer()) {
+			c.linger(buf)
+			return
 		}
 		if err != nil {
 			c.listener.mu.Lock()
 			c.fail(err)
-			if c.closed { // otherwise the server closes it once it notices the error
+			if c.state.phase == phaseClosed { // otherwise the server closes it once it notices the error
 				c.remove()
 			}
 			c.listener.mu.Unlock()
@@ -67,6 +55,19 @@
 	}
 }
 
+// offer passes bytes to Read. It returns false if the connection has been closed meanwhile: a request in them must not
+// be served, since it could not be answered.
+func (c *ClientConn) offer(received []byte) bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if !c.state.received(c.listener.host.Now()) {
+		return false
+	}
+	c.data, c.bufferInUse = received, true
+	c.readable.Notify()
+	return true
+}
+
 // awaitBuffer waits until the pump's buffer is free again. It returns false if the
 // connection has ended.
 func (c *ClientConn) awaitBuffer() bool {
@@ -143,14 +144,9 @@
 // Read returns what the pump has read. Only one goroutine may call it.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	for len(c.unread) == 0 {
-		c.listener.mu.Lock()
-		got, err := c.data, c.err
-		if got != nil {
-			c.data, c.pending = nil, false
-		}
-		c.listener.mu.Unlock()
-		if got != nil {
-			c.unread = got
+		received, err := c.take()
+		if received != nil {
+			c.unread = received
 			break
 		}
 		if err != nil {
@@ -162,10 +158,10 @@
 		wait := time.Duration(-1)
 		if !c.deadline.IsZero() {
 			if wait = c.deadline.Sub(c.listener.host.Now()); wait <= 0 {
-				if c.listener.idle(c) { // no request has begun, so no timeout response is due
-					return 0, io.EOF
+				if err := c.timeOut(); err != nil {
+					return 0, err
 				}
-				return 0, os.ErrDeadlineExceeded
+				continue
 			}
 		}
 		c.readable.Wait(wait)
@@ -183,6 +179,39 @@
 	return n, nil
 }
 
+// take returns what the pump holds, or why nothing more will come. If there is neither, the library has
+// nothing left to answer if it is between two requests, and a draining listener closes the connection.
+func (c *ClientConn) take() ([]byte, error) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if received := c.data; received != nil {
+		c.data = nil
+		return received, nil
+	}
+	if c.err == nil && c.state.starved(c.listener.host.Now()) {
+		if c.listener.draining {
+			c.drop()
+		}
+		c.listener.roomAvailable.Notify() // it may be closed to make room
+	}
+	return nil, c.err
+}
+
+// timeOut returns the error of a Read whose deadline has passed; nil: there are bytes to take. Between requests the
+// connection is closed, since no response is due.
+func (c *ClientConn) timeOut() error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	switch {
+	case !c.state.waiting:
+		return nil
+	case c.state.nothingOwed():
+		c.drop()
+		return io.EOF
+	}
+	return os.ErrDeadlineExceeded
+}
+
 // toHostTime converts a deadline of the HTTP library, which uses the system clock, to
 // the host's clock. The library's timeouts are whole seconds.
 func (c *ClientConn) toHostTime(deadline time.Time) time.Time {
@@ -250,42 +279,50 @@
 // SetDeadline is SetReadDeadline.
 func (c *ClientConn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
-// Idle marks the response as sent. It closes the connection if the listener is draining.
-func (c *ClientConn) Idle() {
+// begun marks that the HTTP library has found the first byte of a request.
+func (c *ClientConn) begun() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.serving, c.served = false, true
-	if c.busy, c.since = c.pending, c.listener.host.Now(); !c.busy {
-		if c.listener.roomAvailable.Notify(); c.listener.draining { // it may be closed to make room
-			c.drop()
-		}
-	}
+	c.state.begun(c.listener.host.Now())
+}
+
+// served marks that the handler runs.
+func (c *ClientConn) served() {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.state.served(c.listener.host.Now())
 }
 
-// serve marks the request as received completely.
-func (c *ClientConn) serve() {
+// answered marks the response as sent.
+func (c *ClientConn) answered() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.serving, c.since = true, c.listener.host.Now()
+	c.state.answered(c.listener.host.Now())
 }
 
 // drop closes the connection; while it lingers it counts as open. The caller holds the
 // listener's lock.
 func (c *ClientConn) drop() {
-	if c.closed {
+	if c.state.phase == phaseClosed {
 		return
 	}
-	c.closed, c.serving, c.since = true, false, c.listener.host.Now()
-	ended := c.err != nil
-	c.fail(net.ErrClosed)
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.busy && !ended {
+	now := c.listener.host.Now()
+	clientEnded, nothingOwed := c.err != nil, c.state.nothingOwed()
+	c.end(now)
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && !nothingOwed && !clientEnded {
 		half.CloseWrite()
-		c.Conn.SetReadDeadline(c.listener.host.Now().Add(lingerTimeout)) // the pump closes it after that
+		c.Conn.SetReadDeadline(now.Add(lingerTimeout)) // the pump closes it after that
 		return
 	}
 	c.remove()
 }
 
+// end marks the connection as closed. The caller holds the listener's lock.
+func (c *ClientConn) end(now time.Time) {
+	c.state.enter(phaseClosed, now)
+	c.fail(net.ErrClosed)
+}
+
 // remove closes the socket and forgets the connection. The caller holds the listener's
 // lock.
 func (c *ClientConn) remove() {
--- /dev/null
+++ b/internal/transport/drain_test.go
@@ -0,0 +1,64 @@
+package transport
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/scenario"
+)
+
+// newDrainStage serves /held until the script closes "handler", and anything else at once. Closing "entered" waits
+// for a request to be held; closing "drain" drains the listener, as a leaving process does at every tick.
+func newDrainStage(t *testing.T) *scenario.Stage {
+	t.Helper()
+	held, entered := make(chan struct{}), make(chan struct{}, 10)
+	ln, stage := serve(t, 10, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/held" {
+			entered <- struct{}{}
+			<-held
+		}
+		ctx.SetBodyString("at " + string(ctx.Path()))
+	})
+	stage.Close = map[string]func(){"handler": func() { close(held) }, "entered": func() { <-entered }, "drain": func() { ln.Drain() }}
+	return stage
+}
+
+// TestDrainAnswersPipelined guards against a drain that takes a connection for idle while its second request, which
+// the HTTP library read together with the first, is being served: the answers were lost.
+func TestDrainAnswersPipelined(t *testing.T) {
+	newDrainStage(t).Play(t, `
+		client1 send "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /held HTTP/1.1\r\nHost: h\r\n\r\n"
+		entered close
+		drain close
+		drain close
+		handler close
+		client1 expect "at /a"
+		client1 expect "at /held"
+		client1 expect closed`)
+}
+
+// TestDrainAwaitsRestOfPipelined: the same for a second request of which a part came together with the first.
+func TestDrainAwaitsRestOfPipelined(t *testing.T) {
+	for name, script := range map[string]string{
+		"half a header": `
+			client1 send "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\n"
+			client1 expect "at /a"
+			drain close
+			client1 expect nothing
+			client1 send "Host: h\r\n\r\n"
+			client1 expect "at /b"
+			client1 expect closed`,
+		"half a body": `
+			client1 send "GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo"
+			client1 expect nothing
+			drain close
+			client1 expect nothing
+			client1 send "dy"
+			client1 expect "at /a"
+			client1 expect "at /b"
+			client1 expect closed`,
+	} {
+		t.Run(name, func(t *testing.T) { newDrainStage(t).Play(t, script) })
+	}
+}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -15,7 +15,7 @@
 )
 
 // Listener accepts client connections up to a limit. At the limit it closes one that
-// has no request in progress (see expendable for the order). If there is none, it waits
+// has no request in progress (see connState.expendable for the order). If there is none, it waits
 // before it serves the next: a connection with an unanswered request must not be closed.
 type Listener struct {
 	net.Listener
@@ -91,7 +91,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &ClientConn{Conn: nc, listener: l, readable: l.host.NewNotifier(), bufferFree: l.host.NewNotifier(), since: l.host.Now()}
+	c := &ClientConn{Conn: nc, listener: l, readable: l.host.NewNotifier(), bufferFree: l.host.NewNotifier(),
+		state: connState{since: l.host.Now()}}
 	l.mu.Lock()
 	for len(l.conns) >= l.maxConns {
 		if !l.makeRoom() { // an incomplete request may exceed pressureGrace shortly
@@ -139,16 +140,15 @@
 	var victim *ClientConn
 	rank, now := rankProtected, l.host.Now()
 	for c := range l.conns {
-		if r := c.expendable(now); r < rank || r == rank && victim != nil && c.idleLonger(victim) {
+		if r := c.state.expendable(now); r < rank || r == rank && victim != nil && c.idleLonger(victim) {
 			victim, rank = c, r
 		}
 	}
 	if victim == nil {
 		return false
 	}
-	victim.busy = false // close immediately, without lingering
-	victim.drop()
-	victim.remove()
+	victim.end(now)
+	victim.remove() // without lingering
 	return true
 }
 
@@ -159,10 +159,10 @@
 	var longestIdle *ClientConn
 	active, now := 0, l.host.Now()
 	for c := range l.conns {
-		if c.served || c.busy {
+		if c.state.phase != phaseConnected {
 			active++
 		}
-		if c.expendable(now) == rankIdle && (longestIdle == nil || c.idleLonger(longestIdle)) {
+		if c.state.expendable(now) == rankIdle && (longestIdle == nil || c.idleLonger(longestIdle)) {
 			longestIdle = c
 		}
 	}
@@ -171,37 +171,6 @@
 	}
 }
 
-// Ranks of connections, the most expendable first.
-const (
-	rankAnswered   int = iota // its last response has been sent and the grace period is over
-	rankSilent                // it has never sent anything
-	rankIncomplete            // its request stays incomplete
-	rankIdle                  // it has been served and may send another request
-	rankNew                   // it has just connected
-	rankProtected
-)
-
-// expendable ranks a connection. The caller holds the listener's lock.
-func (c *ClientConn) expendable(now time.Time) int {
-	elapsed := now.Sub(c.since)
-	switch {
-	case c.closed:
-		if elapsed > pressureGrace {
-			return rankAnswered
-		}
-	case c.serving:
-	case !c.busy && !c.served && elapsed <= pressureGrace:
-		return rankNew
-	case !c.busy && !c.served:
-		return rankSilent
-	case !c.busy:
-		return rankIdle
-	case elapsed > pressureGrace:
-		return rankIncomplete
-	}
-	return rankProtected
-}
-
 // Drain closes idle connections, and the others as they become idle. It returns the
 // number still open.
 func (l *Listener) Drain() int {
@@ -209,7 +178,7 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.conns {
-		if !c.busy {
+		if c.state.nothingOwed() {
 			c.drop()
 		}
 	}
@@ -223,12 +192,6 @@
 	l.draining = false
 }
 
-func (l *Listener) idle(c *ClientConn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !c.busy
-}
-
 // Open returns the number of connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -95,14 +95,14 @@
 		client5 expect "fine"`)
 }
 
-// settle waits until the listener has marked all responses as sent.
+// settle waits until the listener takes all connections for idle.
 func settle(t *testing.T, l *Listener) {
 	t.Helper()
 	for end := time.Now().Add(scenario.Patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		l.mu.Lock()
 		all := true
 		for c := range l.conns {
-			all = all && c.served && !c.serving
+			all = all && c.state.phase == phaseIdle
 		}
 		if l.mu.Unlock(); all {
 			return
@@ -212,20 +212,21 @@
 	now := time.Now()
 	long, short := now.Add(-time.Minute), now.Add(-time.Millisecond)
 	for name, tc := range map[string]struct {
-		conn ClientConn
-		want int
+		state connState
+		want  int
 	}{
-		"answered for the last time":  {ClientConn{closed: true, busy: true, since: long}, rankAnswered},
-		"the answer is under way":     {ClientConn{closed: true, busy: true, since: short}, rankProtected},
-		"silent":                      {ClientConn{since: long}, rankSilent},
-		"silent for a moment":         {ClientConn{since: short}, rankNew},
-		"half a request":              {ClientConn{busy: true, since: long}, rankIncomplete},
-		"half a request, a moment":    {ClientConn{busy: true, since: short}, rankProtected},
-		"half its second request":     {ClientConn{busy: true, served: true, since: long}, rankIncomplete},
-		"served and idle":             {ClientConn{served: true, since: long}, rankIdle},
-		"its request is being served": {ClientConn{busy: true, serving: true, since: long}, rankProtected},
+		"answered for the last time":   {connState{phase: phaseClosed, since: long}, rankAnswered},
+		"the answer is under way":      {connState{phase: phaseClosed, since: short}, rankProtected},
+		"silent":                       {connState{phase: phaseConnected, since: long}, rankSilent},
+		"silent for a moment":          {connState{phase: phaseConnected, since: short}, rankNew},
+		"half a request":               {connState{phase: phaseReceiving, since: long, waiting: true}, rankIncomplete},
+		"half a request, a moment":     {connState{phase: phaseReceiving, since: short, waiting: true}, rankProtected},
+		"a request, not yet parsed":    {connState{phase: phaseReceiving, since: long}, rankProtected},
+		"served and idle":              {connState{phase: phaseIdle, since: long}, rankIdle},
+		"its request is being served":  {connState{phase: phaseServing, since: long}, rankProtected},
+		"another may be in the buffer": {connState{phase: phaseAnswered, since: long}, rankProtected},
 	} {
-		if got := tc.conn.expendable(now); got != tc.want {
+		if got := tc.state.expendable(now); got != tc.want {
 			t.Errorf("%s: rank %d, want %d", name, got, tc.want)
 		}
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,11 +38,11 @@
 }
 
 // rejectAmbiguous rejects requests that another recipient could parse differently, and
-// marks the connection as serving.
+// marks that the handler runs.
 func rejectAmbiguous(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		if conn, ok := ctx.Conn().(*ClientConn); ok {
-			conn.serve()
+			conn.served()
 		}
 		if HasConflictingLengths(ctx.Request.Header.RawHeaders()) {
 			ctx.Error("Content-Length and Transfer-Encoding\n", fasthttp.StatusBadRequest)
@@ -53,9 +53,18 @@
 	}
 }
 
+// connStateChanged receives the library's view of a connection: active once the first byte of a request is there,
+// idle once the response has been written.
 func connStateChanged(nc net.Conn, s fasthttp.ConnState) {
-	if c, ok := nc.(*ClientConn); ok && s == fasthttp.StateIdle {
-		c.Idle()
+	c, ok := nc.(*ClientConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case fasthttp.StateActive:
+		c.begun()
+	case fasthttp.StateIdle:
+		c.answered()
 	}
 }
 
