transport: send each response at once, not with that to the next pipelined request

Whatever ended the connection meanwhile took the first answer with it.

Cause: the HTTP library flushes a response only if its read buffer holds no byte of a further request. Ruled out: the gateway's own order of work, since the second handler begins after the first response has been written.

Each handler's response is flushed now, by the write deadline that makes the library do so; ClientConn sets its own deadlines and ignores it. The script 'half a body' expects the first answer before the drain now, which it could not before.

--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -51,14 +51,24 @@
 			client1 expect closed`,
 		"half a body": `
 			client1 send "GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo"
-			client1 expect nothing
+			client1 expect "at /a"
 			drain close
 			client1 expect nothing
 			client1 send "dy"
-			client1 expect "at /a"
 			client1 expect "at /b"
 			client1 expect closed`,
 	} {
 		t.Run(name, func(t *testing.T) { newDrainStage(t).Play(t, script) })
 	}
 }
+
+// TestAnswerIsNotHeldBack guards against an answer that waits in the HTTP library's buffer until the next request
+// of its connection has been answered, long after its own deadline.
+func TestAnswerIsNotHeldBack(t *testing.T) {
+	newDrainStage(t).Play(t, `
+		client1 send "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /held HTTP/1.1\r\nHost: h\r\n\r\n"
+		client1 expect "at /a"
+		entered close
+		handler close
+		client1 expect "at /held"`)
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -43,6 +43,7 @@
 	return func(ctx *fasthttp.RequestCtx) {
 		if conn, ok := ctx.Conn().(*ClientConn); ok {
 			conn.served()
+			sendAtOnce(ctx)
 		}
 		if HasConflictingLengths(ctx.Request.Header.RawHeaders()) {
 			ctx.Error("Content-Length and Transfer-Encoding\n", fasthttp.StatusBadRequest)
@@ -53,6 +54,12 @@
 	}
 }
 
+// sendAtOnce makes the library send the response once it is written. It would keep it back until the next request that
+// the client has already sent is answered; a write deadline of the handler's makes it flush.
+func sendAtOnce(ctx *fasthttp.RequestCtx) {
+	ctx.SetWriteDeadline(time.Time{}) // ignored by ClientConn
+}
+
 // connStateChanged receives the library's view of a connection: active once the first byte of a request is there,
 // idle once the response has been written.
 func connStateChanged(nc net.Conn, s fasthttp.ConnState) {
