transport: a drain leaves a response that is still on its way

Cause: a response counts as sent once the kernel has taken it, and a drain closed the socket at once. The kernel goes on sending, but resets the connection when anything comes, and drops what it still has. Ruled out: the end of the process, which the kernel outlives, and the timeout of writing.

The closing at the limit of connections is unchanged.

TestDrainAwaitsDelivery failed before (closed at once: 0 open) and passes.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -71,9 +71,10 @@
 }
 
 const (
-	maxBody   = transport.MaxStream
-	drainsFor = time.Second            // until idle connections close: new ones come for 0.2 s after the first no
-	staysFor  = 700 * time.Millisecond // after SIGTERM: so long may the front send more
+	maxBody    = transport.MaxStream
+	drainsFor  = time.Second            // until idle connections close: new ones come for 0.2 s after the first no
+	drainEvery = 100 * time.Millisecond // while connections are open
+	staysFor   = 700 * time.Millisecond // after SIGTERM: so long may the front send more
 )
 
 // clock returns the core's clock: the Unix time as it was at the start, and
@@ -369,8 +370,9 @@
 			g.report()
 		}
 		if !idle.IsZero() && !now.Before(idle) {
-			idle = time.Time{}
-			g.drain()
+			if idle = (time.Time{}); g.drain() > 0 { // some responses may be on their way
+				idle = now.Add(drainEvery)
+			}
 		}
 		if !last.IsZero() && !now.Before(last) {
 			open := 0
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -393,6 +393,9 @@
 // Quiet reports whether nothing has come.
 func (c *conn) Quiet() bool { return len(c.in) == 0 && !c.eof && !c.reset }
 
+// Undelivered reports whether the other side has not read all that was sent.
+func (c *conn) Undelivered() bool { return c.under > 0 }
+
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.until = t
 	c.read.Notify()
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -307,9 +307,9 @@
 		return
 	}
 	now := c.listener.host.Now()
-	clientEnded, nothingOwed := c.err != nil, c.state.nothingOwed()
+	lingers := c.err == nil && (!c.state.nothingOwed() || undelivered(c.Conn))
 	c.end(now)
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && !nothingOwed && !clientEnded {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && lingers {
 		half.CloseWrite()
 		c.Conn.SetReadDeadline(now.Add(lingerTimeout)) // the pump closes it after that
 		return
--- a/internal/transport/drain_test.go
+++ b/internal/transport/drain_test.go
@@ -1,7 +1,12 @@
 package transport
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -72,3 +77,42 @@
 		handler close
 		client1 expect "at /held"`)
 }
+
+// TestDrainAwaitsDelivery guards against a drain that closes a connection while its last response is still on its way.
+// A request that the client sent meanwhile was answered with a reset, which cut the response off.
+func TestDrainAwaitsDelivery(t *testing.T) {
+	const size = 1 << 20 // more than a client's socket takes unread
+	handled := make(chan struct{}, 2)
+	ln, _ := serve(t, 10, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBody(make([]byte, size))
+		handled <- struct{}{}
+	})
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(scenario.Patience))
+	io.WriteString(client, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-handled
+	settle(t, ln)
+	if open := ln.Drain(); open != 1 {
+		t.Fatalf("%d open", open)
+	}
+	io.WriteString(client, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-handled
+	responses := bufio.NewReader(client)
+	for _, path := range []string{"/a", "/b"} {
+		response, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatal(path, err)
+		}
+		if n, err := io.Copy(io.Discard, response.Body); err != nil || n != size {
+			t.Fatalf("%s: %d of %d bytes, %v", path, n, size, err)
+		}
+	}
+	ln.Drain()
+	if _, err := responses.ReadByte(); err != io.EOF {
+		t.Errorf("not closed once all has been delivered: %v", err)
+	}
+}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -171,14 +171,14 @@
 	}
 }
 
-// Drain closes idle connections, and the others as they become idle. It returns the
-// number still open.
+// Drain closes idle connections, and the others as they become idle. One whose last response is still on its way stays,
+// so that it has to be called again. It returns the number still open.
 func (l *Listener) Drain() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.conns {
-		if c.state.nothingOwed() {
+		if c.state.nothingOwed() && !undelivered(c.Conn) {
 			c.drop()
 		}
 	}
