transport: a drain gives a new connection time for its first request

Found by going through every place that takes a connection for one without anything to answer. A new connection gets 200 ms now; a process that leaves waits no longer than that for it. The model of connection states holds it, and finds the mutant without it.

--- a/internal/transport/conn_state.go
+++ b/internal/transport/conn_state.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// firstRequestGrace is how long a drain leaves a new connection for its first request to arrive.
+const firstRequestGrace = 200 * time.Millisecond
+
 // connPhase is what a client's connection is doing.
 type connPhase uint8
 
@@ -74,6 +77,12 @@
 // unanswered request has arrived.
 func (s *connState) nothingOwed() bool { return s.phase == phaseConnected || s.phase == phaseIdle }
 
+// drainable reports whether a drain may close the connection. The first request of a client that has just connected is
+// probably on its way.
+func (s *connState) drainable(now time.Time) bool {
+	return s.phase == phaseIdle || s.phase == phaseConnected && now.Sub(s.since) > firstRequestGrace
+}
+
 // Ranks of connections, the most expendable first.
 const (
 	rankAnswered   int = iota // its last response has been sent and the grace period is over
--- a/internal/transport/conn_state_test.go
+++ b/internal/transport/conn_state_test.go
@@ -14,12 +14,13 @@
 	served      func(*connState, time.Time)
 	answered    func(*connState, time.Time)
 	nothingOwed func(*connState) bool
+	drainable   func(*connState, time.Time) bool
 	expendable  func(*connState, time.Time) int
 }
 
 func realConnRules() connRules {
 	return connRules{(*connState).received, (*connState).starved, (*connState).begun, (*connState).served, (*connState).answered,
-		(*connState).nothingOwed, (*connState).expendable}
+		(*connState).nothingOwed, (*connState).drainable, (*connState).expendable}
 }
 
 type libraryStep uint8
@@ -50,7 +51,7 @@
 
 var (
 	modelStart = time.Unix(1000, 0)
-	modelLater = modelStart.Add(2 * pressureGrace)
+	modelLater = modelStart.Add(2 * max(pressureGrace, firstRequestGrace))
 )
 
 // explore visits the states that can be reached from m.
@@ -137,14 +138,17 @@
 	if owes := c.pumped > 2*c.answered; owes && c.state.waiting && m.rules.nothingOwed(&c.state) {
 		m.fault = fmt.Sprintf("ended at its deadline without a response: %+v", c)
 	}
-	if idle := c.pumped == 2*c.answered; idle && c.draining && c.answered > 0 && !m.rules.nothingOwed(&c.state) {
+	if idle := c.pumped == 2*c.answered; idle && c.draining && c.answered > 0 && !m.rules.drainable(&c.state, now) {
 		m.fault = fmt.Sprintf("not closed by a drain: %+v", c)
 	}
 }
 
 // listener plays a drain, its end, and a lack of connections.
 func (m *connModel) listener(c modelConn, now time.Time) {
-	if m.rules.nothingOwed(&c.state) {
+	if m.rules.drainable(&c.state, now) {
+		if c.state.phase == phaseConnected && now == modelStart {
+			m.fault = fmt.Sprintf("closed as it has just connected: %+v", c)
+		}
 		m.end(c, now, "drained", false)
 	}
 	if c.state.phase != phaseClosed && m.rules.expendable(&c.state, now) != rankProtected {
@@ -214,7 +218,13 @@
 			r.served = func(s *connState, now time.Time) { s.enter(phaseReceiving, now) }
 		},
 		"an answered connection counts as idle": func(r *connRules) {
-			r.nothingOwed = func(s *connState) bool { return s.nothingOwed() || s.phase == phaseAnswered }
+			r.drainable = func(s *connState, now time.Time) bool { return s.drainable(now) || s.phase == phaseAnswered }
+		},
+		"a new connection counts as idle": func(r *connRules) {
+			r.drainable = func(s *connState, _ time.Time) bool { return s.nothingOwed() }
+		},
+		"no response to a request that stays incomplete": func(r *connRules) {
+			r.nothingOwed = func(s *connState) bool { return s.nothingOwed() || s.phase == phaseReceiving }
 		},
 	} {
 		rules := realConnRules()
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -171,14 +171,15 @@
 	}
 }
 
-// Drain closes idle connections, and the others as they become idle. One whose last response is still on its way stays,
-// so that it has to be called again. It returns the number still open.
+// Drain closes idle connections, and the others as they become idle. A new one, and one whose last response is still on
+// its way, stay for the moment, so that it has to be called again. It returns the number still open.
 func (l *Listener) Drain() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
+	now := l.host.Now()
 	for c := range l.conns {
-		if c.state.nothingOwed() && !undelivered(c.Conn) {
+		if c.state.drainable(now) && !undelivered(c.Conn) {
 			c.drop()
 		}
 	}
