protocol: a body that ends before its announced length is not forwarded

Cause: the HTTP library ends the stream of a body of known length with io.EOF also where the connection ended early, and readBody took what came for the whole. Ruled out by drawn messages: chunked bodies, bodies above 64 KiB (their bytes were counted), the first 8 KiB (the library's own), and answers that servers cut off.

announcedBody ends such a body with an error, for buffered and streamed ones. NewCall returns the error, which the OpenAPI front did not read; its bodies are never streamed in service.

--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -52,7 +52,7 @@
 	}
 	var id, credential, deadlineHeader string
 	idCount := 0
-	call := serverDialect.NewCall(ctx, func(name, value []byte) {
+	call, err := serverDialect.NewCall(ctx, func(name, value []byte) {
 		switch len(name) {
 		case len(headerID):
 			if bytes.EqualFold(name, []byte(headerID)) {
@@ -67,7 +67,6 @@
 			}
 		}
 	})
-	err := call.Err()
 	if idCount > 1 { // the server might use the other one, so its answer couldn't be matched
 		err = errRepeatedID
 	}
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -38,6 +38,9 @@
 		c.Pace(nil)
 	}
 	body := ctx.RequestBodyStream()
+	if length >= 0 {
+		body = &announcedBody{body, length}
+	}
 	if length <= transport.MaxBuffered {
 		buffered, err = io.ReadAll(io.LimitReader(body, transport.MaxBuffered+1))
 		if err == nil && len(buffered) <= transport.MaxBuffered {
@@ -54,6 +57,21 @@
 	return buffered, &bodyUpload{body: body, chunked: length < 0, remaining: length, host: host, pieceReady: host.NewNotifier()}, length, nil
 }
 
+// announcedBody is a body of an announced length. The HTTP library ends one with io.EOF even if the connection ended early;
+// this ends it with io.ErrUnexpectedEOF then.
+type announcedBody struct {
+	io.Reader
+	remaining int
+}
+
+func (b *announcedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if b.remaining -= n; err == io.EOF && b.remaining > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // incompleteBody returns the error for a body that did not arrive completely.
 func incompleteBody(err error) error {
 	var timeout interface{ Timeout() bool }
@@ -167,13 +185,8 @@
 			u.fail(err)
 			return false
 		}
-		if !u.chunked {
-			if u.remaining -= n; u.remaining == 0 {
-				last = true
-			} else if last {
-				u.fail(io.ErrUnexpectedEOF)
-				return false
-			}
+		if u.remaining -= n; !u.chunked && u.remaining == 0 {
+			last = true
 		}
 		if n == 0 && !last {
 			continue
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -21,7 +21,6 @@
 	head        []byte // the request line and the forwarded headers
 	body        []byte
 	upload      *bodyUpload    // the remainder of the body; nil: none
-	err         error          // the body could not be read
 	correlation *correlationID // repeated by the response; nil: the dialect has none
 	Transparent bool           // any complete response with a status below 500 goes to the client
 	Final       bool           // any complete response goes to the client: no other server may be asked
@@ -87,13 +86,14 @@
 	return len(key) == len(name) && (string(key) == name || bytes.EqualFold(key, []byte(name)))
 }
 
-// NewCall copies a request, since its memory is reused. It calls see for each header.
-func NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) *Call {
+// NewCall copies a request, since its memory is reused. It calls see for each header. It fails if the body did not arrive as
+// announced: WriteBadRequest answers such a request.
+func NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) (*Call, error) {
 	return Platform.NewCall(ctx, see)
 }
 
 // NewCall is like the function NewCall, in this dialect.
-func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) *Call {
+func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) (*Call, error) {
 	h := &ctx.Request.Header
 	c := &Call{head: make([]byte, 0, 512)}
 	if d.CorrelationHeader != "" {
@@ -113,7 +113,10 @@
 		}
 	}
 	var length int
-	c.body, c.upload, length, c.err = readBody(ctx)
+	var err error
+	if c.body, c.upload, length, err = readBody(ctx); err != nil {
+		return nil, err
+	}
 	switch {
 	case c.upload != nil && length < 0:
 		c.head = append(c.head, "Transfer-Encoding: chunked\r\n"...)
@@ -122,7 +125,7 @@
 		c.head = append(c.head, "Content-Length: "...)
 		c.head = append(strconv.AppendInt(c.head, int64(length), 10), '\r', '\n')
 	}
-	return c
+	return c, nil
 }
 
 // correlationID distinguishes a request from all others in progress.
@@ -171,9 +174,6 @@
 // bodyConsumed reports whether the request can't be sent again.
 func (c *Call) bodyConsumed() bool { return c.upload != nil && c.upload.started.Load() }
 
-// Err returns why a request's body could not be read.
-func (c *Call) Err() error { return c.err }
-
 // Bind attaches the call to a request, with the time limit of its client.
 func (c *Call) Bind(r *routing.Request, limit time.Duration) {
 	r.Call, r.BodyConsumed = c, c.bodyConsumed
--- a/internal/protocol/call_test.go
+++ b/internal/protocol/call_test.go
@@ -31,7 +31,10 @@
 		if c.mine != "" {
 			ctx.Request.Header.Set("X-Name", c.mine)
 		}
-		call := c.dialect.NewCall(&ctx, func(_, _ []byte) {})
+		call, err := c.dialect.NewCall(&ctx, func(_, _ []byte) {})
+		if err != nil {
+			t.Fatal(err)
+		}
 		a := &fasthttp.Response{}
 		a.Header.DisableNormalizing()
 		for i := 0; i < len(c.answer); i += 2 {
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -207,17 +207,26 @@
 
 // WriteBadRequest answers an invalid request.
 func WriteBadRequest(ctx *fasthttp.RequestCtx, err error) {
-	ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
-	if status, ok := err.(bodyError); ok {
-		ctx.SetStatusCode(int(status))
+	ctx.Error(err.Error()+"\n", BadRequestStatus(err))
+	if _, ok := err.(bodyError); ok {
 		ctx.SetConnectionClose()
 	}
 	if allow, ok := err.(wrongMethod); ok {
 		ctx.Response.Header.Set("Allow", string(allow))
-		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
 }
 
+// BadRequestStatus returns the status of the answer to an invalid request.
+func BadRequestStatus(err error) int {
+	switch err := err.(type) {
+	case bodyError:
+		return int(err)
+	case wrongMethod:
+		return fasthttp.StatusMethodNotAllowed
+	}
+	return fasthttp.StatusBadRequest
+}
+
 // wrongMethod is an error that carries the allowed method.
 type wrongMethod string
 
@@ -239,20 +248,18 @@
 	var got [len(singleValueHeaders)]string
 	var seen [len(singleValueHeaders)]bool
 	r = &routing.Request{Reply: &ReplyWaiter{}}
-	call := NewCall(ctx, func(key, value []byte) {
+	var repeated error
+	call, err := NewCall(ctx, func(key, value []byte) {
 		for i, name := range singleValueHeaders {
 			if equalHeader(key, name) {
 				if seen[i] {
-					err = fmt.Errorf("%s: more than one", name)
+					repeated = fmt.Errorf("%s: more than one", name)
 				}
 				got[i], seen[i] = string(value), true
 			}
 		}
 	})
-	if err == nil {
-		err = call.err
-	}
-	if err != nil {
+	if err = cmp.Or(repeated, err); err != nil {
 		return nil, "", err
 	}
 	r.Call, r.BodyConsumed = call, call.bodyConsumed
--- a/internal/protocol/openapi/front.go
+++ b/internal/protocol/openapi/front.go
@@ -105,7 +105,7 @@
 	var got [len(singles)]string
 	var seen [len(singles)]bool
 	twice := ""
-	call := protocol.NewCall(ctx, func(key, value []byte) {
+	call, bodyErr := protocol.NewCall(ctx, func(key, value []byte) {
 		for i, name := range singles {
 			if strings.EqualFold(string(key), name) {
 				if seen[i] {
@@ -142,6 +142,9 @@
 		return fail(fasthttp.StatusForbidden, "the operation costs %v units, the plan %s allows %v", op.Units, plan, most)
 	case len(id) > protocol.MaxID:
 		return fail(fasthttp.StatusBadRequest, "X-Request-ID: longer than %d bytes", protocol.MaxID)
+	case bodyErr != nil:
+		ctx.SetConnectionClose()
+		return fail(protocol.BadRequestStatus(bodyErr), "%w", bodyErr)
 	}
 	limit, err := protocol.Timeout(got[3], op.Timeout)
 	if err != nil {
@@ -152,8 +155,10 @@
 		call.AddHeader("X-Request-ID", id)
 	}
 	call.Transparent = true
-	return &routing.Request{Reply: &protocol.ReplyWaiter{}, Call: call, Class: op.Class, Units: op.Units, Plan: plan,
-		Gateways: f.gateways, Customer: customerKey(customer), Deadline: f.Now() + limit}, id, 0, nil
+	r = &routing.Request{Reply: &protocol.ReplyWaiter{}, Class: op.Class, Units: op.Units, Plan: plan,
+		Gateways: f.gateways, Customer: customerKey(customer), Deadline: f.Now() + limit}
+	call.Bind(r, limit)
+	return r, id, 0, nil
 }
 
 // customerKey returns a customer's key on the counter, which is the same for all gateways
