protocol: a request that no server answered never gets the default status, 200

Cause: each failure of a streamed body was reported as 'the client has left', which no front answers, and a response that nobody writes has the HTTP library's status 200. Ruled out: the servers, which saw their connections end in the middle of the body, and answers to other requests.

A body that fails is a result of its own: 400 or 413, or 502 for a client that was too slow, since a server may have begun. Responses begin as 502. The linter 'exhaustive' checks the switches over results; seen to fail with a case out.

Tests of protocol, openapi, dataplane pass; the linter has no finding there.

--- /dev/null
+++ b/internal/dataplane/bodyfailure_test.go
@@ -0,0 +1,103 @@
+package dataplane
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"asterwell/internal/faultrules"
+	"asterwell/internal/hostenv"
+	"asterwell/internal/scenario"
+	"asterwell/internal/transport"
+)
+
+// leapingHost is the real host with a clock that can leap ahead. Its waits end early, so that waiters see the leap.
+type leapingHost struct {
+	hostenv.Host
+	ahead atomic.Int64
+}
+
+func (h *leapingHost) Now() time.Time { return h.Host.Now().Add(time.Duration(h.ahead.Load())) }
+
+func (h *leapingHost) leap(d time.Duration) { h.ahead.Add(int64(d)) }
+
+func (h *leapingHost) NewNotifier() hostenv.Notifier { return shortWaits{h.Host.NewNotifier()} }
+
+type shortWaits struct{ hostenv.Notifier }
+
+func (n shortWaits) Wait(d time.Duration) bool {
+	const longest = 5 * time.Millisecond
+	if d < 0 || d > longest {
+		d = longest
+	}
+	return n.Notifier.Wait(d)
+}
+
+// uploadGateway is a test gateway whose clients' connections are on a leapingHost.
+func uploadGateway(t *testing.T) (*leapingHost, func(head string) *net.TCPConn) {
+	t.Helper()
+	g := newTestGateway(t, faultrules.Strike{})
+	host := &leapingHost{Host: hostenv.Real}
+	ln, err := transport.Listen(host, "127.0.0.1:0", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go ln.Serve(transport.NewServer(g.plane.Handle, transport.MaxStream))
+	return host, func(head string) *net.TCPConn {
+		t.Helper()
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(scenario.Patience))
+		fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: toy.example\r\nAuthorization: Bearer k10\r\n%s: id\r\nX-Deadline-Ms: 30000\r\n%s\r\n", headerID, head)
+		return conn.(*net.TCPConn)
+	}
+}
+
+// TestNoSuccessWithoutServer guards against the HTTP library's default status, 200, for a request whose body did not arrive
+// and that no server has answered.
+func TestNoSuccessWithoutServer(t *testing.T) {
+	half := strings.Repeat("x", 200<<10)
+	for name, c := range map[string]struct {
+		head, body string
+		then       func(conn *net.TCPConn, host *leapingHost)
+		status     int
+	}{
+		"the client pauses": {"Content-Length: 400000\r\n", half, func(_ *net.TCPConn, host *leapingHost) {
+			for range 10 { // the process runs on meanwhile
+				time.Sleep(20 * time.Millisecond)
+				host.leap(500 * time.Millisecond)
+			}
+		}, http.StatusBadGateway},
+		"the client sends no more": {"Content-Length: 400000\r\n", half, func(conn *net.TCPConn, _ *leapingHost) { conn.CloseWrite() }, http.StatusBadGateway},
+		"a chunk is malformed": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\nzz\r\n", len(half), half),
+			func(*net.TCPConn, *leapingHost) {}, http.StatusBadRequest},
+		"a short body does not arrive": {"Content-Length: 20000\r\n", "some", func(conn *net.TCPConn, _ *leapingHost) { conn.CloseWrite() }, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			host, dial := uploadGateway(t)
+			conn := dial(c.head)
+			if _, err := io.WriteString(conn, c.body); err != nil {
+				t.Fatal(err)
+			}
+			c.then(conn, host)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != c.status || !response.Close {
+				t.Errorf("%s, last %v, want %d", response.Status, response.Close, c.status)
+			}
+		})
+	}
+}
--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -33,6 +33,7 @@
 		times = &protocol.StageTimes{Clock: func() int64 { return time.Now().UnixNano() }}
 		times.Mark(protocol.HeaderRead)
 	}
+	ctx.SetStatusCode(protocol.StatusUnanswered)
 	t := p.table.Load()
 	if t == nil || p.options.Closing != nil && p.options.Closing() {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, notReadyRetryAfter)
@@ -128,6 +129,7 @@
 
 // answer writes the response to the client.
 func (p *Plane) answer(ctx *fasthttp.RequestCtx, final protocol.Result) {
+	//exhaustive:enforce
 	switch final.Kind {
 	case protocol.Served:
 		ctx.SetStatusCode(final.Answer.StatusCode())
@@ -146,6 +148,10 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 	case protocol.DuplicateID:
 		ctx.Error(headerID+": "+protocol.DuplicateIDMessage+"\n", fasthttp.StatusConflict)
+	case protocol.BodyFailed:
+		protocol.WriteBadRequest(ctx, final.Err)
+	case protocol.ClientLeft:
+		protocol.AnswerUnheard(ctx)
 	}
 }
 
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -74,6 +74,10 @@
 
 // incompleteBody returns the error for a body that did not arrive completely.
 func incompleteBody(err error) error {
+	var failure bodyError
+	if errors.As(err, &failure) {
+		return failure
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return bodyError(fasthttp.StatusRequestTimeout)
@@ -156,9 +160,9 @@
 }
 
 // readFrom reads the client's body, on the client's goroutine, until it has been delivered
-// completely or done returns true. It reports progress through onProgress, and returns false if the
-// client disconnects or the body is invalid.
-func (u *bodyUpload) readFrom(c *transport.ClientConn, done func() bool, onProgress func()) bool {
+// completely or done returns true. It reports progress through onProgress, and returns an error if the
+// client disconnects or is too slow, or the body is invalid or too long.
+func (u *bodyUpload) readFrom(c *transport.ClientConn, done func() bool, onProgress func()) error {
 	const headerSpace = 16 // bytes reserved for a chunk header
 	buf := make([]byte, headerSpace+pieceSize+2+5)
 	stop := func() bool { return done() || u.stopped() }
@@ -166,10 +170,10 @@
 	for {
 		if !c.Await(func() bool { return u.wanted() || done() }) {
 			u.fail(io.ErrUnexpectedEOF)
-			return false
+			return io.ErrUnexpectedEOF
 		}
 		if stop() {
-			return true
+			return nil
 		}
 		c.Pace(stop)
 		n, err := u.body.Read(buf[headerSpace : headerSpace+pieceSize])
@@ -180,10 +184,10 @@
 		last := err == io.EOF
 		if err != nil && !last {
 			if stop() {
-				return true
+				return nil
 			}
 			u.fail(err)
-			return false
+			return err
 		}
 		if u.remaining -= n; !u.chunked && u.remaining == 0 {
 			last = true
@@ -202,7 +206,7 @@
 			onProgress()
 		}
 		if last {
-			return true
+			return nil
 		}
 	}
 }
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -132,6 +132,7 @@
 		}
 		return
 	}
+	ctx.SetStatusCode(StatusUnanswered)
 	r, id, err := f.request(ctx)
 	if err != nil {
 		WriteBadRequest(ctx, err)
@@ -143,6 +144,7 @@
 	if !streams {
 		f.requestEnded(r.Class, outcomeMetric[a.Kind])
 	}
+	//exhaustive:enforce
 	switch a.Kind {
 	case Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
@@ -158,8 +160,10 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 	case DuplicateID:
 		ctx.Error(headerID+": "+DuplicateIDMessage+"\n", fasthttp.StatusConflict)
-	case Disallowed:
+	case Disallowed, BodyFailed:
 		WriteBadRequest(ctx, a.Err)
+	case ClientLeft:
+		AnswerUnheard(ctx)
 	}
 }
 
@@ -399,13 +403,14 @@
 // Kind is the kind of a Result.
 type Kind int
 
-// The kinds of results.
+// The kinds of results. A switch over them is checked to name each.
 const (
-	Served Kind = iota
+	Served Kind = iota + 1
 	Refused
 	Failed
 	TimedOut
-	ClientLeft  // the client has disconnected: there is no response
+	ClientLeft  // the client has disconnected, or sends no more: AnswerUnheard
+	BodyFailed  // the client is there, but its body did not arrive: WriteBadRequest with Err
 	DuplicateID // a request with this ID is in progress: this one was not submitted
 	Disallowed  // the current policy does not allow the request
 )
@@ -420,7 +425,17 @@
 	RetryAfter time.Duration
 	Status     int             // if Refused: 429, or 503 if the servers are the cause
 	Verdict    routing.Verdict // if Refused
-	Err        error           // if Disallowed
+	Err        error           // if Disallowed or BodyFailed
+}
+
+// StatusUnanswered is the status of a response until a handler sets another. It promises nothing.
+const StatusUnanswered = fasthttp.StatusBadGateway
+
+// AnswerUnheard sets the response to a client that has probably left. One that only ended its sending can't be told
+// from it, and hears the response.
+func AnswerUnheard(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(StatusUnanswered)
+	ctx.SetConnectionClose()
 }
 
 // ReplyWaiter passes the result of a request from the core to the client's handler.
@@ -523,8 +538,10 @@
 		}()
 	}
 	core.Submit(r)
-	if rest != nil && !a.sendBody(c, core, r, rest) {
-		return Result{Kind: ClientLeft}
+	if rest != nil {
+		if err := a.sendBody(c, core, r, rest); err != nil {
+			return bodyFailure(c, err)
+		}
 	}
 	if !c.Await(a.done) {
 		core.ClientGone(r)
@@ -534,14 +551,26 @@
 	return a.result
 }
 
+// bodyFailure returns the result of a request whose body could not be streamed. A server may have begun to run it with the part
+// that it got, so that a client that was too slow gets no promise that it has not run.
+func bodyFailure(c *transport.ClientConn, err error) Result {
+	if c.Ended() {
+		return Result{Kind: ClientLeft}
+	}
+	failure := incompleteBody(err)
+	if failure == bodyError(fasthttp.StatusRequestTimeout) {
+		failure = bodyError(fasthttp.StatusBadGateway)
+	}
+	return Result{Kind: BodyFailed, Err: failure}
+}
+
 // sendBody streams a request's body to the server, and then bounds the wait for the result.
-// It returns false if the client has disconnected.
-func (a *ReplyWaiter) sendBody(c *transport.ClientConn, core Core, r *routing.Request, rest *bodyUpload) bool {
-	if !rest.readFrom(c, a.done, func() { core.BodyProgress(r) }) {
+func (a *ReplyWaiter) sendBody(c *transport.ClientConn, core Core, r *routing.Request, rest *bodyUpload) error {
+	if err := rest.readFrom(c, a.done, func() { core.BodyProgress(r) }); err != nil {
 		rest.Stop()
 		core.ClientGone(r)
 		a.abandon()
-		return false
+		return err
 	}
 	if !c.AwaitFor(rest.limit, a.done) {
 		core.ClientGone(r)
@@ -551,7 +580,7 @@
 			a.abandoned, a.completed, a.result = true, true, Result{Kind: TimedOut}
 		}
 	}
-	return true
+	return nil
 }
 
 // CopyResponse copies a server's response to the client, with its body unchanged.
--- a/internal/protocol/openapi/front.go
+++ b/internal/protocol/openapi/front.go
@@ -75,11 +75,13 @@
 			ctx.SetConnectionClose()
 		}
 	}()
+	ctx.SetStatusCode(protocol.StatusUnanswered)
 	r, id, status, err := f.request(ctx)
 	if err != nil {
 		problem(ctx, status, err.Error())
 		return
 	}
+	//exhaustive:enforce
 	switch a := protocol.Await(ctx, f.Core, f.IDs, id, r); a.Kind {
 	case protocol.Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
@@ -95,6 +97,11 @@
 		problem(ctx, fasthttp.StatusBadGateway, "the server failed: it may have run")
 	case protocol.DuplicateID:
 		problem(ctx, fasthttp.StatusConflict, "X-Request-ID: "+protocol.DuplicateIDMessage)
+	case protocol.Disallowed, protocol.BodyFailed:
+		ctx.SetConnectionClose()
+		problem(ctx, protocol.BadRequestStatus(a.Err), a.Err.Error())
+	case protocol.ClientLeft:
+		protocol.AnswerUnheard(ctx)
 	}
 }
 
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -118,6 +118,13 @@
 // Notifier returns the notifier of the goroutine that serves the connection.
 func (c *ClientConn) Notifier() hostenv.Notifier { return c.readable }
 
+// Ended reports whether the connection has ended, or the client sends no more.
+func (c *ClientConn) Ended() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return c.err != nil
+}
+
 // Await waits until done returns true, and returns false if the connection ends first.
 // It calls done after each notification.
 func (c *ClientConn) Await(done func() bool) bool { return c.AwaitFor(-1, done) }
@@ -126,9 +133,7 @@
 func (c *ClientConn) AwaitFor(limit time.Duration, done func() bool) bool {
 	end := c.listener.host.Now().Add(limit)
 	for !done() {
-		c.listener.mu.Lock()
-		gone := c.err != nil
-		c.listener.mu.Unlock()
+		gone := c.Ended()
 		wait := time.Duration(-1)
 		if limit >= 0 {
 			wait = max(0, end.Sub(c.listener.host.Now()))
