transport: a deadline missed while the process stood still is extended once

Cause: deadlines are noticed when the process runs, before what the socket has taken meanwhile. Ruled out: the clients; the same bytes are served now. The same cause stands in idle timeouts, writes to clients and reads of answers.

Race detector: transport, program, protocol, openapi, dataplane, sim, daemon pass.

--- a/internal/dataplane/bodyfailure_test.go
+++ b/internal/dataplane/bodyfailure_test.go
@@ -101,3 +101,27 @@
 		})
 	}
 }
+
+// TestFrozenProcessReadsOn guards against a process that holds the time that it stood still itself against a client: its
+// body was broken off though the rest had arrived meanwhile.
+func TestFrozenProcessReadsOn(t *testing.T) {
+	const size = 200 << 10
+	host, dial := uploadGateway(t)
+	conn := dial(fmt.Sprintf("Content-Length: %d\r\n", size))
+	body := strings.Repeat("x", size)
+	for at := 0; at < size; at += size / 4 {
+		if _, err := io.WriteString(conn, body[at:at+size/4]); err != nil {
+			t.Fatal(err)
+		}
+		if at < size/2 {
+			host.leap(time.Minute) // the timeouts of the client have passed when the process goes on
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		t.Error(response.Status)
+	}
+}
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -20,6 +21,7 @@
 	bufferFree  hostenv.Notifier // notifies the pump that its buffer can be reused
 	unread      []byte
 	deadline    time.Time
+	extended    bool        // the deadline has been extended since bytes last came
 	bodyPaced   bool        // a body is being read: the timeout counts from the last byte
 	stopReading func() bool // reading ends once it returns true; nil: never
 
@@ -151,7 +153,7 @@
 	for len(c.unread) == 0 {
 		received, err := c.take()
 		if received != nil {
-			c.unread = received
+			c.unread, c.extended = received, false
 			break
 		}
 		if err != nil {
@@ -202,7 +204,7 @@
 	return nil, c.err
 }
 
-// timeOut returns the error of a Read whose deadline has passed; nil: there are bytes to take. Between requests the
+// timeOut returns the error of a Read whose deadline has passed; nil: it goes on. Between requests the
 // connection is closed, since no response is due.
 func (c *ClientConn) timeOut() error {
 	c.listener.mu.Lock()
@@ -210,6 +212,9 @@
 	switch {
 	case !c.state.waiting:
 		return nil
+	case !c.extended:
+		c.deadline, c.extended = secondDeadline(c.deadline, c.listener.host.Now()), true
+		return nil
 	case c.state.nothingOwed():
 		c.drop()
 		return io.EOF
@@ -229,26 +234,38 @@
 // Pace replaces the timeout of the whole request by one between two reads of its body.
 // Read ends with ErrStopped once enough returns true; it is called after each notification.
 func (c *ClientConn) Pace(enough func() bool) {
-	c.bodyPaced, c.stopReading = true, enough
+	c.bodyPaced, c.stopReading, c.extended = true, enough, false
 	c.deadline = c.listener.host.Now().Add(requestTimeout)
 }
 
 // Write writes in pieces, each with its own timeout: a slow client may take long for the whole.
 func (c *ClientConn) Write(p []byte) (n int, err error) {
 	for first := true; first || len(p) > 0; first = false {
-		now := p[:min(len(p), pieceSize)]
-		if err := c.Conn.SetWriteDeadline(c.listener.host.Now().Add(writeTimeout)); err != nil {
-			return n, err
-		}
-		k, err := c.Conn.Write(now)
-		if n += k; err != nil {
+		written, err := c.writePiece(p[:min(len(p), pieceSize)])
+		if n += written; err != nil {
 			return n, err
 		}
-		p = p[k:]
+		p = p[written:]
 	}
 	return n, nil
 }
 
+func (c *ClientConn) writePiece(piece []byte) (int, error) {
+	deadline := c.listener.host.Now().Add(writeTimeout)
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(piece)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if err := c.Conn.SetWriteDeadline(secondDeadline(deadline, c.listener.host.Now())); err != nil {
+		return n, err
+	}
+	more, err := c.Conn.Write(piece[n:])
+	return n + more, err
+}
+
 // ReadFrom writes each piece as soon as it has been read.
 func (c *ClientConn) ReadFrom(r io.Reader) (n int64, err error) {
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
@@ -274,7 +291,7 @@
 
 // SetReadDeadline bounds Read; the pump is not affected.
 func (c *ClientConn) SetReadDeadline(t time.Time) error {
-	c.deadline, c.bodyPaced, c.stopReading = c.toHostTime(t), false, nil
+	c.deadline, c.extended, c.bodyPaced, c.stopReading = c.toHostTime(t), false, false, nil
 	return nil
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -104,6 +105,13 @@
 	if err := r.nc.SetReadDeadline(until); err != nil {
 		return 0, err
 	}
+	n, err := r.nc.Read(p)
+	if n > 0 || until.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if err := r.nc.SetReadDeadline(secondDeadline(until, r.host.Now())); err != nil {
+		return 0, err
+	}
 	return r.nc.Read(p)
 }
 
