--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -38,6 +38,9 @@
 		c.Pace(nil)
 	}
 	body := ctx.RequestBodyStream()
+	if length >= 0 {
+		body = &announcedBody{body, length}
+	}
 	if length <= transport.MaxBuffered {
 		buffered, err = io.ReadAll(io.LimitReader(body, transport.MaxBuffered+1))
 		if err == nil && len(buffered) <= transport.MaxBuffered {
@@ -54,8 +57,27 @@
 	return buffered, &bodyUpload{body: body, chunked: length < 0, remaining: length, host: host, pieceReady: host.NewNotifier()}, length, nil
 }
 
+// announcedBody is a body of an announced length. The HTTP library ends one with io.EOF even if the connection ended early;
+// this ends it with io.ErrUnexpectedEOF then.
+type announcedBody struct {
+	io.Reader
+	remaining int
+}
+
+func (b *announcedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if b.remaining -= n; err == io.EOF && b.remaining > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // incompleteBody returns the error for a body that did not arrive completely.
 func incompleteBody(err error) error {
+	var failure bodyError
+	if errors.As(err, &failure) {
+		return failure
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return bodyError(fasthttp.StatusRequestTimeout)
@@ -138,9 +160,9 @@
 }
 
 // readFrom reads the client's body, on the client's goroutine, until it has been delivered
-// completely or done returns true. It reports progress through onProgress, and returns false if the
-// client disconnects or the body is invalid.
-func (u *bodyUpload) readFrom(c *transport.ClientConn, done func() bool, onProgress func()) bool {
+// completely or done returns true. It reports progress through onProgress, and returns an error if the
+// client disconnects or is too slow, or the body is invalid or too long.
+func (u *bodyUpload) readFrom(c *transport.ClientConn, done func() bool, onProgress func()) error {
 	const headerSpace = 16 // bytes reserved for a chunk header
 	buf := make([]byte, headerSpace+pieceSize+2+5)
 	stop := func() bool { return done() || u.stopped() }
@@ -148,10 +170,10 @@
 	for {
 		if !c.Await(func() bool { return u.wanted() || done() }) {
 			u.fail(io.ErrUnexpectedEOF)
-			return false
+			return io.ErrUnexpectedEOF
 		}
 		if stop() {
-			return true
+			return nil
 		}
 		c.Pace(stop)
 		n, err := u.body.Read(buf[headerSpace : headerSpace+pieceSize])
@@ -162,18 +184,13 @@
 		last := err == io.EOF
 		if err != nil && !last {
 			if stop() {
-				return true
+				return nil
 			}
 			u.fail(err)
-			return false
+			return err
 		}
-		if !u.chunked {
-			if u.remaining -= n; u.remaining == 0 {
-				last = true
-			} else if last {
-				u.fail(io.ErrUnexpectedEOF)
-				return false
-			}
+		if u.remaining -= n; !u.chunked && u.remaining == 0 {
+			last = true
 		}
 		if n == 0 && !last {
 			continue
@@ -189,7 +206,7 @@
 			onProgress()
 		}
 		if last {
-			return true
+			return nil
 		}
 	}
 }
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -132,6 +132,7 @@
 		}
 		return
 	}
+	ctx.SetStatusCode(StatusUnanswered)
 	r, id, err := f.request(ctx)
 	if err != nil {
 		WriteBadRequest(ctx, err)
@@ -143,6 +144,7 @@
 	if !streams {
 		f.requestEnded(r.Class, outcomeMetric[a.Kind])
 	}
+	//exhaustive:enforce
 	switch a.Kind {
 	case Served:
 		ctx.SetStatusCode(a.Answer.StatusCode())
@@ -158,8 +160,10 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 	case DuplicateID:
 		ctx.Error(headerID+": "+DuplicateIDMessage+"\n", fasthttp.StatusConflict)
-	case Disallowed:
+	case Disallowed, BodyFailed:
 		WriteBadRequest(ctx, a.Err)
+	case ClientLeft:
+		AnswerUnheard(ctx)
 	}
 }
 
@@ -207,17 +211,26 @@
 
 // WriteBadRequest answers an invalid request.
 func WriteBadRequest(ctx *fasthttp.RequestCtx, err error) {
-	ctx.Error(err.Error()+"\n", fasthttp.StatusBadRequest)
-	if status, ok := err.(bodyError); ok {
-		ctx.SetStatusCode(int(status))
+	ctx.Error(err.Error()+"\n", BadRequestStatus(err))
+	if _, ok := err.(bodyError); ok {
 		ctx.SetConnectionClose()
 	}
 	if allow, ok := err.(wrongMethod); ok {
 		ctx.Response.Header.Set("Allow", string(allow))
-		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
 }
 
+// BadRequestStatus returns the status of the answer to an invalid request.
+func BadRequestStatus(err error) int {
+	switch err := err.(type) {
+	case bodyError:
+		return int(err)
+	case wrongMethod:
+		return fasthttp.StatusMethodNotAllowed
+	}
+	return fasthttp.StatusBadRequest
+}
+
 // wrongMethod is an error that carries the allowed method.
 type wrongMethod string
 
@@ -239,20 +252,18 @@
 	var got [len(singleValueHeaders)]string
 	var seen [len(singleValueHeaders)]bool
 	r = &routing.Request{Reply: &ReplyWaiter{}}
-	call := NewCall(ctx, func(key, value []byte) {
+	var repeated error
+	call, err := NewCall(ctx, func(key, value []byte) {
 		for i, name := range singleValueHeaders {
 			if equalHeader(key, name) {
 				if seen[i] {
-					err = fmt.Errorf("%s: more than one", name)
+					repeated = fmt.Errorf("%s: more than one", name)
 				}
 				got[i], seen[i] = string(value), true
 			}
 		}
 	})
-	if err == nil {
-		err = call.err
-	}
-	if err != nil {
+	if err = cmp.Or(repeated, err); err != nil {
 		return nil, "", err
 	}
 	r.Call, r.BodyConsumed = call, call.bodyConsumed
@@ -392,13 +403,14 @@
 // Kind is the kind of a Result.
 type Kind int
 
-// The kinds of results.
+// The kinds of results. A switch over them is checked to name each.
 const (
-	Served Kind = iota
+	Served Kind = iota + 1
 	Refused
 	Failed
 	TimedOut
-	ClientLeft  // the client has disconnected: there is no response
+	ClientLeft  // the client has disconnected, or sends no more: AnswerUnheard
+	BodyFailed  // the client is there, but its body did not arrive: WriteBadRequest with Err
 	DuplicateID // a request with this ID is in progress: this one was not submitted
 	Disallowed  // the current policy does not allow the request
 )
@@ -413,7 +425,17 @@
 	RetryAfter time.Duration
 	Status     int             // if Refused: 429, or 503 if the servers are the cause
 	Verdict    routing.Verdict // if Refused
-	Err        error           // if Disallowed
+	Err        error           // if Disallowed or BodyFailed
+}
+
+// StatusUnanswered is the status of a response until a handler sets another. It promises nothing.
+const StatusUnanswered = fasthttp.StatusBadGateway
+
+// AnswerUnheard sets the response to a client that has probably left. One that only ended its sending can't be told
+// from it, and hears the response.
+func AnswerUnheard(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(StatusUnanswered)
+	ctx.SetConnectionClose()
 }
 
 // ReplyWaiter passes the result of a request from the core to the client's handler.
@@ -516,8 +538,10 @@
 		}()
 	}
 	core.Submit(r)
-	if rest != nil && !a.sendBody(c, core, r, rest) {
-		return Result{Kind: ClientLeft}
+	if rest != nil {
+		if err := a.sendBody(c, core, r, rest); err != nil {
+			return bodyFailure(c, err)
+		}
 	}
 	if !c.Await(a.done) {
 		core.ClientGone(r)
@@ -527,14 +551,26 @@
 	return a.result
 }
 
+// bodyFailure returns the result of a request whose body could not be streamed. A server may have begun to run it with the part
+// that it got, so that a client that was too slow gets no promise that it has not run.
+func bodyFailure(c *transport.ClientConn, err error) Result {
+	if c.Ended() {
+		return Result{Kind: ClientLeft}
+	}
+	failure := incompleteBody(err)
+	if failure == bodyError(fasthttp.StatusRequestTimeout) {
+		failure = bodyError(fasthttp.StatusBadGateway)
+	}
+	return Result{Kind: BodyFailed, Err: failure}
+}
+
 // sendBody streams a request's body to the server, and then bounds the wait for the result.
-// It returns false if the client has disconnected.
-func (a *ReplyWaiter) sendBody(c *transport.ClientConn, core Core, r *routing.Request, rest *bodyUpload) bool {
-	if !rest.readFrom(c, a.done, func() { core.BodyProgress(r) }) {
+func (a *ReplyWaiter) sendBody(c *transport.ClientConn, core Core, r *routing.Request, rest *bodyUpload) error {
+	if err := rest.readFrom(c, a.done, func() { core.BodyProgress(r) }); err != nil {
 		rest.Stop()
 		core.ClientGone(r)
 		a.abandon()
-		return false
+		return err
 	}
 	if !c.AwaitFor(rest.limit, a.done) {
 		core.ClientGone(r)
@@ -544,7 +580,7 @@
 			a.abandoned, a.completed, a.result = true, true, Result{Kind: TimedOut}
 		}
 	}
-	return true
+	return nil
 }
 
 // CopyResponse copies a server's response to the client, with its body unchanged.
