dataplane: keep the configuration's MaxBodyBytes

The operator's bound was read, checked and stored, and nothing went by it: bodies of up to 64 MiB passed whatever it said. A longer body gets 413 now, by its announced length before a server is asked, or in chunks as soon as it is passed.

--- a/internal/dataplane/bodyfailure_test.go
+++ b/internal/dataplane/bodyfailure_test.go
@@ -14,6 +14,7 @@
 	"asterwell/internal/faultrules"
 	"asterwell/internal/hostenv"
 	"asterwell/internal/scenario"
+	"asterwell/internal/sysconfig"
 	"asterwell/internal/transport"
 )
 
@@ -43,6 +44,11 @@
 func uploadGateway(t *testing.T) (*leapingHost, func(head string) *net.TCPConn) {
 	t.Helper()
 	g := newTestGateway(t, faultrules.Strike{})
+	c, err := sysconfig.Parse([]byte(strings.NewReplacer("00000001", "00000002", "20000000", "1000000").Replace(testConfig)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.plane.Adopt(c.Table())
 	host := &leapingHost{Host: hostenv.Real}
 	ln, err := transport.Listen(host, "127.0.0.1:0", 100)
 	if err != nil {
@@ -81,6 +87,9 @@
 		"the client sends no more": {"Content-Length: 400000\r\n", half, func(conn *net.TCPConn, _ *leapingHost) { conn.CloseWrite() }, http.StatusBadGateway},
 		"a chunk is malformed": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\nzz\r\n", len(half), half),
 			func(*net.TCPConn, *leapingHost) {}, http.StatusBadRequest},
+		"a body is too long": {"Content-Length: 1000001\r\n", half, func(*net.TCPConn, *leapingHost) {}, http.StatusRequestEntityTooLarge},
+		"chunks are too long": {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", 1_500_000, strings.Repeat("x", 1_100_000)),
+			func(*net.TCPConn, *leapingHost) {}, http.StatusRequestEntityTooLarge},
 		"a short body does not arrive": {"Content-Length: 20000\r\n", "some", func(conn *net.TCPConn, _ *leapingHost) { conn.CloseWrite() }, http.StatusBadRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -12,6 +12,8 @@
 
 	"asterwell/internal/protocol"
 	"asterwell/internal/routing"
+	"asterwell/internal/sysconfig"
+	"asterwell/internal/transport"
 )
 
 var errRepeatedID = errors.New(headerID + ": more than one")
@@ -53,7 +55,7 @@
 	}
 	var id, credential, deadlineHeader string
 	idCount := 0
-	call, err := serverDialect.NewCall(ctx, func(name, value []byte) {
+	call, err := serverDialect.NewCall(ctx, maxBody(t), func(name, value []byte) {
 		switch len(name) {
 		case len(headerID):
 			if bytes.EqualFold(name, []byte(headerID)) {
@@ -127,6 +129,14 @@
 	}
 }
 
+// maxBody returns how many bytes a request's body may have.
+func maxBody(t *sysconfig.Table) int {
+	if t.Bounds.BodyBytes > 0 {
+		return int(min(t.Bounds.BodyBytes, transport.MaxStream))
+	}
+	return transport.MaxStream
+}
+
 // answer writes the response to the client.
 func (p *Plane) answer(ctx *fasthttp.RequestCtx, final protocol.Result) {
 	//exhaustive:enforce
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -22,16 +22,21 @@
 
 func (e bodyError) Error() string { return "body: " + fasthttp.StatusMessage(int(e)) }
 
+const errBodyTooLarge = bodyError(fasthttp.StatusRequestEntityTooLarge)
+
 // readBody buffers the first part of a request's body, and leaves the remainder to an
 // upload. length is that of the whole body; -1: unknown.
-func readBody(ctx *fasthttp.RequestCtx) (buffered []byte, remainder *bodyUpload, length int, err error) {
+func readBody(ctx *fasthttp.RequestCtx, maxBody int) (buffered []byte, remainder *bodyUpload, length int, err error) {
 	if !ctx.Request.IsBodyStream() {
 		body := append([]byte(nil), ctx.Request.Body()...)
+		if len(body) > maxBody {
+			return nil, nil, 0, errBodyTooLarge
+		}
 		return body, nil, len(body), nil
 	}
 	length = ctx.Request.Header.ContentLength()
-	if length > transport.MaxStream {
-		return nil, nil, 0, bodyError(fasthttp.StatusRequestEntityTooLarge)
+	if length > maxBody {
+		return nil, nil, 0, errBodyTooLarge
 	}
 	c, _ := ctx.Conn().(*transport.ClientConn)
 	if c != nil {
@@ -43,6 +48,9 @@
 	}
 	if length <= transport.MaxBuffered {
 		buffered, err = io.ReadAll(io.LimitReader(body, transport.MaxBuffered+1))
+		if err == nil && len(buffered) > maxBody {
+			err = errBodyTooLarge
+		}
 		if err == nil && len(buffered) <= transport.MaxBuffered {
 			return buffered, nil, len(buffered), nil
 		}
@@ -54,7 +62,7 @@
 	if c != nil {
 		host = c.Host()
 	}
-	return buffered, &bodyUpload{body: body, chunked: length < 0, remaining: length, host: host, pieceReady: host.NewNotifier()}, length, nil
+	return buffered, &bodyUpload{body: body, chunked: length < 0, remaining: length, total: len(buffered), maxBody: maxBody, host: host, pieceReady: host.NewNotifier()}, length, nil
 }
 
 // announcedBody is a body of an announced length. The HTTP library ends one with io.EOF even if the connection ended early;
@@ -91,7 +99,8 @@
 	body       io.Reader
 	chunked    bool
 	remaining  int // bytes not yet read, if the length is known
-	total      int
+	total      int // bytes read, the buffered ones included
+	maxBody    int
 	host       hostenv.Host
 	pieceReady hostenv.Notifier // notifies the writer
 	wakeClient func()           // wakes the client's goroutine
@@ -178,8 +187,8 @@
 		c.Pace(stop)
 		n, err := u.body.Read(buf[headerSpace : headerSpace+pieceSize])
 		u.total += n
-		if u.total > transport.MaxStream {
-			err = bodyError(fasthttp.StatusRequestEntityTooLarge)
+		if u.total > u.maxBody {
+			err = errBodyTooLarge
 		}
 		last := err == io.EOF
 		if err != nil && !last {
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -89,11 +89,11 @@
 // NewCall copies a request, since its memory is reused. It calls see for each header. It fails if the body did not arrive as
 // announced: WriteBadRequest answers such a request.
 func NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) (*Call, error) {
-	return Platform.NewCall(ctx, see)
+	return Platform.NewCall(ctx, transport.MaxStream, see)
 }
 
-// NewCall is like the function NewCall, in this dialect.
-func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, see func(key, value []byte)) (*Call, error) {
+// NewCall is like the function NewCall, in this dialect and with a limit on the bytes of the body.
+func (d *Dialect) NewCall(ctx *fasthttp.RequestCtx, maxBody int, see func(key, value []byte)) (*Call, error) {
 	h := &ctx.Request.Header
 	c := &Call{head: make([]byte, 0, 512)}
 	if d.CorrelationHeader != "" {
@@ -114,7 +114,7 @@
 	}
 	var length int
 	var err error
-	if c.body, c.upload, length, err = readBody(ctx); err != nil {
+	if c.body, c.upload, length, err = readBody(ctx, min(maxBody, transport.MaxStream)); err != nil {
 		return nil, err
 	}
 	switch {
--- a/internal/protocol/call_test.go
+++ b/internal/protocol/call_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/transport"
 )
 
 // A response matches a request if it repeats its correlation ID and no other; the case of the
@@ -31,7 +33,7 @@
 		if c.mine != "" {
 			ctx.Request.Header.Set("X-Name", c.mine)
 		}
-		call, err := c.dialect.NewCall(&ctx, func(_, _ []byte) {})
+		call, err := c.dialect.NewCall(&ctx, transport.MaxStream, func(_, _ []byte) {})
 		if err != nil {
 			t.Fatal(err)
 		}
