transport: a request whose header has been written may have run

Cause: an exchange counted as not sent until the last byte of its body was written. Ruled out: requests without a body, whose header is their last byte.

An exchange counts as begun once its header has been written, and a loss is 502 from then on; a part of the header still proves that nothing ran.

--- a/internal/dataplane/bodyfailure_test.go
+++ b/internal/dataplane/bodyfailure_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"asterwell/choice"
 	"asterwell/internal/faultrules"
 	"asterwell/internal/hostenv"
 	"asterwell/internal/scenario"
@@ -134,3 +135,34 @@
 		t.Error(response.Status)
 	}
 }
+
+// TestBegunRequestIsNotRefused guards against 503, the promise that a request has not run, for one that a server began to run
+// before it had the body, and whose answer was lost.
+func TestBegunRequestIsNotRefused(t *testing.T) {
+	g := newTestGateway(t, faultrules.Strike{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil { // it runs from here on
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+				conn.Close()
+			}()
+		}
+	}()
+	g.plane.SetServers([]Server{{ID: "s-2", Addr: ln.Addr().String(), Service: "toy", Zone: "a", Capacity: 50, State: choice.Up}})
+	for i := range 2 {
+		if status, _, _ := g.request(t, &http.Client{}, "k10", fmt.Sprint(i), strings.Repeat("x", 200<<10)); status != http.StatusBadGateway {
+			t.Errorf("request %d: %d", i, status)
+		}
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -115,20 +115,25 @@
 	return r.nc.Read(p)
 }
 
-// Write sends a whole request. An error means that its last byte was not
-// written, so the server can't have started to run it.
+// Write sends a part of a request. An error means that its last byte was not written.
 func (c *Conn) Write(wire []byte, limit time.Duration) error {
+	_, err := c.write(wire, limit)
+	return err
+}
+
+func (c *Conn) write(wire []byte, limit time.Duration) (written int, err error) {
 	if err := c.nc.SetWriteDeadline(c.host.Now().Add(limit)); err != nil {
-		return err
+		return 0, err
 	}
-	_, err := c.nc.Write(wire)
-	return err
+	return c.nc.Write(wire)
 }
 
-// writeRequest writes the first part of a request.
-func (c *Conn) writeRequest(wire []byte, limit time.Duration) error {
+// writeRequest writes the first part of a request. If that fails, it reports whether the server may have begun to run it:
+// one may do so once it has the header, before it has read the body.
+func (c *Conn) writeRequest(wire []byte, limit time.Duration) (begun bool, err error) {
 	c.headRequest.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
-	return c.Write(wire, limit)
+	written, err := c.write(wire, limit)
+	return bytes.Contains(wire[:written], []byte("\r\n\r\n")), err
 }
 
 // Read waits for a response and skips interim ones. A response that is truncated or
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -21,7 +21,7 @@
 // The outcomes of an exchange.
 const (
 	Answered       Outcome = iota
-	NotSent                // the last byte was not written: the request can't have run
+	NotSent                // its header was not written completely: the request can't have run
 	ConnectionLost         // the connection ended later: the request may have run
 	Invalid                // the received data is not a valid response: the request may have run
 )
@@ -93,7 +93,7 @@
 	wire []byte
 	note any
 
-	sent atomic.Bool // the last byte has been written, or may have been
+	begun bool // the server has its header, and may have begun to run it
 }
 
 type (
@@ -275,9 +275,10 @@
 }
 
 func (p *Peer[K]) write(pc *peerConn[K], ex *exchange[K]) {
-	if err := pc.conn.writeRequest(ex.wire, writeLimit); err != nil {
+	begun, err := pc.conn.writeRequest(ex.wire, writeLimit)
+	if ex.begun = begun; err != nil {
 		p.close(pc)
-		p.onResult(Result[K]{ex.key, ex.note, NotSent, nil})
+		p.onResult(Result[K]{ex.key, ex.note, ex.lost(), nil})
 		return
 	}
 	historyOf(ex.note).add(pc.number)
@@ -290,12 +291,19 @@
 		p.upload(pc, ex, up)
 		return
 	}
-	ex.sent.Store(true)
 	if p.opt.OnSent != nil {
 		p.opt.OnSent(ex.note)
 	}
 }
 
+// lost returns the outcome of an exchange whose connection was lost.
+func (ex *exchange[K]) lost() Outcome {
+	if ex.begun {
+		return ConnectionLost
+	}
+	return NotSent
+}
+
 func (p *Peer[K]) handleResponse(m responseRead[K]) {
 	pc, ex := m.conn, m.conn.exchange
 	pc.exchange = nil
@@ -334,10 +342,10 @@
 	case errors.Is(m.err, errInvalidResponse):
 		log.Printf("event=spoilt server=%s error=%q", p.addr, m.err)
 		p.onResult(Result[K]{ex.key, ex.note, Invalid, nil})
-	case m.err != nil && (!ex.sent.Load() || p.opt.Bug == BugLostIsNotSent && pc.idleBefore > 0):
+	case m.err != nil && p.opt.Bug == BugLostIsNotSent && pc.idleBefore > 0:
 		p.onResult(Result[K]{ex.key, ex.note, NotSent, nil})
 	case m.err != nil:
-		p.onResult(Result[K]{ex.key, ex.note, ConnectionLost, nil})
+		p.onResult(Result[K]{ex.key, ex.note, ex.lost(), nil})
 	default:
 		p.onResult(Result[K]{ex.key, ex.note, Answered, m.resp})
 		if pc.open {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -206,9 +206,6 @@
 		for {
 			piece, last, err := up.Next()
 			if err == nil {
-				if last {
-					ex.sent.Store(true) // from here on the server may have the complete request
-				}
 				err = pc.conn.Write(piece, streamStallTimeout)
 			}
 			if err != nil || last {
