soak: slow requests behind fast ones, and clients that leave in the middle of bodies

At each process one caller now sends a fast and a slow request (4 s) in one piece, and one leaves after 12,000 of 24,000 bytes; servers run what has come whole.

--- a/internal/bench/faultfleet.go
+++ b/internal/bench/faultfleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -45,6 +46,7 @@
 	cmd      *exec.Cmd
 }
 
+func (n *faultNode) ingress() string { return fmt.Sprintf("%s:%d", n.ip, n.port) }
 func (n *faultNode) control() string { return fmt.Sprintf("%s:%d", n.ip, n.port+2) }
 func (n *faultNode) freeze()         { n.cmd.Process.Signal(syscall.SIGSTOP) }
 func (n *faultNode) thaw()           { n.cmd.Process.Signal(syscall.SIGCONT) }
@@ -127,7 +129,16 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // a body that broke off is not run
+		}
 		ran(r)
+		if r.URL.Path == "/"+slowPath {
+			select {
+			case <-time.After(slowWork):
+			case <-r.Context().Done():
+			}
+		}
 		fmt.Fprintf(w, "%s ran", id)
 	}
 }
@@ -370,6 +381,7 @@
 	at            time.Time
 	took          time.Duration
 	status        int
+	deadline      time.Duration
 }
 
 // struck sends the struck tenant's requests to all processes for a while.
@@ -400,7 +412,7 @@
 						if g.status == 0 { // it ends when its connection does
 							g.took = time.Since(at)
 						}
-						all = append(all, sentOne{words[w].id, n.name, words[w].key, at, g.took, g.status})
+						all = append(all, sentOne{words[w].id, n.name, words[w].key, at, g.took, g.status, words[w].deadline()})
 					}
 					mu.Unlock()
 					time.Sleep(gap)
--- a/internal/bench/faultline.go
+++ b/internal/bench/faultline.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -13,9 +14,10 @@
 // line is a kept connection of a client to a process. Requests go out in one pipeline, whoever
 // they are from: what befalls one must not touch those beside it.
 type line struct {
-	addr string
-	conn net.Conn
-	in   *bufio.Reader
+	addr     string
+	patience time.Duration // for the answers to what is said at once; 0: lineTime
+	conn     net.Conn
+	in       *bufio.Reader
 }
 
 // word is one request.
@@ -34,7 +36,14 @@
 
 func (w word) write(to *bytes.Buffer) {
 	fmt.Fprintf(to, "POST /%s HTTP/1.1\r\nHost: toy.example\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n"+
-		"X-Tenant-Name: %s\r\nContent-Length: 4\r\n\r\nbody", w.path, w.key, w.id, deadlineMs, faultStruck) // a forgery: the key tells
+		"X-Tenant-Name: %s\r\nContent-Length: 4\r\n\r\nbody", w.path, w.key, w.id, w.deadline().Milliseconds(), faultStruck) // a forgery: the key tells
+}
+
+func (w word) deadline() time.Duration {
+	if w.path == slowPath {
+		return slowDeadline
+	}
+	return deadlineMs * time.Millisecond
 }
 
 // say sends requests at once, and returns what became of each.
@@ -52,7 +61,7 @@
 	for _, w := range words {
 		w.write(&out)
 	}
-	l.conn.SetDeadline(began.Add(lineTime))
+	l.conn.SetDeadline(began.Add(cmp.Or(l.patience, lineTime)))
 	if _, err := l.conn.Write(out.Bytes()); err != nil {
 		l.hangUp()
 		return all
@@ -92,7 +101,7 @@
 	defer f.mu.Unlock()
 	key := whose + " " + n.name
 	for len(f.lines[key]) < count {
-		f.lines[key] = append(f.lines[key], &line{addr: fmt.Sprintf("%s:%d", n.ip, n.port)})
+		f.lines[key] = append(f.lines[key], &line{addr: n.ingress()})
 	}
 	return f.lines[key][:count]
 }
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -120,8 +120,12 @@
 	wg.Go(func() {
 		sent = s.pace(o.Span+2*time.Second, 8*time.Duration(o.Nodes)*time.Millisecond, fmt.Sprintf("s%d", seed), soakCallers, "key-struck", "key-other")
 	})
+	var slow []sentOne
+	wg.Go(func() { slow = s.callSlowly(o.Span, seed) })
+	wg.Go(func() { s.leaveEarly(o.Span, seed) })
 	s.play(plan, &wg)
 	wg.Wait()
+	sent = append(sent, slow...)
 	broken = s.back()
 	s.stopWatching()
 	run := &soakRun{sent: sent, arrivals: s.arrivals, trouble: s.trouble, limit: soakLimit{"key-struck", soakRate, soakBurst}}
@@ -175,6 +179,9 @@
 
 func soakConfiguration(epoch int) []byte {
 	text := faultConfiguration(epoch, "key-struck", "key-other")
+	text = bytes.Replace(text, []byte(`"Policy": [`), fmt.Appendf(nil, `"Policy": [{"Name": %q, "RouteClass": "effectful", "TargetMs": 4000, "Rank": 1, "Anonymous": false,
+   "Predicate": {"PathPrefix": "/%s"}, "Effect": {"Backend": "toy", "DeadlineMs": %d, "Tries": 1}},
+  `, slowPath, slowPath, slowDeadline.Milliseconds()), 1)
 	return bytes.Replace(text, []byte(`"RatePerS": 5000, "BurstSize": 5000`), fmt.Appendf(nil, `"RatePerS": %d, "BurstSize": %d`, soakRate, soakBurst), 1)
 }
 
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -40,7 +40,7 @@
 func TestSoakRules(t *testing.T) {
 	at := time.Unix(1000, 0)
 	one := func(status int, took time.Duration) sentOne {
-		return sentOne{id: "a", node: "n1", key: "k", at: at, took: took, status: status}
+		return sentOne{id: "a", node: "n1", key: "k", at: at, took: took, status: status, deadline: deadlineMs * time.Millisecond}
 	}
 	ran := func(times int) map[string][]time.Time {
 		return map[string][]time.Time{"a": make([]time.Time, times)}
@@ -51,6 +51,7 @@
 		"MIXED":   {sent: []sentOne{one(-1, time.Millisecond)}},
 		"REFUSED": {sent: []sentOne{one(429, time.Millisecond)}, arrivals: ran(1)},
 		"LOST":    {sent: []sentOne{one(0, time.Second)}, arrivals: ran(1)},
+		"UNASKED": {arrivals: map[string][]time.Time{leaverID + "1": {at}}},
 		"LATE":    {sent: []sentOne{one(503, 2*time.Second)}},
 	} {
 		r.limit = soakLimit{"k", 60, 60}
--- a/internal/bench/soakrules.go
+++ b/internal/bench/soakrules.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -46,10 +47,15 @@
 			note("REFUSED", "%s got %d from %s and ran", s.id, s.status, s.node)
 		case ran > 0 && s.status == 0 && !r.troubled(s):
 			note("LOST", "%s ran and %s gave no answer within %v", s.id, s.node, s.took.Round(time.Millisecond))
-		case s.status > 0 && s.took > deadlineMs*time.Millisecond+soakLate && !r.troubled(s):
+		case s.status > 0 && s.took > s.deadline+soakLate && !r.troubled(s):
 			note("LATE", "%s got %d from %s after %v", s.id, s.status, s.node, s.took.Round(time.Millisecond))
 		}
 	}
+	for id, at := range r.arrivals {
+		if strings.HasPrefix(id, leaverID) {
+			note("UNASKED", "%s ran %d times, though its client had left in the middle of its body", id, len(at))
+		}
+	}
 	if most, at := r.worstWindow(); float64(most) > r.bound() {
 		note("QUOTA", "%d requests of %.0f in 5 s from %v on", most, r.bound(), at.Format("15:04:05.000"))
 	}
