--- a/internal/testbed/server.go
+++ b/internal/testbed/server.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +82,8 @@
 func (s *server) end(half bool) {
 	s.mu.Lock()
 	s.up = false
-	ln, conns, line := s.ln, s.conns, s.line
+	ln, line := s.ln, s.line
+	conns := slices.Collect(maps.Keys(s.conns)) // Accept may still add to them
 	s.line = nil
 	s.life++ // what runs has no effect any more
 	s.mu.Unlock()
@@ -91,7 +94,7 @@
 	if half {
 		return
 	}
-	for c := range conns {
+	for _, c := range conns {
 		c.Reset()
 	}
 }
