program: ordinary terms for the hand-over between two processes of a gateway

pair.go is hot_restart.go; its type, fields, methods and constants say what they are (gives: superseded, take: takeOver, look: check, and so on), and comments of program.go in ordinary English. Log lines and behaviour are unchanged. Tests of the package pass with the race detector; the linter has no finding.

--- a/internal/program/pair_test.go
+++ b/internal/program/hot_restart_test.go
@@ -46,9 +46,9 @@
 	}
 	defer ln.Close()
 	g := &Gateway{world: drawn{hostenv.Real}, cfg: &Config{Name: "n0"}, core: core}
-	made := make(chan *pair, 1)
+	made := make(chan *hotRestart, 1)
 	go func() {
-		p, err := newPair(g, ln, func() bool { return true })
+		p, err := newHotRestart(g, ln, func() bool { return true })
 		if err != nil {
 			t.Error(err)
 		}
@@ -58,11 +58,11 @@
 	case p := <-made:
 		go core.Run()
 		defer core.Stop()
-		if p.next().IsZero() || p.open() {
-			t.Errorf("next look %v, open %v", p.next(), p.open())
+		if p.next().IsZero() || p.accepting() {
+			t.Errorf("next look %v, open %v", p.next(), p.accepting())
 		}
-		if p.look(time.Now()); !p.taken || !p.open() {
-			t.Errorf("taken %v, open %v after the first look", p.taken, p.open())
+		if p.check(time.Now()); !p.stateSettled || !p.accepting() {
+			t.Errorf("taken %v, open %v after the first look", p.stateSettled, p.accepting())
 		}
 		p.leave()
 	case <-time.After(5 * time.Second):
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -71,10 +71,10 @@
 }
 
 const (
-	maxBody    = transport.MaxStream
-	drainsFor  = time.Second            // until idle connections close: new ones come for 0.2 s after the first no
-	drainEvery = 100 * time.Millisecond // while connections are open
-	staysFor   = 700 * time.Millisecond // after SIGTERM: so long may the front send more
+	maxBody        = transport.MaxStream
+	idleAfterDrain = time.Second            // until idle connections are closed; new ones come for 0.2 s after the first failed check
+	drainInterval  = 100 * time.Millisecond // while connections are open
+	idleAfterTerm  = 700 * time.Millisecond // until idle connections are closed; the front may send more until then
 )
 
 // clock returns the core's clock: the Unix time as it was at the start, and
@@ -86,21 +86,21 @@
 	return func() time.Duration { return unix + world.Now().Sub(start) }
 }
 
-// Apply holds the run time to the limits. The collector runs seldom, but the
-// heap stays well inside: stacks, buffers of the kernel and the binary count too.
+// Apply sets the Go runtime's limits. Garbage collection is rare, but the heap stays well
+// below the limit: stacks, kernel buffers and the binary count too.
 func (l Limits) Apply() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 6 / 10)
 }
 
-// part is what a gateway is made of: it runs until it is stopped.
+// part is a component of a gateway that runs until it is stopped.
 type part interface {
 	Run()
 	Stop()
 }
 
-// Gateway is one, in a world.
+// Gateway is one gateway, on a host.
 type Gateway struct {
 	world     hostenv.Host
 	cfg       *Config
@@ -117,12 +117,12 @@
 	figures   *ops.Metrics
 	retunes   bool // settings can change at SIGHUP
 	plans     []choice.Plan
-	pair      *pair // nil: it is the only process
+	restart   *hotRestart // nil: it is the only process
 	leaving   atomic.Bool
 	draining  atomic.Bool
 }
 
-// What a running gateway is told.
+// Messages to a running gateway.
 type (
 	term   struct{}
 	hup    struct{}
@@ -130,7 +130,7 @@
 	drain  struct{ on bool }
 )
 
-// Term tells the gateway to end, once all is answered.
+// Term ends the gateway once all requests have been answered.
 func (g *Gateway) Term() { g.box.Put(term{}) }
 
 // Hup tells it that the files have changed.
@@ -144,11 +144,13 @@
 	}
 }
 
-// away tells that clients should come in elsewhere the next time.
-func (g *Gateway) away() bool { return g.leaving.Load() || g.draining.Load() || g.pair.gives() }
+// away reports whether clients should send their next requests to another gateway.
+func (g *Gateway) away() bool { return g.leaving.Load() || g.draining.Load() || g.restart.superseded() }
 
 // serves tells whether this process takes clients.
-func (g *Gateway) serves() bool { return !g.leaving.Load() && !g.draining.Load() && g.pair.open() }
+func (g *Gateway) serves() bool {
+	return !g.leaving.Load() && !g.draining.Load() && g.restart.accepting()
+}
 
 // New puts a gateway together in a world (nil: the real one). reread reads its files
 // anew, at Hup.
@@ -245,14 +247,14 @@
 	front.Core, front.Now, front.Leaving, front.Observer = g.core, now, g.away, g.figures
 	able := func() bool { return g.core.ReadyServers() > 0 && g.srv.trusted() && g.gate.open(now) }
 	front.Ready = func() bool { // of the address: the next process may have it
-		return able() && (g.serves() || g.pair.gives() && !g.draining.Load())
+		return able() && (g.serves() || g.restart.superseded() && !g.draining.Load())
 	}
 	ln, err := g.listen(clients)
 	if err != nil {
 		return nil, err
 	}
 	if cfg.Socket > 0 {
-		if g.pair, err = newPair(g, ln, able); err != nil {
+		if g.restart, err = newHotRestart(g, ln, able); err != nil {
 			log.Printf("event=twin what=%q error=%q", "taken to be the only process", err)
 		}
 	}
@@ -281,7 +283,7 @@
 	return g, nil
 }
 
-// listen takes the clients' socket that the platform holds, or opens one.
+// listen inherits the platform's socket for clients, or opens one.
 func (g *Gateway) listen(most int) (*transport.Listener, error) {
 	if g.cfg.Socket > 0 {
 		ln, err := transport.Inherit(g.cfg.Socket, most)
@@ -297,13 +299,13 @@
 	return ln, nil
 }
 
-// serve serves what comes, once the gateway runs.
+// serve serves a listener's connections once the gateway runs.
 func (g *Gateway) serve(ln *transport.Listener, s *fasthttp.Server) {
 	g.listeners = append(g.listeners, ln)
 	g.world.Go(func() { g.box.Put(failed{ln.Serve(s)}) })
 }
 
-// follower is the part that follows a description's file.
+// follower is the part that reloads an API description when its file changes.
 type follower struct {
 	front *openapi.Front
 	op    *Operator
@@ -314,13 +316,13 @@
 func (f *follower) Run()  { f.front.WatchFile(f.op.Description, f.text, f.op.poll(), f.end) }
 func (f *follower) Stop() { f.end.Notify() }
 
-// Run serves until it is told to end, and then until all is answered.
+// Run serves until the gateway is terminated, and then until all requests have been answered.
 func (g *Gateway) Run() error {
 	for _, p := range g.parts {
 		g.world.Go(p.Run)
 	}
 	defer func() {
-		g.pair.leave()
+		g.restart.leave()
 		for _, p := range g.parts {
 			p.Stop()
 		}
@@ -329,7 +331,7 @@
 	var last, shut, idle time.Time // to check whether all is answered; to close what is idle: at the end, or while it drains
 	for {
 		next := totals
-		for _, at := range []time.Time{last, idle, g.pair.next()} {
+		for _, at := range []time.Time{last, idle, g.restart.next()} {
 			if !at.IsZero() && at.Before(next) {
 				next = at
 			}
@@ -344,7 +346,7 @@
 				g.figures.Reloaded(g.reload())
 			case drain:
 				if idle = (time.Time{}); m.on {
-					idle = g.world.Now().Add(drainsFor)
+					idle = g.world.Now().Add(idleAfterDrain)
 				} else if last.IsZero() {
 					for _, ln := range g.listeners {
 						ln.Resume()
@@ -354,16 +356,16 @@
 				if !g.leaving.Swap(true) {
 					log.Printf("event=leaving open=%d", g.core.Stats().Open)
 					now := g.world.Now()
-					shut = now.Add(g.pair.end(now))
-					if last = shut; g.pair.gives() { // it may end sooner, by itself
+					shut = now.Add(g.restart.terminate(now))
+					if last = shut; g.restart.superseded() { // it may end sooner, by itself
 						last = now
 					}
 				}
 			}
 		}
 		now := g.world.Now()
-		if at := g.pair.next(); !at.IsZero() && !now.Before(at) {
-			g.pair.look(now)
+		if at := g.restart.next(); !at.IsZero() && !now.Before(at) {
+			g.restart.check(now)
 		}
 		if !now.Before(totals) {
 			totals = now.Add(totalsEvery)
@@ -371,13 +373,13 @@
 		}
 		if !idle.IsZero() && !now.Before(idle) {
 			if idle = (time.Time{}); g.drain() > 0 { // some responses may be on their way
-				idle = now.Add(drainEvery)
+				idle = now.Add(drainInterval)
 			}
 		}
 		if !last.IsZero() && !now.Before(last) {
 			open := 0
 			if !now.Before(shut) {
-				g.pair.shut()
+				g.restart.stopAccepting()
 				open = g.drain()
 			} else {
 				open = g.Books().Clients
@@ -392,7 +394,7 @@
 
 const totalsEvery = 10 * time.Second
 
-// reload takes over what can change in a running gateway, and tells whether it did.
+// reload applies the settings that can change in a running gateway, and reports whether it did.
 func (g *Gateway) reload() bool {
 	next, err := g.reread()
 	if err == nil {
@@ -415,7 +417,7 @@
 	return true
 }
 
-// drain closes what is idle, and counts what is left.
+// drain closes idle connections, and returns the number still open.
 func (g *Gateway) drain() (open int) {
 	for _, ln := range g.listeners {
 		open += ln.Drain()
@@ -423,13 +425,13 @@
 	return open
 }
 
-// Books are what a gateway takes to be open.
+// Books are a gateway's counters, and what it takes to be open.
 type Books struct {
 	routing.Stats
-	Clients, Servers, Under int // connections of clients and to servers; exchanges under way there
+	Clients, Servers, Under int // connections of clients and to servers; exchanges in progress on the latter
 }
 
-// Books asks for them.
+// Books returns the counters.
 func (g *Gateway) Books() Books {
 	b := Books{Stats: g.core.Stats(), Servers: g.sockets.Used(), Under: g.sockets.InFlight()}
 	for _, ln := range g.listeners {
@@ -457,7 +459,7 @@
 	return otherwise
 }
 
-// watcher keeps what the module asks for before there is a discovery to ask.
+// watcher keeps the module's choice to watch until there is a discovery client.
 type watcher struct {
 	d  *protocol.Discovery
 	on bool
