--- a/review/rig2/gone.go
+++ b/review/rig2/gone.go
@@ -10,8 +10,7 @@
 func init() { plays["gone"] = gone }
 
 const goneConfig = `{"Epoch":"00000001","BoundsReq":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderReadMs":3000,"KeepaliveMs":15000},
-"Principals":[{"Name":"shipper1","Credentials":["key1"],"Rank":1}],
-"Sockets":[{"Authority":"kapa.example","Policy":[{"Name":"r-kapa","RouteClass":"pure","TargetMs":2500,"Rank":2,"Anonymous":false,"Predicate":{"PathPrefix":"/kapa/"},"Effect":{"Backend":"kapa","DeadlineMs":10000,"Tries":2}}]}],
+"Sockets":[{"Authority":"kapa.example","Policy":[{"Name":"r-kapa","RouteClass":"pure","TargetMs":2500,"Rank":2,"Anonymous":true,"Predicate":{"PathPrefix":"/kapa/"},"Effect":{"Backend":"kapa","DeadlineMs":10000,"Tries":2}}]}],
 "Pools":[{"Name":"kapa","ProbePath":"/probe","MaxConns":130,"Protocol":"h1","Encrypted":false}]}`
 
 // gone: clients send a pure request, and a second one before the first is answered. Then they close their connections. Half a
@@ -41,7 +40,7 @@
 					p.rec.line("client %d: %v", i, err)
 					return
 				}
-				q := request{method: "GET", host: "kapa.example", path: fmt.Sprintf("/kapa/%d", i), key: "key1", deadline: 10 * time.Second}
+				q := request{method: "GET", host: "kapa.example", path: fmt.Sprintf("/kapa/%d", i), deadline: 10 * time.Second}
 				ids := []string{newID(), newID()}
 				p.rec.line("client %d of round %d sends %s to %s", i, round, ids[0], g.name)
 				io.WriteString(c, q.wire(ids[0]))
