--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -25,6 +25,7 @@
 	workOf                  func(id string) time.Duration // nil: work
 	rec                     *record
 	runs                    *runs
+	pause                   time.Duration        // between the first half of an answer and the rest
 	loseAnswer              func(id string) bool // the request is run, and its answer is lost by a reset; nil: none
 	listener                net.Listener
 	busy                    atomic.Int32
@@ -114,9 +115,23 @@
 		}
 		return
 	}
-	end(false, "has run")
 	w.Header().Set("X-Server-Seal", s.id+"."+id)
-	fmt.Fprintf(w, "answer of %s to %s\n", s.id, id)
+	text := fmt.Sprintf("answer of %s to %s\n", s.id, id)
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	if s.pause > 0 {
+		fmt.Fprint(w, text[:8])
+		text = text[8:]
+		w.(http.Flusher).Flush()
+		s.rec.line("server %s has sent a part of its answer to %s", s.id, id)
+		select {
+		case <-q.Context().Done():
+			end(true, "drops, as its connection was closed,")
+			return
+		case <-time.After(s.pause):
+		}
+	}
+	end(false, "has run")
+	fmt.Fprint(w, text)
 }
 
 // beat reports the server as the pages say: to the address that the last answer named, else to the next gateway.
