--- a/review/rig2/quota.go
+++ b/review/rig2/quota.go
@@ -63,7 +63,7 @@
 				statuses[status]++
 				mu.Unlock()
 				if status != 200 {
-					time.Sleep(10 * time.Millisecond)
+					time.Sleep(40 * time.Millisecond)
 				}
 			}
 		})
