--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -15,9 +15,9 @@
 // some seconds, as the pages say. All processes are killed and come back. Once they are in touch again they send it no requests.
 func drain(p *play) ([]string, error) {
 	const (
-		serveOn   = 9 * time.Second // behind the acknowledgement
-		drainMs   = 2 * time.Second
-		contactMs = 3 * time.Second
+		serveOn    = 9 * time.Second // behind the acknowledgement
+		drainBound = 2 * time.Second
+		contact    = 3 * time.Second
 	)
 	if err := p.serve("kapa", 5, 6, 20*time.Millisecond, nil); err != nil {
 		return nil, err
@@ -95,7 +95,7 @@
 		}
 		return b
 	}
-	from := later(acknowledged.Add(drainMs), started.Add(contactMs))
+	from := later(acknowledged.Add(drainBound), started.Add(contact))
 	late, last, others := 0, time.Duration(0), 0
 	for _, r := range p.runs.list() {
 		switch q := sent[r.id]; {
