TWICE: classes of requests are told by host, prefix and effect, not by a route's name

Cause: the balancer's classes were keyed by the route's name and a rank. No check makes names unique, so that the class made last held for both routes. Ruled out: an order of events of the change itself; the requests that count are sent 4 s after its acknowledgement.

Change: a class is keyed by effect, rank, and host and prefix, which the checks make unique. The effect belongs to the key because an open request of an earlier configuration is decided by its class's name.

--- a/internal/dataplane/lane.go
+++ b/internal/dataplane/lane.go
@@ -133,5 +133,12 @@
 	crossZoneGain    = 0.1  // a server in another zone must be quicker by this part of the target latency
 )
 
-// className names the class of a route's requests of one rank.
-func className(r *sysconfig.Route, rank int) string { return r.Name + "#" + strconv.Itoa(rank) }
+// className names the class of a route's requests of one rank. It contains whether they may be repeated: an open request
+// of an earlier configuration never gets a class by which it could run twice.
+func className(r *sysconfig.Route, rank int) string {
+	effect := "effectful "
+	if r.Class == sysconfig.Pure {
+		effect = "pure "
+	}
+	return effect + strconv.Itoa(rank) + " " + r.Key()
+}
--- a/internal/sysconfig/list.go
+++ b/internal/sysconfig/list.go
@@ -17,7 +17,9 @@
 	for _, routes := range t.hosts {
 		t.routes = append(t.routes, routes...)
 	}
-	slices.SortFunc(t.routes, func(a, b *Route) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Prefix, b.Prefix)) })
+	slices.SortFunc(t.routes, func(a, b *Route) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
+	})
 	t.routesByService = make(map[string][]*Route, len(t.Services))
 	for _, r := range t.routes {
 		for i, w := range r.Backends {
@@ -45,7 +47,7 @@
 	return slices.ContainsFunc(t.Routes(), func(r *Route) bool { return r.Name == name })
 }
 
-// Tenants returns all tenants sorted by name. Callers must not modify them.
+// Tenants returns all tenants sorted by name, those of the same name in any order. Callers must not modify them.
 func (t *Table) Tenants() []*Tenant { return t.tenantsByName }
 
 // TenantNamed returns the tenant with this name, or nil, by a scan of all tenants.
--- a/internal/sysconfig/table.go
+++ b/internal/sysconfig/table.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -20,7 +21,7 @@
 	tenants    map[string]*Tenant  // by key
 	hasTenants bool
 
-	routes          []*Route // sorted by name and prefix
+	routes          []*Route // sorted by name, host and prefix
 	routesByService map[string][]*Route
 	tenantsByName   []*Tenant // each tenant once
 	tenantRanks     []int     // the distinct ranks of tenants
@@ -47,17 +48,23 @@
 	Pure
 )
 
-// Route holds the handling and the destinations of requests that match its prefix.
+// Route holds the handling and the destinations of requests that match its prefix. Its host and prefix tell it from
+// other routes; any number of routes may have the same name, or none.
 type Route struct {
-	Name, Prefix     string
+	Name             string
+	Host, Prefix     string // the host in lower case and without a port
 	Class            Class
 	Target, Deadline time.Duration
 	Tries, Rank      int
 	Anonymous        bool
 	Backends         []Weighted // none with a share of 0
 	totalShare       uint64
+	key              string
 }
 
+// Key identifies the route in its configuration, and the same route in other versions of it.
+func (r *Route) Key() string { return r.key }
+
 // Weighted is a service and its weight among the destinations of a route.
 type Weighted struct {
 	Service string
@@ -90,7 +97,7 @@
 	for _, s := range c.Sockets {
 		host := Host(s.Authority)
 		for i := range s.Policy {
-			t.hosts[host] = append(t.hosts[host], s.Policy[i].route())
+			t.hosts[host] = append(t.hosts[host], s.Policy[i].route(host))
 		}
 	}
 	for _, routes := range t.hosts {
@@ -112,10 +119,11 @@
 	return t
 }
 
-// route converts a configured rule to the form used for lookups.
-func (r *Rule) route() *Route {
+// route converts a configured rule of a host to the form used for lookups.
+func (r *Rule) route(host string) *Route {
 	out := &Route{
-		Name: r.Name, Prefix: r.Predicate.PathPrefix,
+		Name: r.Name, Host: host, Prefix: r.Predicate.PathPrefix,
+		key:    strconv.Quote(host) + r.Predicate.PathPrefix, // quoted, since a host may hold any character
 		Target: clampMillis(r.TargetMs), Deadline: max(clampMillis(r.Effect.DeadlineMs), 1),
 		Tries: max(clampInt(r.Effect.Tries), 1), Rank: clampInt(r.Rank), Anonymous: r.Anonymous,
 	}
