Tenants with one name share the strictest of their limits

A quota is counted by the tenant's name, and names of tenants aren't checked either. Which of two tenants gave the limits of both was left to the order of a map: it differed from gateway to gateway, and a key without a rate was not counted at all.

Measured: TestTenantsOfOneName failed before (rates 50, 70 and 0 for one name).

--- a/internal/sysconfig/config_test.go
+++ b/internal/sysconfig/config_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// TestTenantsOfOneName: which of two tenants with one name gave the limits of both was left to the order of a map, and differed
+// from gateway to gateway.
+func TestTenantsOfOneName(t *testing.T) {
+	for range 20 {
+		c, err := Parse([]byte(`{"Epoch":"00000001","Principals":[{"Name":"a","Credentials":["1"],"Rank":1,"RatePerS":50,"BurstSize":90},
+			{"Name":"a","Credentials":["2"],"Rank":2,"RatePerS":70,"BurstSize":80},{"Name":"a","Credentials":["3"]},{"Name":"b","Credentials":["4"]}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		table := c.Table()
+		for _, key := range []string{"1", "2", "3"} {
+			if tenant := table.Tenant(key); tenant.Name != "a" || tenant.Rate != 50 || tenant.Burst != 80 {
+				t.Errorf("key %s: %+v", key, tenant)
+			}
+		}
+		if one, two := table.Tenant("1"), table.Tenant("2"); *one.Rank != 1 || *two.Rank != 2 {
+			t.Errorf("ranks %d and %d", *one.Rank, *two.Rank)
+		}
+		if b := table.Tenant("4"); b.Rate != 0 {
+			t.Errorf("%+v", b)
+		}
+	}
+}
+
 func TestTable(t *testing.T) {
 	text := strings.Replace(exampleConfiguration(t), `"Policy":[`, `"Policy":[{"Name":"root","RouteClass":"later","Predicate":`+
 		`{"PathPrefix":"/"},"Anonymous":true,"Effect":{"Backend":"kafi81c","DeadlineMs":1e99}},`, 1)
--- a/internal/sysconfig/table.go
+++ b/internal/sysconfig/table.go
@@ -71,7 +71,8 @@
 	Share   int
 }
 
-// Tenant is the owner of one or more API keys. A Rate or Burst of 0 means no limit.
+// Tenant is the owner of one or more API keys. A Rate or Burst of 0 means no limit. If several principals have one name,
+// each has a Tenant with its own rank, and they share the strictest limits: a quota is counted by the tenant's name.
 type Tenant struct {
 	Name        string
 	Rank        *int // overrides the route's rank unless nil
@@ -115,10 +116,35 @@
 			}
 		}
 	}
+	t.shareLimits()
 	t.buildIndexes()
 	return t
 }
 
+// shareLimits gives tenants of one name the same limits, the strictest of each.
+func (t *Table) shareLimits() {
+	strictest := map[string]Tenant{}
+	for _, tenant := range t.tenants {
+		limits, ok := strictest[tenant.Name]
+		if !ok {
+			limits = *tenant
+		}
+		limits.Rate, limits.Burst = stricter(limits.Rate, tenant.Rate), stricter(limits.Burst, tenant.Burst)
+		strictest[tenant.Name] = limits
+	}
+	for _, tenant := range t.tenants {
+		tenant.Rate, tenant.Burst = strictest[tenant.Name].Rate, strictest[tenant.Name].Burst
+	}
+}
+
+// stricter returns the lower of two limits, of which 0 means none.
+func stricter(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // route converts a configured rule of a host to the form used for lookups.
 func (r *Rule) route(host string) *Route {
 	out := &Route{
