--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,5 +174,21 @@
 	if err := s.Validate(); err != nil {
 		return fmt.Errorf("%s", settingKeys.Replace(err.Error()))
 	}
+	if err := checkUnique("services", s.Classes, func(c choice.Class) string { return c.Name }); err != nil {
+		return err
+	}
+	return checkUnique("contracts", s.Plans, func(p choice.Plan) string { return p.Name })
+}
+
+// checkUnique rejects two elements with the same name: requests name theirs, and would get the rules of either.
+func checkUnique[T any](key string, elements []T, nameOf func(T) string) error {
+	first := map[string]int{}
+	for i, element := range elements {
+		name := nameOf(element)
+		if j, ok := first[name]; ok {
+			return fmt.Errorf("%s[%d].name %q is the name of %s[%d] too", key, i, name, key, j)
+		}
+		first[name] = i
+	}
 	return nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -55,6 +55,9 @@
 		`{"prices":{}` + rest:                              "balancers",
 		`{"balancers":"many"` + rest:                       "balancers",
 		`{"balancers":3,"selfIndex":-1,"prices":{}` + rest: "selfIndex",
+		// The later one's effect held for requests of both.
+		`{"balancers":3,"services":[{"name":"s","aimMs":800,"effect":"fragile"},{"name":"s","aimMs":800,"effect":"retryable"}]}`: "services[1].name",
+		`{"balancers":3,"contracts":[{"name":"p"},{"name":"q"},{"name":"p"}]` + rest:                                             "contracts[2].name",
 	} {
 		s, err := Decode([]byte(text))
 		if err == nil {
