LOST: a server's pause in the middle of its answer ends the request no sooner

Cause: behind the first byte of an answer each read had a time-out of 0.5 s (10 s in a long answer), whatever the request's deadline.

Change: answers have no time-out but the request's deadline, at which the core closes the connection; beyond it a long answer ends with 10 s of silence. The bytes of an answer that nobody asked for end the connection at once, for which the time-out stood in.

--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -97,7 +97,7 @@
 func (f *Fleet) Send(id uint32, a routing.Attempt, call any, left time.Duration) {
 	if s := f.servers[id]; s != nil && s.peer != nil {
 		call.(*Call).StageTimes.Mark(ServerSelected)
-		s.peer.Send(a, f.Dialect.encode(call.(*Call), s.name, left), call)
+		s.peer.Send(a, f.Dialect.encode(call.(*Call), s.name, left), call, left)
 		return
 	}
 	f.Results.AttemptEnded(id, a, choice.ConnectFailed, nil, nil)
@@ -110,7 +110,7 @@
 		path = "/-/load"
 	}
 	if s := f.servers[id]; s != nil && s.peer != nil {
-		s.peer.Send(a, []byte("GET "+path+" HTTP/1.1\r\nHost: "+s.addr+"\r\n\r\n"), nil)
+		s.peer.Send(a, []byte("GET "+path+" HTTP/1.1\r\nHost: "+s.addr+"\r\n\r\n"), nil, left)
 		return
 	}
 	f.Results.ProbeEnded(id, a, choice.ConnectFailed, nil)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -52,31 +52,37 @@
 // Limits of a response. One that exceeds them is invalid: the request may have run,
 // and later responses on the connection can't be delimited.
 const (
-	MaxResponseBody     = 1 << 20                // bytes of the body
-	maxHeaderBytes      = 8 << 10                // bytes of each header, final or interim
-	maxInterimResponses = 32                     // 1xx responses before the final one
-	readStallTimeout    = 500 * time.Millisecond // without a byte, once the response has begun
+	MaxResponseBody     = 1 << 20 // bytes of the body
+	maxHeaderBytes      = 8 << 10 // bytes of each header, final or interim
+	maxInterimResponses = 32      // 1xx responses before the final one
 )
 
-var errInvalidResponse = errors.New("invalid response")
+var (
+	errInvalidResponse = errors.New("invalid response")
+	errUnsolicited     = fmt.Errorf("%w: no request is in progress", errInvalidResponse)
+)
 
 // Conn is a client connection that carries one HTTP exchange at a time. It never
-// resends anything: the caller decides what to do when the connection is lost.
+// resends anything: the caller decides what to do when the connection is lost. How long a
+// response may take is the caller's decision, too: the silence of a server in the middle of
+// one says no more than its silence before the first byte.
 type Conn struct {
-	host            hostenv.Host
-	nc              net.Conn
-	br              *bufio.Reader
-	headRequest     atomic.Bool // the current request is a HEAD: its response has no body
-	readDeadline    time.Time   // for the first byte of a response; zero: no limit
-	responseStarted bool        // the first byte has arrived
+	host         hostenv.Host
+	nc           net.Conn
+	br           *bufio.Reader
+	headRequest  atomic.Bool   // the current request is a HEAD: its response has no body
+	readDeadline time.Time     // for a whole response; zero: no limit
+	stream       *streamedBody // the response that its reader reads; nil: none
+
+	rejectUnsolicited bool        // bytes that arrive while no request is in progress end the connection
+	requestInProgress atomic.Bool // a request has been written, and its response has not been read
 
 	closeAnnounced bool // the current header has Connection: close
 	allowStreams   bool // long responses are streamed to their reader
 	// strict rejects a body without a length, since a server killed midway ends it the same way.
 	// It also rejects a header that contains another status line: a late response was cut off,
 	// and its status would be combined with the correlation ID of the response behind it.
-	strict       bool
-	stallTimeout time.Duration // without a byte, once begun; the longer of this and readStallTimeout applies
+	strict bool
 }
 
 // Dial connects to addr within the limit.
@@ -99,8 +105,8 @@
 
 func (r reader) Read(p []byte) (int, error) {
 	until := r.readDeadline
-	if r.responseStarted {
-		until = r.host.Now().Add(max(readStallTimeout, r.stallTimeout))
+	if r.stream != nil {
+		until = r.stream.readUntil(r.host.Now())
 	}
 	for extended := false; ; extended = true {
 		if err := r.nc.SetReadDeadline(until); err != nil {
@@ -148,6 +154,7 @@
 // one may do so once it has the header, before it has read the body.
 func (c *Conn) writeRequest(wire []byte, limit time.Duration) (begun bool, err error) {
 	c.headRequest.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
+	c.requestInProgress.Store(true)
 	written, err := c.write(wire, limit)
 	return bytes.Contains(wire[:written], []byte("\r\n\r\n")), err
 }
@@ -157,13 +164,15 @@
 // reports bytes behind the response: the response is valid, but the connection can't
 // be used again.
 func (c *Conn) Read(resp *fasthttp.Response) (extra bool, err error) {
-	defer func() { c.responseStarted = c.stallTimeout > 0 }()
+	defer c.requestInProgress.Store(false)
 	resp.Header.DisableNormalizing()
 	for interim := 0; ; interim++ {
 		if _, err := c.br.Peek(1); err != nil {
 			return false, err
 		}
-		c.responseStarted = true
+		if c.rejectUnsolicited && !c.requestInProgress.Load() {
+			return false, errUnsolicited
+		}
 		if err := c.awaitHeader(); err != nil {
 			return false, err
 		}
@@ -177,7 +186,6 @@
 		if s < 100 || interim >= maxInterimResponses {
 			return false, errInvalidResponse
 		}
-		c.responseStarted = c.br.Buffered() > 0 // no stall timeout while the final response is prepared
 	}
 	if s := resp.StatusCode(); c.headRequest.Load() || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
 		resp.SkipBody = true
--- /dev/null
+++ b/internal/transport/pause_test.go
@@ -0,0 +1,119 @@
+package transport
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"asterwell/internal/hostenv"
+)
+
+// clockHost is the real host with a clock that only a test moves.
+type clockHost struct {
+	hostenv.Host
+	now time.Time
+}
+
+func (h *clockHost) Now() time.Time { return h.now }
+
+// pausingConn is a connection to a server that pauses before each piece of what it sends. Time passes in reads only.
+type pausingConn struct {
+	net.Conn
+	host     *clockHost
+	pieces   [][]byte
+	pause    time.Duration // before the next piece
+	pauses   time.Duration // before each
+	deadline time.Time
+	closed   bool
+}
+
+func (c *pausingConn) SetReadDeadline(t time.Time) error { c.deadline = t; return nil }
+func (c *pausingConn) Close() error                      { c.closed = true; return nil }
+
+func (c *pausingConn) Read(p []byte) (int, error) {
+	if len(c.pieces) == 0 {
+		return 0, io.EOF
+	}
+	if left := c.deadline.Sub(c.host.now); !c.deadline.IsZero() && left < c.pause {
+		left = max(left, 0)
+		c.host.now, c.pause = c.host.now.Add(left), c.pause-left
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.host.now, c.pause = c.host.now.Add(c.pause), c.pauses
+	n := copy(p, c.pieces[0])
+	if c.pieces[0] = c.pieces[0][n:]; len(c.pieces[0]) == 0 {
+		c.pieces = c.pieces[1:]
+	}
+	return n, nil
+}
+
+// TestServerPausesInResponse guards against a response that was broken off, and answered in the server's place, because its server
+// paused for over 0.5 s in the middle of it (10 s in a long one): only the request's own deadline ends it.
+func TestServerPausesInResponse(t *testing.T) {
+	const pause = 20 * time.Second
+	body := strings.Repeat("body of the answer. ", 5000)
+	for _, c := range []struct {
+		name, text, body string
+		deadline         time.Duration // of the request
+		ok               bool
+	}{
+		{"by length", "Content-Length: 20\r\n\r\n" + body[:20], body[:20], time.Hour, true},
+		{"in chunks", "Transfer-Encoding: chunked\r\n\r\n14\r\n" + body[:20] + "\r\n0\r\n\r\n", body[:20], time.Hour, true},
+		{"streamed by length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), body, time.Hour, true},
+		{"streamed in chunks", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body), body, time.Hour, true},
+		{"streamed beyond the deadline", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), body, 2 * pause, false},
+	} {
+		host := &clockHost{hostenv.Real, time.Unix(1000, 0)}
+		began := host.now
+		nc := &pausingConn{host: host, pause: pause, pauses: pause}
+		wire := []byte("HTTP/1.1 200 OK\r\n" + c.text)
+		for _, end := range []int{10, len(wire) / 3, len(wire) / 2, len(wire) - 12, len(wire)} {
+			nc.pieces = append(nc.pieces, wire[len(bytes.Join(nc.pieces, nil)):end])
+		}
+		conn := newConn(host, nc)
+		conn.allowStreams = true
+		resp := fasthttp.AcquireResponse()
+		_, err := conn.Read(resp)
+		var got []byte
+		if stream, ok := resp.BodyStream().(*streamedBody); ok {
+			stream.deadline = began.Add(c.deadline)
+			got, err = io.ReadAll(stream)
+		} else {
+			got = resp.Body()
+		}
+		if (err == nil) != c.ok || c.ok && string(got) != c.body || !c.ok && !nc.closed {
+			t.Errorf("%s: %d bytes after %v: %v", c.name, len(got), host.now.Sub(began), err)
+		}
+	}
+}
+
+// TestSilentStreamEnds: beyond its request's deadline a stream may go on, as long as its server sends something.
+func TestSilentStreamEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for left, want := range map[time.Duration]time.Duration{time.Minute: time.Minute, time.Second: streamStallTimeout, -time.Minute: streamStallTimeout} {
+		b := &streamedBody{deadline: now.Add(left)}
+		if got := b.readUntil(now).Sub(now); got != want {
+			t.Errorf("%v before the deadline: %v, want %v", left, got, want)
+		}
+	}
+}
+
+// TestUnsolicitedBytesEndConnection: bytes that arrive while no request is in progress belong to none. The connection does not wait
+// for the rest of them, since the next request would be written behind them.
+func TestUnsolicitedBytesEndConnection(t *testing.T) {
+	here, there := net.Pipe()
+	conn := newConn(nil, here)
+	conn.rejectUnsolicited = true
+	go there.Write([]byte("HTTP"))
+	resp := fasthttp.AcquireResponse()
+	if _, err := conn.Read(resp); err != errUnsolicited {
+		t.Error(err)
+	}
+}
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -89,9 +89,10 @@
 }
 
 type exchange[K comparable] struct {
-	key  K
-	wire []byte
-	note any
+	key      K
+	wire     []byte
+	note     any
+	deadline time.Time // of the request
 
 	begun bool // the server has its header, and may have begun to run it
 }
@@ -130,9 +131,10 @@
 
 func (p *Peer[K]) now() time.Time { return p.opt.Host.Now() }
 
-// Send starts an exchange.
-func (p *Peer[K]) Send(key K, wire []byte, note any) {
-	p.inbox.Put(&exchange[K]{key: key, wire: wire, note: note})
+// Send starts an exchange. left is how much time its request has left: the caller cancels it once that is over, unless the
+// beginning of a streamed response has been received by then.
+func (p *Peer[K]) Send(key K, wire []byte, note any, left time.Duration) {
+	p.inbox.Put(&exchange[K]{key: key, wire: wire, note: note, deadline: p.now().Add(left)})
 }
 
 // Cancel aborts an exchange and closes its connection.
@@ -238,7 +240,7 @@
 		return
 	}
 	pc := &peerConn[K]{conn: m.conn, open: true, number: lastConnNumber.Add(1)}
-	pc.conn.allowStreams, pc.conn.strict = true, p.opt.Strict && p.opt.Bug != BugNotStrict
+	pc.conn.allowStreams, pc.conn.rejectUnsolicited, pc.conn.strict = true, true, p.opt.Strict && p.opt.Bug != BugNotStrict
 	p.opt.Host.Go(func() {
 		for {
 			resp := fasthttp.AcquireResponse()
@@ -318,6 +320,7 @@
 		p.streams++
 		if ex != nil && ex.note != nil && m.err == nil {
 			delete(p.busy, ex.key)
+			m.resp.BodyStream().(*streamedBody).deadline = ex.deadline
 			p.onResult(Result[K]{ex.key, ex.note, Answered, m.resp})
 			return
 		}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -16,17 +16,18 @@
 
 // Limits of streamed messages.
 const (
-	MaxBuffered        = 64 << 10 // bodies up to this size are buffered before they are forwarded
-	MaxStream          = 64 << 20 // bytes of a streamed body
-	pieceSize          = 16 << 10 // bytes read and written at a time
-	streamStallTimeout = 10 * time.Second
+	MaxBuffered        = 64 << 10         // bodies up to this size are buffered before they are forwarded
+	MaxStream          = 64 << 20         // bytes of a streamed body
+	pieceSize          = 16 << 10         // bytes read and written at a time
+	streamStallTimeout = 10 * time.Second // without a byte of a response, once the request's own time is over
 )
 
 // streamedBody is a response body read as it arrives. Its reader owns the connection until
 // the body ends.
 type streamedBody struct {
 	conn       *Conn
-	remaining  int64 // bytes of the body, or of the current chunk
+	deadline   time.Time // of the request
+	remaining  int64     // bytes of the body, or of the current chunk
 	chunked    bool
 	untilClose bool // the end of the connection ends the body
 	received   int64
@@ -124,10 +125,20 @@
 	return err
 }
 
+// readUntil returns how long the server may be silent from now on. Its silence never ends a response before the request's
+// deadline. Beyond it a response that makes progress may go on.
+func (b *streamedBody) readUntil(now time.Time) time.Time {
+	until := now.Add(streamStallTimeout)
+	if b.deadline.After(until) {
+		return b.deadline
+	}
+	return until
+}
+
 // finish returns the connection, or closes it if the body is incomplete.
 func (b *streamedBody) finish(err error) {
 	b.err = err
-	b.conn.responseStarted, b.conn.stallTimeout = false, 0
+	b.conn.stream = nil
 	if err != io.EOF {
 		b.conn.Close()
 	}
@@ -166,7 +177,7 @@
 		}
 		b.received = int64(len(b.prefix))
 	}
-	c.stallTimeout = streamStallTimeout
+	c.stream = b
 	b.done = c.host.NewNotifier()
 	resp.SetBodyStream(b, length)
 	return nil
