A server that reads a request late has until the request's deadline

A request was given up if its server's connection did not take it whole within 50 ms, with 502 if the header had been written; each piece of a long body had 10 s.

Change: what is left behind a header is written beside the server's actor, without a limit but the end of the exchange, which closes the connection. A header that isn't taken within 50 ms is still tried elsewhere: it has not run.

Measured: TestSlowWriteIsContinued failed before (the exchange ended at once).

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -124,8 +124,18 @@
 	}
 }
 
+// noLimit is the limit of a write that may block until the connection is closed.
+const noLimit time.Duration = 0
+
 // Write sends a part of a request. An error means that its last byte was not written.
 func (c *Conn) Write(wire []byte, limit time.Duration) error {
+	if limit == noLimit {
+		if err := c.nc.SetWriteDeadline(time.Time{}); err != nil {
+			return err
+		}
+		_, err := c.nc.Write(wire)
+		return err
+	}
 	deadline := c.host.Now().Add(limit)
 	for extended := false; ; extended = true {
 		if err := c.nc.SetWriteDeadline(deadline); err != nil {
@@ -152,11 +162,11 @@
 
 // writeRequest writes the first part of a request. If that fails, it reports whether the server may have begun to run it:
 // one may do so once it has the header, before it has read the body.
-func (c *Conn) writeRequest(wire []byte, limit time.Duration) (begun bool, err error) {
+func (c *Conn) writeRequest(wire []byte, limit time.Duration) (written int, begun bool, err error) {
 	c.headRequest.Store(len(wire) > 5 && string(wire[:5]) == "HEAD ")
 	c.requestInProgress.Store(true)
-	written, err := c.write(wire, limit)
-	return bytes.Contains(wire[:written], []byte("\r\n\r\n")), err
+	written, err = c.write(wire, limit)
+	return written, bytes.Contains(wire[:written], []byte("\r\n\r\n")), err
 }
 
 // Read waits for a response and skips interim ones. A response that is truncated or
--- a/internal/transport/pause_test.go
+++ b/internal/transport/pause_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"asterwell/internal/hostenv"
+	"asterwell/internal/mailbox"
 )
 
 // clockHost is the real host with a clock that only a test moves.
@@ -117,3 +118,48 @@
 		t.Error(err)
 	}
 }
+
+// TestSlowWriteIsContinued guards against a request that was given up, though its server may have begun to run it, because the server
+// did not read it within 50 ms.
+func TestSlowWriteIsContinued(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nContent-Length: 48\r\n\r\n"
+	wire := head + strings.Repeat("body ", 10)[:48]
+	for _, later := range []Upload{nil, &pieces{[]string{"first ", "second"}}} {
+		p, got := newTestPeer(0)
+		p.opt.ConnLimit.acquire()
+		p.inbox = mailbox.NewBox[any](hostenv.Real)
+		nc := &writeConn{}
+		pc := &peerConn[int]{conn: newConn(nil, nc), open: true}
+		p.write(pc, &exchange[int]{key: 3, wire: []byte(wire), note: uploadNote{later}})
+		if len(*got) != 0 || !pc.open || p.busy[3] != pc {
+			t.Fatalf("%+v, open %v", *got, pc.open)
+		}
+		m := p.inbox.Take(-1)
+		if u, ok := m[0].(uploaded[int]); !ok || !u.complete {
+			t.Errorf("%+v", m[0])
+		}
+		want := wire
+		if later != nil {
+			want += "first second"
+		}
+		if string(nc.written) != want {
+			t.Errorf("written: %q", nc.written)
+		}
+	}
+}
+
+// uploadNote is a note with an upload.
+type uploadNote struct{ upload Upload }
+
+func (n uploadNote) Upload() Upload { return n.upload }
+
+// pieces is an upload in pieces.
+type pieces struct{ left []string }
+
+func (p *pieces) Next() ([]byte, bool, error) {
+	next := p.left[0]
+	p.left = p.left[1:]
+	return []byte(next), len(p.left) == 0, nil
+}
+
+func (p *pieces) Stop() {}
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -114,9 +115,8 @@
 	stop struct{}
 )
 
-// writeLimit bounds how long a write may block the actor. A request fits into the
-// buffer of an idle socket; a write that blocks means that the server has stopped
-// acknowledging data.
+// writeLimit bounds how long a write may block the actor. What a connection does not take
+// in this time is written by a goroutine of its own.
 const writeLimit = 50 * time.Millisecond
 
 // NewPeer starts the actor for the server at addr. It calls done for each exchange
@@ -277,8 +277,10 @@
 }
 
 func (p *Peer[K]) write(pc *peerConn[K], ex *exchange[K]) {
-	begun, err := pc.conn.writeRequest(ex.wire, writeLimit)
-	if ex.begun = begun; err != nil {
+	written, begun, err := pc.conn.writeRequest(ex.wire, writeLimit)
+	ex.begun = begun
+	slow := begun && errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !slow {
 		p.close(pc)
 		p.onResult(Result[K]{ex.key, ex.note, ex.lost(), nil})
 		return
@@ -289,8 +291,12 @@
 		pc.idleBefore = pc.sentAt.Sub(pc.idleSince)
 	}
 	p.busy[ex.key] = pc
-	if up := uploadOf(ex.note); up != nil {
-		p.upload(pc, ex, up)
+	rest := uploadOf(ex.note)
+	if slow {
+		rest = &remainder{ex.wire[written:], rest}
+	}
+	if rest != nil {
+		p.upload(pc, ex, rest)
 		return
 	}
 	if p.opt.OnSent != nil {
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -193,6 +193,26 @@
 // ErrStopped is returned by a cancelled upload.
 var ErrStopped = errors.New("stopped")
 
+// remainder is what is left of a request: bytes that the connection did not take at once, then another upload.
+type remainder struct {
+	rest []byte
+	next Upload // nil: nothing follows
+}
+
+func (r *remainder) Next() (piece []byte, last bool, err error) {
+	if r.rest != nil {
+		piece, r.rest = r.rest, nil
+		return piece, r.next == nil, nil
+	}
+	return r.next.Next()
+}
+
+func (r *remainder) Stop() {
+	if r.next != nil {
+		r.next.Stop()
+	}
+}
+
 // Uploader is a note of an exchange whose request may continue after the bytes given to Send.
 type Uploader interface{ Upload() Upload } // nil: nothing follows
 
@@ -209,7 +229,8 @@
 	complete bool
 }
 
-// upload writes the remainder of a request.
+// upload writes the remainder of a request. A server that doesn't read is waited for until the exchange ends, which closes
+// the connection.
 func (p *Peer[K]) upload(pc *peerConn[K], ex *exchange[K], up Upload) {
 	p.uploads++
 	pc.upload = up
@@ -217,7 +238,7 @@
 		for {
 			piece, last, err := up.Next()
 			if err == nil {
-				err = pc.conn.Write(piece, streamStallTimeout)
+				err = pc.conn.Write(piece, noLimit)
 			}
 			if err != nil || last {
 				if err != nil && err != ErrStopped {
