DRAIN: a leaving server is on the disks of most of the core before it is acknowledged

Cause: an acknowledgement waited for the other processes' memory. The list of servers goes to disk at most once a second, without those that have ended, and a start of all takes it for true after the answer of any one process. Ruled out: a late heartbeat.

Change: a process with a disk stores what leaves and has ended, and confirms updates about it once they are synced; calls succeed with a majority of such confirmations. After a start the stored list counts once a majority of the voters has told what it has on disk.

--- a/cmd/loom/state.go
+++ b/cmd/loom/state.go
@@ -23,6 +23,7 @@
 	// Names of the records that package daemon saves.
 	consensusRecord = "pact"
 	serversRecord   = "lore"
+	leavingRecord   = "leaving"
 )
 
 // UnusableStateError reports why a state directory cannot be read, copied or replaced.
@@ -142,7 +143,7 @@
 			return "", fmt.Errorf("record %q: %w", name, err)
 		}
 		return fmt.Sprintf("configuration %08x, epoch %d", state.Committed.Version, state.Record.Ballot.N), nil
-	case serversRecord:
+	case serversRecord, leavingRecord:
 		var servers []registry.Row
 		if err := cbor.Unmarshal(data, &servers); err != nil {
 			return "", fmt.Errorf("record %q: %w", name, err)
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -72,6 +72,7 @@
 	ServerChanges   []registry.Server
 	MembersChanged  bool
 	Gateways        Gateways // valid if MembersChanged
+	LeavingWrite    *registry.LeavingWrite
 	FaultRulesWrite *faultrules.Write
 	FaultRulesLog   string // log message about fault rules; empty: none
 	Fenced          bool   // the disk was restored to an older state than this process has confirmed
@@ -379,6 +380,9 @@
 // applyRegistry carries out the output of the registry.
 func (m *Machine) applyRegistry(out registry.Out) {
 	m.send(out.Send)
+	if out.Write != nil {
+		m.out.LeavingWrite = out.Write
+	}
 	for _, a := range out.Answers {
 		m.out.Replies = append(m.out.Replies, Reply{a.Call, a})
 	}
--- a/internal/controlplane/servers.go
+++ b/internal/controlplane/servers.go
@@ -13,8 +13,14 @@
 	return m.registry.Snapshot()
 }
 
-// RestoreServers takes the list of servers that was stored on disk.
-func (m *Machine) RestoreServers(now fsm.Time, rows []registry.Row) Output {
-	m.applyRegistry(m.registry.Restore(now, rows))
+// RestoreServers takes what was stored on disk of servers. A process without a disk doesn't call it.
+func (m *Machine) RestoreServers(now fsm.Time, disk registry.Stored) Output {
+	m.applyRegistry(m.registry.Restore(now, disk))
+	return m.takeOutput()
+}
+
+// LeavingStored reports that a LeavingWrite, and all before it, are synced to disk.
+func (m *Machine) LeavingStored(now fsm.Time, seq uint64) Output {
+	m.applyRegistry(m.registry.LeavingStored(now, seq))
 	return m.takeOutput()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,7 @@
 	parseRequests             *mailbox.Box[*controlplane.ConfigText] // one at a time
 	parseCache                *controlplane.ParseCache               // nil: not shared with other processes
 	serverWrites              *mailbox.Box[[]registry.Row]
+	leavingWrites             *mailbox.Box[*registry.LeavingWrite]
 	ruleWrites                *mailbox.Box[*faultrules.Write]
 	ruleJudge                 *faultrules.Judge
 	injector                  *faultInjector // nil: fault rules are disabled
@@ -149,7 +150,8 @@
 		parseCache: shared.ParseCache, servingServers: map[string]bool{}, startedAt: time.Now(), build: buildinfo.Read(),
 		inbox: mailbox.NewBox[any](nil), stateWrites: mailbox.NewBox[*consensus.Write](nil),
 		parseRequests: mailbox.NewBox[*controlplane.ConfigText](nil), serverWrites: mailbox.NewBox[[]registry.Row](nil),
-		ruleWrites: mailbox.NewBox[*faultrules.Write](nil), ruleJudge: faultrules.NewJudge(), strikeRecord: &strikeRecord{},
+		leavingWrites: mailbox.NewBox[*registry.LeavingWrite](nil),
+		ruleWrites:    mailbox.NewBox[*faultrules.Write](nil), ruleJudge: faultrules.NewJudge(), strikeRecord: &strikeRecord{},
 		meshAddr: meshAddress(settings.IpAddr, settings)}
 	p.ring = logring.New(shared.Log, settings.NodeName, 256, log.InfoLevel)
 	p.logger = &log.Logger{Handler: p.ring, Level: log.DebugLevel}
@@ -184,7 +186,9 @@
 		return nil, fmt.Errorf("mesh: %w", err)
 	}
 	go p.parseConfigs()
-	p.execute(p.machine.RestoreServers(now, p.storedServers()))
+	if p.store != nil {
+		p.execute(p.machine.RestoreServers(now, p.storedServers(intact)))
+	}
 	return p, p.listenAll()
 }
 
@@ -250,6 +254,7 @@
 	}
 	getCall       struct{ call uint64 }
 	stateWritten  struct{ seq uint64 }
+	leavingStored struct{ seq uint64 }
 	flushAdds     struct{} // adds should be sent before the next tick
 	reloadRequest struct{} // the settings file has changed
 	stopRequest   struct{} // the process is told to end
@@ -317,6 +322,8 @@
 		p.execute(p.machine.ConfigParsed(now, m))
 	case stateWritten:
 		p.execute(p.machine.Written(now, m.seq))
+	case leavingStored:
+		p.execute(p.machine.LeavingStored(now, m.seq))
 	case faultRulesCall:
 		p.execute(p.machine.CallFaultRules(now, m.call, m.op, m.doc))
 	case rulesWritten:
@@ -379,6 +386,9 @@
 	if out.Write != nil {
 		p.stateWrites.Put(out.Write)
 	}
+	if out.LeavingWrite != nil {
+		p.leavingWrites.Put(out.LeavingWrite)
+	}
 	if out.FaultRulesWrite != nil {
 		p.ruleWrites.Put(out.FaultRulesWrite)
 	}
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -29,6 +29,7 @@
 	}
 	go p.writeState(store)
 	go p.writeServers(store)
+	go p.writeLeaving(store)
 	go p.writeRules(store)
 	if err != nil {
 		p.logger.WithError(err).Error("state is damaged: joins anew")
@@ -97,17 +98,46 @@
 	}
 }
 
-// storedServers returns the list of servers that was last stored.
-func (p *Process) storedServers() (rows []registry.Row) {
-	if p.store == nil {
-		return nil
+// leavingRecord is the name of the stored list of leaving and ended servers.
+const leavingRecord = "leaving"
+
+// writeLeaving stores the leaving servers, only the newest write if several wait: each is complete. A failed write is
+// retried; until it succeeds this process confirms none of them.
+func (p *Process) writeLeaving(store *storage.Store) {
+	for {
+		writes := p.leavingWrites.Take(-1)
+		if len(writes) == 0 {
+			continue
+		}
+		newest := writes[len(writes)-1]
+		data, err := cbor.Marshal(newest.Rows)
+		if err != nil {
+			panic(err) // can't happen: these types can be encoded
+		}
+		write := func() error { return store.Save(leavingRecord, data) }
+		for err = p.disk.measure(leavingRecord, write); err != nil; err = p.disk.measure(leavingRecord, write) {
+			p.logger.WithError(err).Warn("disk refuses")
+			time.Sleep(writeRetryPause)
+		}
+		p.inbox.Put(leavingStored{newest.Seq})
 	}
+}
+
+// storedServers returns what is on disk of servers. The list of leaving ones is whole only if nothing of the state was lost.
+func (p *Process) storedServers(stateIntact bool) (disk registry.Stored) {
 	data, err := p.store.Load(serversRecord)
-	if data == nil || cbor.Unmarshal(data, &rows) != nil {
+	if data == nil || cbor.Unmarshal(data, &disk.Servers) != nil {
 		p.logger.WithField("why", err).Debug("no stored list of servers")
-		return nil
+		disk.Servers = nil
+	}
+	data, err = p.store.Load(leavingRecord)
+	if data == nil || cbor.Unmarshal(data, &disk.Leaving) != nil {
+		p.logger.WithField("why", err).Debug("no stored list of leaving servers")
+		disk.Leaving = nil
+		return disk
 	}
-	return rows
+	disk.Intact = stateIntact && err == nil
+	return disk
 }
 
 const serversStoreInterval = time.Second
--- a/internal/registry/machine.go
+++ b/internal/registry/machine.go
@@ -82,7 +82,10 @@
 	nextFetch                         fsm.Time // while not complete
 	aloneSince                        fsm.Time // since when there is no other process; -1: there is one
 	complete, gotPartialTable         bool
-	hasRestored                       bool     // rows from disk, for when no process has a table
+	hasRestored                       bool            // a list of servers from disk, for when no process has a table
+	vouched                           map[string]bool // voters that have told what they have on disk
+	disk                              *leavingLog     // nil: none
+	deferredAcks                      []deferredAck
 	voters                            []string // of consensus in the newest known epoch; nil: not known
 	bug                               Bug
 	out                               Out
@@ -96,8 +99,8 @@
 		items: map[string]*item{}, nodes: map[string]*memberlist.Node{}, groups: map[serviceZone]*serverGroup{},
 		byAddr: map[uint32]*item{}, services: map[uint32]*serviceInfo{}, pendingEnds: map[string]bool{},
 		propagations: map[string]*propagation{}, activePropagations: map[string]bool{}, unconfirmed: map[uint64]*unconfirmedUpdate{}, pendingRelays: map[relayKey]*relay{}, queued: map[string]bool{},
-		selfNode: memberlist.Node{Addr: self, Zone: zone},
-		now:      now, lastTick: now, startedAt: now, nextFetch: now, aloneSince: now, lastUpdate: now, lastComparison: now,
+		selfNode: memberlist.Node{Addr: self, Zone: zone}, vouched: map[string]bool{},
+		now: now, lastTick: now, startedAt: now, nextFetch: now, aloneSince: now, lastUpdate: now, lastComparison: now,
 	}
 	m.lastNumber = m.rand.Uint64() >> 32 // confirmations for an earlier start must not match
 	return m
@@ -199,7 +202,8 @@
 // apply stores the newer version of a server and passes it to the data plane.
 func (m *Machine) apply(s Server) {
 	it := m.items[s.ID]
-	if it == nil {
+	isNew := it == nil
+	if isNew {
 		it = m.addItem(s)
 	}
 	if s.Phase == Ended && s.Service == "" {
@@ -207,8 +211,11 @@
 		s = it.Server
 		s.ID, s.Phase, s.Seq = id, Ended, max(seq, s.Seq)
 	}
-	if it.Phase != s.Phase {
+	if it.Phase != s.Phase || isNew {
 		it.phaseSince = m.now
+		if s.Phase >= Quiescing {
+			m.leavingChanged()
+		}
 	}
 	if it.Phase == Silent && s.Phase == Serving {
 		it.lastBeat = m.now
@@ -360,6 +367,7 @@
 		m.flush()
 	}
 	o := m.out
+	o.Write = m.startWrite()
 	m.out = Out{}
 	return o
 }
--- a/internal/registry/propagate.go
+++ b/internal/registry/propagate.go
@@ -168,7 +168,7 @@
 
 // answerIfConfirmed answers the waiting calls if the propagation is done or they have timed out.
 func (m *Machine) answerIfConfirmed(id string, p *propagation) {
-	if p.done = p.done || m.confirmedByMajority(p) && (len(p.unconfirmed) == 0 || m.now-p.startedAt >= confirmTimeout); p.done {
+	if p.done = p.done || m.confirmedByMajority(id, p) && (len(p.unconfirmed) == 0 || m.now-p.startedAt >= confirmTimeout); p.done {
 		for _, w := range p.calls {
 			m.answerCall(w.call, id)
 		}
--- a/internal/registry/quorum.go
+++ b/internal/registry/quorum.go
@@ -14,6 +14,8 @@
 const (
 	BugNoQuorumConfirmation Bug = iota + 1 // a leaving server's call succeeds without a majority of the voters
 	BugNoIndirectDelivery                  // updates are never sent around a cut link
+	BugUnstoredConfirmation                // a leaving server's call succeeds before it is on disk
+	BugReadOne                             // a restored list is used after the answer of any process
 )
 
 // SetBug disables a safeguard.
@@ -22,25 +24,29 @@
 // SetVoters sets the voters of consensus. With an empty list no server's leaving is confirmed.
 func (m *Machine) SetVoters(seats []string) { m.voters = append([]string{}, seats...) }
 
-// confirmedByMajority reports whether a majority of the voters has confirmed an update.
-func (m *Machine) confirmedByMajority(p *propagation) bool {
-	return m.hasMajority(func(a string) bool { return p.confirmed[a] })
+// confirmedByMajority reports whether a majority of the voters has confirmed that a server leaves: they know it, and
+// have it on disk.
+func (m *Machine) confirmedByMajority(id string, p *propagation) bool {
+	if m.voters == nil && !m.isStored(id) {
+		return false
+	}
+	return m.hasMajority(func(a string) bool { return a == m.self && m.isStored(id) || p.confirmed[a] })
 }
 
 // majorityReachable reports whether a majority of the voters is present, as far as the membership
 // shows.
 func (m *Machine) majorityReachable() bool {
-	return m.hasMajority(func(a string) bool { return m.nodes[a] != nil })
+	return m.hasMajority(func(a string) bool { return a == m.self || m.nodes[a] != nil })
 }
 
-// hasMajority reports whether the condition holds for a majority of the voters; self counts.
+// hasMajority reports whether the condition holds for a majority of the voters.
 func (m *Machine) hasMajority(has func(addr string) bool) bool {
 	if m.voters == nil || m.bug == BugNoQuorumConfirmation {
 		return true
 	}
 	n := 0
 	for _, a := range m.voters {
-		if a == m.self || has(a) {
+		if has(a) {
 			n++
 		}
 	}
--- a/internal/registry/reconcile.go
+++ b/internal/registry/reconcile.go
@@ -29,8 +29,10 @@
 	since := m.now - m.startedAt
 	switch {
 	case len(m.peers) == 0:
-		m.complete = since >= emptyStartAfter && m.aloneSince >= 0 && m.now-m.aloneSince >= emptyStartAfter
-	case m.gotPartialTable && (m.hasRestored || since >= 3*emptyStartAfter/2), since >= maxFetchWait:
+		if since >= emptyStartAfter && m.aloneSince >= 0 && m.now-m.aloneSince >= emptyStartAfter {
+			m.becomeComplete()
+		}
+	case m.gotPartialTable && m.hasRestored && m.hasReadMajority(), m.gotPartialTable && !m.hasRestored && since >= 3*emptyStartAfter/2, since >= maxFetchWait:
 		m.acceptRestored() // no process has a better table
 	}
 	if m.complete || len(m.peers) == 0 || m.now < m.nextFetch {
@@ -47,6 +49,10 @@
 			break
 		}
 	}
+	if m.hasRestored {
+		ask = append(ask, m.unreadVoters()...)
+	}
+	slices.Sort(ask)
 	for _, a := range slices.Compact(ask) {
 		m.send(a, Fetch{})
 	}
@@ -91,7 +97,7 @@
 		case len(x.ForwardTo) > 0:
 			m.forward(from, x)
 		case x.Number != 0:
-			m.send(from, Ack{Number: x.Number, Origin: x.Origin})
+			m.confirmWhenStored(x.Rows, deferredAck{to: from, ack: Ack{Number: x.Number, Origin: x.Origin}})
 		}
 	case Ack:
 		switch {
@@ -122,7 +128,7 @@
 	case Diff:
 		m.applyDiff(from, x)
 	case Fetch:
-		w := FullTable{Complete: m.complete && !m.isolatedTooLong()}
+		w := FullTable{Complete: m.complete && !m.isolatedTooLong(), Vouches: m.disk != nil && m.disk.intact && !m.isolatedTooLong()}
 		for _, it := range m.sorted {
 			if !it.outdated && !m.isolatedTooLong() && (m.complete || !m.queued[it.ID]) {
 				w.Rows = append(w.Rows, m.wireRow(it.Server))
@@ -130,7 +136,7 @@
 		}
 		m.send(from, w)
 	case FullTable:
-		m.applyFullTable(x)
+		m.applyFullTable(from, x)
 	}
 	return m.takeOutput()
 }
@@ -152,7 +158,7 @@
 
 // applyFullTable merges a table from a process. If that one is complete, outdated servers that it
 // does not know are dropped.
-func (m *Machine) applyFullTable(w FullTable) {
+func (m *Machine) applyFullTable(from string, w FullTable) {
 	for _, r := range w.Rows {
 		m.merge(r)
 	}
@@ -160,10 +166,13 @@
 		return
 	}
 	m.gotPartialTable = true
+	if w.Vouches {
+		m.vouched[from] = true
+	}
 	if !w.Complete {
 		return
 	}
-	m.complete = true
+	m.becomeComplete()
 	for _, it := range slices.Clone(m.sorted) {
 		if it.outdated {
 			s := it.Server
--- a/internal/registry/relay.go
+++ b/internal/registry/relay.go
@@ -68,7 +68,9 @@
 	for _, a := range x.ForwardTo {
 		r.unconfirmed[a] = true
 	}
+	r.unconfirmed[m.self] = true
 	m.pendingRelays[relayKey{from, x.Number}] = r
+	m.confirmWhenStored(x.Rows, deferredAck{to: from, relay: true, ack: Ack{Number: x.Number, Origin: from}})
 }
 
 // forwardAck handles an Ack that is for another process.
@@ -79,13 +81,15 @@
 	case r == nil || !r.unconfirmed[from]:
 		m.send(x.Origin, Ack{Number: x.Number, Confirmer: from})
 		return
-	case len(r.unconfirmed) > 1:
-		delete(r.unconfirmed, from)
+	}
+	delete(r.unconfirmed, from)
+	if from != m.self {
 		r.confirmed = append(r.confirmed, from)
-		return
 	}
-	delete(m.pendingRelays, key)
-	m.send(x.Origin, Ack{Number: x.Number, ConfirmedBy: append(r.confirmed, from)})
+	if len(r.unconfirmed) == 0 {
+		delete(m.pendingRelays, key)
+		m.send(x.Origin, Ack{Number: x.Number, ConfirmedBy: r.confirmed})
+	}
 }
 
 // expireRelays ends the wait of relays; later Acks are forwarded one by one.
@@ -98,8 +102,15 @@
 	}
 	slices.SortFunc(expired, func(a, b relayKey) int { return cmp.Or(cmp.Compare(a.from, b.from), cmp.Compare(a.number, b.number)) })
 	for _, key := range expired {
-		m.send(key.from, Ack{Number: key.number, ConfirmedBy: m.pendingRelays[key].confirmed})
+		r := m.pendingRelays[key]
 		delete(m.pendingRelays, key)
+		if !r.unconfirmed[m.self] {
+			m.send(key.from, Ack{Number: key.number, ConfirmedBy: r.confirmed})
+			continue
+		}
+		for _, a := range r.confirmed { // an Ack with ConfirmedBy would confirm for this process, too
+			m.send(key.from, Ack{Number: key.number, Confirmer: a})
+		}
 	}
 }
 
--- a/internal/registry/server.go
+++ b/internal/registry/server.go
@@ -144,10 +144,12 @@
 	}
 	// Fetch requests a full table.
 	Fetch struct{}
-	// FullTable is a whole table. Complete: the sender's table is complete.
+	// FullTable is a whole table. Complete: the sender's table is complete. Vouches: it has every
+	// leaving server that it has confirmed, also before its start.
 	FullTable struct {
 		Complete bool  `cbor:"1,keyasint,omitempty"`
 		Rows     []Row `cbor:"2,keyasint"`
+		Vouches  bool  `cbor:"3,keyasint,omitempty"`
 	}
 )
 
@@ -168,6 +170,7 @@
 	Send    []fsm.Send
 	Answers []Answer
 	Changes []Server
+	Write   *LeavingWrite // to be stored; LeavingStored reports that it is. Nil: nothing
 }
 
 // Heartbeat is what a server reports of itself.
--- a/internal/registry/snapshot_test.go
+++ b/internal/registry/snapshot_test.go
@@ -21,7 +21,7 @@
 			deliver(s.To, now, machines[s.To].Receive(now, from, s.Msg))
 		}
 	}
-	deliver("a", time.Second, a.Restore(time.Second, kept))
+	deliver("a", time.Second, a.Restore(time.Second, Stored{Servers: kept, Intact: true}))
 	for name, m := range machines {
 		deliver(name, time.Second, m.SetNodes(time.Second, nodes))
 	}
--- a/internal/systemsim/disk.go
+++ b/internal/systemsim/disk.go
@@ -7,6 +7,7 @@
 
 	"asterwell/internal/consensus"
 	"asterwell/internal/controlplane"
+	"asterwell/internal/registry"
 )
 
 // disk is a machine's. It syncs one write at a time, the newest of what has come.
@@ -84,11 +85,11 @@
 }
 
 // save takes a copy; putBack has it in the disk's place, as if nothing had been since.
-func (d *disk) save() { d.old = d.synced }
+func (d *disk) save() { d.old, d.p.servers.copied = d.synced, d.p.servers.stored }
 
 func (d *disk) putBack() {
 	if d.old != nil {
-		d.synced = d.old
+		d.synced, d.p.servers.stored = d.old, d.p.servers.copied
 	}
 }
 
@@ -102,4 +103,7 @@
 }
 
 // wipe leaves an empty disk, which is not one that never had anything.
-func (d *disk) wipe() { d.synced, d.p.rules.synced, d.p.genesis = nil, nil, false }
+func (d *disk) wipe() {
+	d.synced, d.p.rules.synced, d.p.genesis = nil, nil, false
+	d.p.servers.stored = registry.Stored{}
+}
--- a/internal/systemsim/proc.go
+++ b/internal/systemsim/proc.go
@@ -21,6 +21,7 @@
 	wall             time.Duration // what its time of day is wrong by
 	disk             *disk
 	rules            ruleDisk
+	servers          serverDisk
 	met              time.Duration // when it last had a way to most of the core
 
 	k       *controlplane.Machine
@@ -93,6 +94,7 @@
 		FaultRules: controlplane.FaultRulesConfig{MaxLifetime: longestRules, Disk: p.openRules()}, Bugs: w.bug.guards()},
 		p.meter, kept, p.clock())
 	w.note("%s starts, life %d", p.name, p.life)
+	p.openServers()
 	p.tick(p.life)
 	w.relist()
 }
@@ -117,6 +119,7 @@
 		return
 	}
 	p.input(func() controlplane.Output { return p.k.Tick(p.clock()) })
+	p.storeList()
 	next := tick
 	if p.frozen() {
 		next = p.thaws - p.w.now
@@ -168,6 +171,9 @@
 		w.stats.Fences++
 		w.note("%s is fenced", p.name)
 	}
+	if out.LeavingWrite != nil {
+		p.keepLeaving(out.LeavingWrite)
+	}
 	if out.FaultRulesWrite != nil {
 		p.keepRules(out.FaultRulesWrite)
 	}
@@ -178,6 +184,7 @@
 		w.breaks("CONFIG", "%s keeps version %d, which is not valid: %v", p.name, out.Doc.Version, out.AdoptError)
 	}
 	if out.ServersChanged {
+		p.servers.listChanged = true
 		p.list(out.ServerChanges)
 		w.gauge.listed(p)
 	}
