A streamed answer ends with its client, also while its server is silent

The goroutine that passes a streamed answer on waits for the server, so that a client that left was noticed at the next write only, and the server worked on for it.

Change: the end of a client's connection closes the server's one, unless the answer has been read to its end by then, when the connection may carry another request.

--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -11,6 +11,7 @@
 
 	"asterwell/choice"
 	"asterwell/internal/ops"
+	"asterwell/internal/transport"
 )
 
 // RequestObserver is notified of the start and the outcome of client requests.
@@ -136,10 +137,20 @@
 // observedBody is a streamed response body that reports its outcome when it is closed.
 type observedBody struct {
 	io.Reader
+	client   *transport.ClientConn // nil: not a connection that can report a disconnect
 	done     func(how ops.How)
 	complete bool
 }
 
+// observe returns the stream of a response to a client. A server that is silent learns at once that its client has left.
+func observe(ctx *fasthttp.RequestCtx, stream io.Reader, done func(how ops.How)) *observedBody {
+	client, _ := ctx.Conn().(*transport.ClientConn)
+	if server, ok := stream.(interface{ Abort() }); ok && client != nil {
+		client.OnEnd(server.Abort)
+	}
+	return &observedBody{Reader: stream, client: client, done: done}
+}
+
 func (b *observedBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	b.complete = b.complete || err == io.EOF
@@ -148,6 +159,9 @@
 
 // Close is called once, whether or not the response has been written.
 func (b *observedBody) Close() error {
+	if b.client != nil {
+		b.client.OnEnd(nil)
+	}
 	if b.done(map[bool]ops.How{true: ops.Success, false: ops.Failure}[b.complete]); b.complete {
 		return nil
 	}
@@ -174,7 +188,7 @@
 	}
 	if stream := answer.BodyStream(); stream != nil { // the client's response owns it from here on
 		ctx.Response.ImmediateHeaderFlush = true
-		ctx.Response.SetBodyStream(&observedBody{Reader: stream, done: done}, answer.Header.ContentLength())
+		ctx.Response.SetBodyStream(observe(ctx, stream, done), answer.Header.ContentLength())
 		return
 	}
 	ctx.Response.SwapBody(answer.SwapBody(nil))
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -33,6 +33,7 @@
 	data        []byte // read by the pump, not yet taken by Read
 	bufferInUse bool   // Read still uses the pump's buffer
 	err         error  // non-nil once the connection has ended
+	onEnd       func() // called once it has ended; nil: nothing
 
 	lingerUntil    time.Time // when it is closed
 	lingerExtended bool
@@ -189,6 +190,24 @@
 		c.err = err
 		c.readable.Notify()
 		c.bufferFree.Notify()
+		c.callOnEnd()
+	}
+}
+
+// OnEnd has f called, on a goroutine of its own, once the connection has ended, which may be already. It replaces an earlier f.
+// Nil: nothing is called.
+func (c *ClientConn) OnEnd(f func()) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.onEnd = f; c.err != nil {
+		c.callOnEnd()
+	}
+}
+
+func (c *ClientConn) callOnEnd() {
+	if f := c.onEnd; f != nil {
+		c.onEnd = nil
+		c.listener.host.Go(f)
 	}
 }
 
--- a/internal/transport/leave_test.go
+++ b/internal/transport/leave_test.go
@@ -68,3 +68,26 @@
 		client1 expect "at /a"
 		client1 expect "at /b"`)
 }
+
+// TestAbortedStream: a stream that its client has left closes the server's connection, unless it has been read to its end by then:
+// the connection may carry another request.
+func TestAbortedStream(t *testing.T) {
+	for _, readFirst := range []bool{false, true} {
+		nc := &pausingConn{host: &clockHost{now: time.Unix(1000, 0)}, pieces: [][]byte{[]byte("body")}}
+		b := &streamedBody{conn: newConn(nc.host, nc), remaining: 4}
+		if readFirst {
+			if got, err := io.ReadAll(b); err != nil || string(got) != "body" {
+				t.Fatalf("%q, %v", got, err)
+			}
+		}
+		b.Abort()
+		if nc.closed == readFirst {
+			t.Errorf("read first %v: closed %v", readFirst, nc.closed)
+		}
+		if !readFirst {
+			if _, err := io.ReadAll(b); err == nil {
+				t.Error("an aborted stream ends as a whole one")
+			}
+		}
+	}
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,8 +35,20 @@
 	prefix     []byte // read ahead, to find out whether the body is short
 	err        error  // non-nil once the body has ended
 	done       hostenv.Notifier
+	end        atomic.Int32 // a streamEnd
 }
 
+// streamEnd tells who ended a stream: only the first may, since the connection may carry another exchange after that.
+type streamEnd = int32
+
+const (
+	streamOpen streamEnd = iota
+	streamFinished
+	streamAborted
+)
+
+var errStreamAborted = errors.New("the client has left")
+
 var errBodyTooLong = errors.New("response body exceeds the limit")
 
 // Read returns what has arrived. A truncated body ends with an error other than io.EOF.
@@ -58,7 +71,7 @@
 	if err != nil {
 		b.finish(err)
 	}
-	return n, err
+	return n, b.err
 }
 
 func (b *streamedBody) read(p []byte) (int, error) {
@@ -137,6 +150,9 @@
 
 // finish returns the connection, or closes it if the body is incomplete.
 func (b *streamedBody) finish(err error) {
+	if !b.end.CompareAndSwap(streamOpen, streamFinished) && err == io.EOF {
+		err = errStreamAborted
+	}
 	b.err = err
 	b.conn.stream = nil
 	if err != io.EOF {
@@ -147,6 +163,13 @@
 	}
 }
 
+// Abort ends the stream from another goroutine than that of its reader: nobody waits for the rest.
+func (b *streamedBody) Abort() {
+	if b.end.CompareAndSwap(streamOpen, streamAborted) {
+		b.conn.Close()
+	}
+}
+
 // Close discards the unread part.
 func (b *streamedBody) Close() error {
 	if b.err == nil {
