A configuration with the number is refused, not acknowledged and dropped

Change: 400 that names Epoch, in the gateway, in `reed check` and in the schema; a primary that gets it from a previous release gives no clear answer.

Measured: the new case of TestParseRejectsInvalid failed before.

--- a/internal/consensus/orders.go
+++ b/internal/consensus/orders.go
@@ -75,8 +75,8 @@
 		return 0
 	case d.Version > m.state.Committed.Version:
 		return 0
-	case d.Version == 0: // the absence of a document
-		return ResultAccepted
+	case d.Version == 0: // the absence of a document, which a previous release sends on: nothing can be kept
+		return ResultBusy
 	case m.bug == BugAnyBody:
 		return ResultAccepted
 	}
--- a/internal/sysconfig/config.go
+++ b/internal/sysconfig/config.go
@@ -88,7 +88,9 @@
 	if len(c.Epoch) != 8 || err != nil {
 		return nil, &Fault{Key: "Epoch", Why: "not eight hexadecimal digits: " + strconv.Quote(c.Epoch)}
 	}
-	c.version = uint32(v)
+	if c.version = uint32(v); c.version == 0 {
+		return nil, &Fault{Key: "Epoch", Why: "00000000 stands for no configuration: the first one is 00000001 or above"}
+	}
 	if f := c.checkRollout(); f != nil {
 		return nil, f
 	}
--- a/internal/sysconfig/config_test.go
+++ b/internal/sysconfig/config_test.go
@@ -31,6 +31,7 @@
 		{"short epoch", `00000007`, `0000007`, "Epoch", "hexadecimal"},
 		{"epoch that is not hexadecimal", `00000007`, `0000000g`, "Epoch", "hexadecimal"},
 		{"signed epoch", `00000007`, `+0000007`, "Epoch", "hexadecimal"},
+		{"epoch that stands for no configuration", `00000007`, `00000000`, "Epoch", "no configuration"}, // was acknowledged, and dropped
 		{"no epoch", `"Epoch":"00000007",`, ``, "Epoch", "hexadecimal"},
 		{"unknown service", `"Backend":"wuno96b"`, `"Backend":"wuno96c"`, r1 + "Effect.Backend", "wuno96c"},
 		{"unknown service in a partition", `"Backend":"lovo22d"`, `"Backend":"lovo"`, r0 + "Effect.Partition[1].Backend", "lovo"},
--- a/internal/sysconfig/schema/configuration.cue
+++ b/internal/sysconfig/schema/configuration.cue
@@ -5,7 +5,7 @@
 #Count: number & >=0
 
 #Configuration: {
-	Epoch!: =~"^[0-9a-fA-F]{8}$"
+	Epoch!: =~"^[0-9a-fA-F]{8}$" & !="00000000"
 	BoundsReq?: {
 		MaxHeaderBytes?: number
 		MaxBodyBytes?:   number
