Descriptors of connections and records on disk: each stood three times, stands once

Change: withDescriptor for what asks a socket; save for what is written until the disk takes it. A state of agreement that could not be encoded would have been reported as written; that can't happen with these types, and now ends the process as for fault rules.

--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -65,18 +65,23 @@
 		}
 		newest := writes[len(writes)-1]
 		data, err := newest.State.Encode()
-		for err == nil {
-			if err = p.disk.measure(stateRecord, func() error { return store.Save(stateRecord, data) }); err == nil {
-				break
-			}
-			p.logger.WithError(err).Warn("disk refuses")
-			time.Sleep(writeRetryPause)
-			err = nil
+		if err != nil {
+			panic(err) // can't happen: these types can be encoded
 		}
+		p.save(store, stateRecord, data)
 		p.inbox.Put(stateWritten{newest.Seq})
 	}
 }
 
+// save stores a record, and tries again until that succeeds.
+func (p *Process) save(store *storage.Store, name string, data []byte) {
+	write := func() error { return store.Save(name, data) }
+	for err := p.disk.measure(name, write); err != nil; err = p.disk.measure(name, write) {
+		p.logger.WithError(err).Warn("disk refuses")
+		time.Sleep(writeRetryPause)
+	}
+}
+
 // serversRecord is the name of the stored list of servers.
 const serversRecord = "lore"
 
@@ -114,11 +119,7 @@
 		if err != nil {
 			panic(err) // can't happen: these types can be encoded
 		}
-		write := func() error { return store.Save(leavingRecord, data) }
-		for err = p.disk.measure(leavingRecord, write); err != nil; err = p.disk.measure(leavingRecord, write) {
-			p.logger.WithError(err).Warn("disk refuses")
-			time.Sleep(writeRetryPause)
-		}
+		p.save(store, leavingRecord, data)
 		p.inbox.Put(leavingStored{newest.Seq})
 	}
 }
--- a/internal/daemon/strikerecord.go
+++ b/internal/daemon/strikerecord.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io/fs"
 	"sync"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -79,11 +78,7 @@
 			if err != nil {
 				panic(err) // can't happen: these types can be encoded
 			}
-			write := func() error { return store.Save(r.name, data) }
-			for err = p.disk.measure(r.name, write); err != nil; err = p.disk.measure(r.name, write) {
-				p.logger.WithError(err).Warn("disk refuses")
-				time.Sleep(writeRetryPause)
-			}
+			p.save(store, r.name, data)
 		}
 		p.inbox.Put(rulesWritten{newest.Seq})
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -296,21 +296,15 @@
 	if q, ok := c.nc.(interface{ Quiet() bool }); ok { // simulated connections have no file descriptor
 		return q.Quiet()
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
+	if _, ok := c.nc.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	quiet := false
-	err = raw.Control(func(fd uintptr) {
+	return withDescriptor(c.nc, func(fd int) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-	})
-	return err == nil && quiet
+	}) && quiet
 }
 
 // SetReadDeadline bounds the wait for the next response.
--- a/internal/transport/undelivered.go
+++ b/internal/transport/undelivered.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -13,17 +12,8 @@
 	if c, ok := nc.(interface{ Undelivered() bool }); ok { // simulated connections have no file descriptor
 		return c.Undelivered()
 	}
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	queued := 0
-	err = raw.Control(func(fd uintptr) {
-		queued, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) // unknown counts as delivered
-	})
-	return err == nil && queued > 0
+	return withDescriptor(nc, func(fd int) {
+		queued, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) // unknown counts as delivered
+	}) && queued > 0
 }
