Soak: answers with pauses, clients that leave behind requests, releases, shared names

Now servers pause for up to 1.5 s in the middle of a third of their answers, clients leave by close, reset and half-close with up to three requests and a half behind a slow repeatable one (rule GONE), servers are released by DELETE at drawn times and 0.3 s before all processes are killed, and serve on (rule DRAIN), and every second configuration has a pure route with the name of an effectful one. Servers report every 1.5 s, as on the sites.

--- a/internal/bench/faultfleet.go
+++ b/internal/bench/faultfleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -31,6 +32,7 @@
 	http        []*httptest.Server
 	version     uint32
 	acked       time.Time
+	heartbeat   time.Duration   // of the servers; 0: faultHeartbeat
 	beats       context.Context // of the servers
 	stop        context.CancelFunc
 	run         int
@@ -205,11 +207,11 @@
 Genesis: %v
 QuorumMember: %v
 BoundsReq: {CpuFraction: 0.5, CpuCount: 1, MemMb: 184, FdLimit: 2000}
-HeartbeatMs: 300
+HeartbeatMs: %d
 FaultBudget: {MachineLosses: 1}
 FaultRules: {LongestS: 600}
 `, n.name, n.ip, zone, n.ip, n.port, n.ip, n.port+1, n.control(), n.port+3, n.port+5,
-		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), !n.ran, n.core)
+		f.nodes[0].control(), f.nodes[1].control(), f.nodes[2].control(), !n.ran, n.core, cmp.Or(f.heartbeat, faultHeartbeat).Milliseconds())
 	n.ran = true
 	if n.core {
 		text += fmt.Sprintf("StateDir: %q\n", filepath.Join(f.dir, n.name))
@@ -284,6 +286,9 @@
 	}
 }
 
+// faultHeartbeat is how often servers report, unless a fleet has a span of its own.
+const faultHeartbeat = 300 * time.Millisecond
+
 // beatWithin is how long a process may take for a beat: one that stands still says nothing.
 const beatWithin = 500 * time.Millisecond
 
@@ -306,7 +311,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(cmp.Or(f.heartbeat, faultHeartbeat)):
 		}
 	}
 }
--- a/internal/bench/soak.go
+++ b/internal/bench/soak.go
@@ -39,15 +39,16 @@
 // soak is one fleet under one plan.
 type soak struct {
 	*faultFleet
-	mu         sync.Mutex // over what follows, and processes as they are replaced
-	arrivals   map[string][]time.Time
-	bodySizes  map[string]int64 // of requests with long bodies that ran, by ID
-	trouble    []time.Time
-	terminated map[string][]time.Time // when a process got SIGTERM, by its name
-	over       bool
-	versions   int
-	acked      int
-	watchers   sync.WaitGroup
+	mu          sync.Mutex // over what follows, and processes as they are replaced
+	arrivals    map[string][]time.Time
+	bodySizes   map[string]int64     // of requests with long bodies that ran, by ID
+	workedUntil map[string]time.Time // by servers, on requests whose clients have left, by ID
+	trouble     []time.Time
+	terminated  map[string][]time.Time // when a process got SIGTERM, by its name
+	over        bool
+	versions    int
+	acked       int
+	watchers    sync.WaitGroup
 }
 
 // MeasureSoak plays seeds, one after the other in each of a few fleets, and reports every rule that broke.
@@ -102,7 +103,8 @@
 		soakPorts.Unlock()
 		return nil, nil, err
 	}
-	s := &soak{faultFleet: f, arrivals: map[string][]time.Time{}, bodySizes: map[string]int64{}, terminated: map[string][]time.Time{}, versions: 1, acked: 1}
+	s := &soak{faultFleet: f, arrivals: map[string][]time.Time{}, bodySizes: map[string]int64{}, workedUntil: map[string]time.Time{}, terminated: map[string][]time.Time{}, versions: 1, acked: 1}
+	s.heartbeat = soakHeartbeat
 	err = s.launch()
 	time.Sleep(300 * time.Millisecond) // until they listen, so that the next fleet takes other ports
 	soakPorts.Unlock()
@@ -127,12 +129,17 @@
 	wg.Go(func() { s.leaveEarly(o.Span, seed) })
 	var uploads []uploadResult
 	wg.Go(func() { uploads = s.uploadAlways(o.Span, seed) })
+	var left []abandoned
+	wg.Go(func() { left = s.abandonAlways(o.Span, seed) })
+	var releases []*release
+	wg.Go(func() { releases = s.releaseAlways(o.Span, seed, plan) })
 	s.play(plan, &wg)
 	wg.Wait()
 	sent = append(sent, slow...)
 	broken = s.back()
 	s.stopWatching()
-	run := &soakRun{sent: sent, uploads: uploads, arrivals: s.arrivals, bodySizes: s.bodySizes, trouble: s.trouble, terminated: s.terminated, limit: soakLimit{"key-struck", soakRate, soakBurst}}
+	run := &soakRun{sent: sent, uploads: uploads, arrivals: s.arrivals, bodySizes: s.bodySizes, trouble: s.trouble, terminated: s.terminated, limit: soakLimit{"key-struck", soakRate, soakBurst},
+		abandoned: left, workedUntil: s.workedUntil, releases: releases}
 	broken = append(run.check(), broken...)
 	ends := map[int]int{}
 	for _, one := range sent {
@@ -187,6 +194,14 @@
 		text = bytes.Replace(text, []byte(`"Policy": [`), fmt.Appendf(nil, `"Policy": [{"Name": %q, "RouteClass": "effectful", "TargetMs": 4000, "Rank": 1, "Anonymous": false,
    "Predicate": {"PathPrefix": "/%s"}, "Effect": {"Backend": "toy", "DeadlineMs": %d, "Tries": 1}},
   `, path, path, slowDeadline.Milliseconds()), 1)
+	}
+	text = bytes.Replace(text, []byte(`"Policy": [`), fmt.Appendf(nil, `"Policy": [{"Name": %q, "RouteClass": "pure", "TargetMs": 1000, "Rank": 1, "Anonymous": false,
+   "Predicate": {"PathPrefix": "/%s"}, "Effect": {"Backend": "toy", "DeadlineMs": %d, "Tries": 2}},
+  `, abandonedPath, abandonedPath, abandonedDeadline), 1)
+	if epoch%2 == 0 { // a route with the name of another one
+		text = bytes.Replace(text, []byte(`"Policy": [`), fmt.Appendf(nil, `"Policy": [{"Name": %q, "RouteClass": "pure", "TargetMs": 300, "Rank": 1, "Anonymous": false,
+   "Predicate": {"PathPrefix": "/%s-look"}, "Effect": {"Backend": "toy", "DeadlineMs": 2000, "Tries": 3}},
+  `, slowPath, slowPath), 1)
 	}
 	return bytes.Replace(text, []byte(`"RatePerS": 5000, "BurstSize": 5000`), fmt.Appendf(nil, `"RatePerS": %d, "BurstSize": %d`, soakRate, soakBurst), 1)
 }
--- a/internal/bench/soak_test.go
+++ b/internal/bench/soak_test.go
@@ -59,6 +59,31 @@
 			t.Errorf("%q: found %q", want, got)
 		}
 	}
+	leaves, worked := &soakRun{workedUntil: map[string]time.Time{}, arrivals: map[string][]time.Time{}, limit: soakLimit{"k", 60, 60}}, 0
+	for i := range 20 {
+		a := abandoned{id: string(rune('A' + i)), sent: at, left: at.Add(200 * time.Millisecond)}
+		leaves.abandoned, leaves.arrivals[a.id] = append(leaves.abandoned, a), []time.Time{at}
+		if leaves.workedUntil[a.id] = at.Add(300 * time.Millisecond); i < 5 { // a quarter
+			leaves.workedUntil[a.id] = at.Add(3 * time.Second)
+			worked++
+		}
+	}
+	if got := leaves.check(); len(got) > 0 {
+		t.Errorf("servers were at work on %d of 20: %q", worked, got)
+	}
+	leaves.workedUntil["F"] = at.Add(3 * time.Second)
+	if got := leaves.check(); len(got) != 1 || !strings.HasPrefix(got[0], "GONE:") {
+		t.Errorf("servers were at work on %d of 20: %q", worked+1, got)
+	}
+	for _, c := range []struct {
+		sent time.Duration // after the end was acknowledged
+		want string
+	}{{-time.Millisecond, ""}, {releaseDrain, ""}, {releaseDrain + time.Millisecond, "DRAIN:"}} {
+		released := &soakRun{sent: []sentOne{one(200, time.Millisecond)}, arrivals: ran(1), releases: []*release{{endedAt: at.Add(-c.sent), arrived: []string{"a"}}}}
+		if got := released.check(); c.want == "" && len(got) > 0 || c.want != "" && (len(got) != 1 || !strings.HasPrefix(got[0], c.want)) {
+			t.Errorf("sent %v after a server's end was acknowledged: %q", c.sent, got)
+		}
+	}
 	kept := &soakRun{sent: []sentOne{one(0, time.Second)}, arrivals: ran(1), trouble: []time.Time{at.Add(-time.Second)}}
 	if got := kept.check(); len(got) > 0 {
 		t.Errorf("an unplanned trouble was a second before: %q", got)
--- a/internal/bench/soakrules.go
+++ b/internal/bench/soakrules.go
@@ -17,6 +17,10 @@
 	trouble    []time.Time            // when something unplanned befell any process
 	terminated map[string][]time.Time // when a process got SIGTERM, by its name
 	limit      soakLimit
+
+	abandoned   []abandoned
+	workedUntil map[string]time.Time // by servers, on requests whose clients have left
+	releases    []*release
 }
 
 // soakLimit is the quota of the tenant whose requests have it.
@@ -60,6 +64,8 @@
 	for _, u := range r.uploads {
 		r.checkUpload(u, note)
 	}
+	r.checkAbandoned(note)
+	r.checkReleases(note)
 	for id, at := range r.arrivals {
 		if strings.HasPrefix(id, leaverID) {
 			note("UNASKED", "%s ran %d times, though its client had left in the middle of its body", id, len(at))
@@ -116,9 +122,12 @@
 }
 
 // troubled says that something unplanned happened shortly before a request, or while it lasted.
-func (r *soakRun) troubled(s sentOne) bool {
+func (r *soakRun) troubled(s sentOne) bool { return r.troubledWithin(s, soakContact) }
+
+// troubledWithin is troubled for another span before the request.
+func (r *soakRun) troubledWithin(s sentOne, before time.Duration) bool {
 	return slices.ContainsFunc(r.trouble, func(at time.Time) bool {
-		return at.After(s.at.Add(-soakContact)) && at.Before(s.at.Add(s.took+time.Second))
+		return at.After(s.at.Add(-before)) && at.Before(s.at.Add(s.took+time.Second))
 	})
 }
 
--- a/internal/bench/soakuploads.go
+++ b/internal/bench/soakuploads.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -28,6 +29,7 @@
 	longPause      = 3300 * time.Millisecond // longer than a gateway waits for a piece
 	pausingID      = "pause-"                // what the IDs of requests begin with whose client pauses for so long
 	longSize       = 300 << 10               // bytes of a long response
+	responsePause  = 1500 * time.Millisecond // of a server in the middle of a response, at most
 	longReadPiece  = 16 << 10
 )
 
@@ -199,7 +201,7 @@
 	plain := toy(name, s.arrived)
 	return func(w http.ResponseWriter, r *http.Request) {
 		path := r.URL.Path[min(1, len(r.URL.Path)):]
-		if path != uploadPath && path != earlyPath && path != longPath {
+		if path != uploadPath && path != earlyPath && path != longPath && path != abandonedPath {
 			plain(w, r)
 			return
 		}
@@ -218,11 +220,28 @@
 			s.arrived(r)
 			s.ranWith(id, n)
 		}
+		if path == abandonedPath {
+			s.workAbandoned(r)
+		}
 		response := expectedResponse(path, id)
 		w.Header().Set(sealHeader, "seal of "+id)
 		w.Header().Set("Content-Length", fmt.Sprint(len(response)))
-		w.Write(response)
+		s.writeWithPause(w, id, response)
+	}
+}
+
+// writeWithPause writes a response; some servers pause in the middle of it, by the request's ID.
+func (s *soak) writeWithPause(w http.ResponseWriter, id string, response []byte) {
+	hash := fnv.New32a()
+	io.WriteString(hash, id)
+	if drawn := hash.Sum32(); drawn%3 == 0 {
+		half := len(response) / 2
+		w.Write(response[:half])
+		http.NewResponseController(w).Flush()
+		time.Sleep(time.Duration(drawn%1000) * responsePause / 1000)
+		response = response[half:]
 	}
+	w.Write(response)
 }
 
 // ranWith notes the length of the body with which a request ran.
