--- a/internal/systemsim/script.go
+++ b/internal/systemsim/script.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -85,76 +84,6 @@
 	}...)
 }
 
-// args are a command's words, taken from the left.
-type args struct {
-	words []string
-	err   error
-}
-
-func (a *args) next() string {
-	if len(a.words) == 0 {
-		a.fail("something is missing")
-		return ""
-	}
-	s := a.words[0]
-	a.words = a.words[1:]
-	return s
-}
-
-// after takes a keyword and what follows it, wherever they stand.
-func (a *args) after(key string) (string, bool) {
-	i := slices.Index(a.words, key)
-	if i < 0 || i+1 >= len(a.words) {
-		return "", false
-	}
-	v := a.words[i+1]
-	a.words = slices.Delete(slices.Clone(a.words), i, i+2)
-	return v, true
-}
-
-func (a *args) has(key string) bool {
-	i := slices.Index(a.words, key)
-	if i >= 0 {
-		a.words = slices.Delete(slices.Clone(a.words), i, i+1)
-	}
-	return i >= 0
-}
-
-func (a *args) fail(form string, v ...any) {
-	if a.err == nil {
-		a.err = fmt.Errorf(form, v...)
-	}
-}
-
-func (a *args) number() float64 {
-	s := a.next()
-	v, err := strconv.ParseFloat(s, 64)
-	if err != nil {
-		a.fail("%q is no number", s)
-	}
-	return v
-}
-
-func (a *args) version() uint32 { return uint32(a.number()) }
-
-func (a *args) time() time.Duration { return a.parse(a.next()) }
-
-func (a *args) parse(s string) time.Duration {
-	d, err := time.ParseDuration(s)
-	if err != nil {
-		a.fail("%q is no time", s)
-	}
-	return d
-}
-
-// span is the time after "for", or 0.
-func (a *args) span() time.Duration {
-	if s, ok := a.after("for"); ok {
-		return a.parse(s)
-	}
-	return 0
-}
-
 // command carries out a line; several are parted by semicolons.
 func (w *world) command(line string) error {
 	line, _, _ = strings.Cut(line, "#")
@@ -336,14 +265,6 @@
 	return nil
 }
 
-func (w *world) doServers(a *args) error {
-	service, n := a.next(), int(a.number())
-	for range n {
-		w.serve(service, "")
-	}
-	return a.err
-}
-
 func (w *world) doTenant(a *args) error {
 	t := &tenant{name: a.next(), limit: quotas.Limit{Rate: a.number(), Burst: a.number()}, offer: a.number(), hot: 1}
 	if a.err == nil && t.offer <= 0 {
@@ -406,124 +327,6 @@
 	return a.err
 }
 
-func (w *world) down(a *args, wipe bool) error {
-	return w.each(a, "", func(p *proc) {
-		p.end()
-		if wipe && p.disk != nil {
-			w.note("%s is wiped", p.name)
-			p.disk.wipe()
-		}
-	}, func(p *proc) {
-		p.boot()
-		if wipe && p.core {
-			w.watchSeat(p)
-		}
-	})
-}
-
-// doPutBack: a process ends, and the next one starts on the copy of its disk.
-func (w *world) doPutBack(a *args) error {
-	return w.each(a, "has its disk put back", func(p *proc) {
-		p.end()
-		if p.disk != nil {
-			p.disk.putBack()
-		}
-	}, func(p *proc) { p.boot() })
-}
-
-func (w *world) doFreeze(a *args) error {
-	d, ok := a.after("for")
-	if !ok {
-		return fmt.Errorf("for how long?")
-	}
-	till := w.now + a.parse(d)
-	all := w.who(a)
-	if a.err != nil {
-		return a.err
-	}
-	w.takeLead(all)
-	for _, p := range all {
-		p.thaws = till
-		life := p.life
-		w.after(till-w.now, func() { w.change(func() { p.thaw(life); w.hit(p) }) })
-	}
-	return nil
-}
-
-func (w *world) doCut(a *args) error {
-	d, oneway := a.span(), a.has("oneway")
-	from, to := w.sides(a)
-	if a.err != nil {
-		return a.err
-	}
-	w.takeLead(from)
-	c := &cut{since: w.now}
-	each := func(do func(c *cut, from, to *proc)) {
-		for _, p := range from {
-			for _, q := range to {
-				if p == q {
-					continue
-				}
-				do(c, p, q)
-				if !oneway {
-					do(c, q, p)
-				}
-			}
-		}
-	}
-	each(w.sever)
-	if d > 0 {
-		w.after(d, func() { w.change(func() { each(w.rejoin); w.healed(append(slices.Clone(from), to...)) }) })
-	}
-	return nil
-}
-
-// doHold is a cut after which all that was sent in it arrives.
-func (w *world) doHold(a *args) error {
-	d, oneway := a.span(), a.has("oneway")
-	from, to := w.sides(a)
-	if a.err != nil || d <= 0 {
-		return firstOf(a.err, fmt.Errorf("for how long?"))
-	}
-	w.takeLead(from)
-	each := func(do func(p, q *proc)) {
-		for _, p := range from {
-			for _, q := range to {
-				if p != q {
-					do(p, q)
-					if !oneway {
-						do(q, p)
-					}
-				}
-			}
-		}
-	}
-	each(w.hold)
-	w.after(d, func() { w.change(func() { each(w.release); w.healed(append(slices.Clone(from), to...)) }) })
-	return nil
-}
-
-// sides are the two of a cut.
-func (w *world) sides(a *args) (from, to []*proc) {
-	from = w.who(a)
-	if !a.has("rest") {
-		return from, w.who(a)
-	}
-	for _, p := range w.procs {
-		if !slices.Contains(from, p) {
-			to = append(to, p)
-		}
-	}
-	return from, to
-}
-
-// parted are those that some link is cut or held of, in order.
-func (w *world) parted() []*proc {
-	return slices.DeleteFunc(slices.Clone(w.procs), func(p *proc) bool {
-		return p.gone || !slices.ContainsFunc(w.procs, func(o *proc) bool { return o != p && w.apart(p, o) })
-	})
-}
-
 // doPoll asks processes again and again for all that they may promise: the configuration, the
 // fault rules, and contact.
 func (w *world) doPoll(a *args) error {
@@ -609,82 +412,6 @@
 	})
 }
 
-// lasting reads who is struck, for how long and how much; the first two are the words of what is done to each.
-func (a *args) lasting() (*args, float64) {
-	d, names, much := a.span(), a.next(), a.number()
-	b := lasting(names, d)
-	b.err = a.err
-	return b, much
-}
-
-func lasting(names string, d time.Duration) *args {
-	b := &args{words: []string{names}}
-	if d > 0 {
-		b.words = append(b.words, "for", d.String())
-	}
-	return b
-}
-
-func (w *world) doLossy(a *args) error {
-	b, part := a.lasting()
-	return w.each(b, "loses packets", func(p *proc) { p.lossy = min(part, 0.9) }, func(p *proc) { p.lossy = 0 })
-}
-
-func (w *world) doSlow(a *args) error {
-	b, x := a.lasting()
-	set := func(pace time.Duration) func(p *proc) {
-		return func(p *proc) {
-			if p.disk != nil {
-				p.disk.pace = pace
-			}
-		}
-	}
-	return w.each(b, "has a slow disk", set(time.Duration(x*float64(w.pace))), set(w.pace))
-}
-
-// doBusy: a disk shared with other work. A record takes four syncs, and so many times a
-// minute all on the disk stands still for 0.3 to 2 s; shared: at the same moments on all.
-func (w *world) doBusy(a *args) error {
-	d, names, pace, times := a.span(), a.next(), a.time(), a.number()
-	shared := len(a.words) > 0 && a.words[0] == "shared"
-	a.words = nil
-	all := w.who(&args{words: []string{names}})
-	if a.err != nil || times <= 0 {
-		return a.err
-	}
-	end := w.now + d
-	var stall func(who []*proc)
-	stall = func(who []*proc) {
-		if d > 0 && w.now >= end {
-			return
-		}
-		until := w.now + 300*ms + w.upTo(1700*ms)
-		for _, p := range who {
-			if p.disk != nil {
-				p.disk.stalled = until
-			}
-		}
-		w.after(until-w.now+w.upTo(time.Duration(2*float64(time.Minute)/times)), func() { stall(who) })
-	}
-	first := func() time.Duration { return w.upTo(time.Duration(float64(time.Minute) / times)) }
-	if shared {
-		w.after(first(), func() { stall(all) })
-	} else {
-		for _, p := range all {
-			w.after(first(), func() { stall([]*proc{p}) })
-		}
-	}
-	b := lasting(names, d)
-	set := func(pace time.Duration) func(p *proc) {
-		return func(p *proc) {
-			if p.disk != nil {
-				p.disk.pace = pace
-			}
-		}
-	}
-	return w.each(b, "has a busy disk", set(4*pace), set(w.pace))
-}
-
 func (w *world) doPuts(a *args) error {
 	first, n, every := a.version(), a.number(), a.time()
 	for i := range int(n) {
@@ -693,11 +420,6 @@
 	return a.err
 }
 
-func (w *world) doStep(a *args) error {
-	names, d := a.next(), a.time()
-	return w.each(&args{words: []string{names}, err: a.err}, "", func(p *proc) { p.wall += d; w.hit(p) }, nil)
-}
-
 // doTerm: a process that is told to end answers what it has, and ends.
 func (w *world) doTerm(a *args) error {
 	d, all := a.span(), w.who(a)
@@ -756,121 +478,6 @@
 	})
 }
 
-// doReplace puts an empty machine in the place of one, at another address: when that one has
-// ended, or, if it is planned, so long before it is told to end.
-func (w *world) doReplace(a *args) error {
-	ahead, first := a.after("first")
-	planned, all := a.has("planned"), w.who(a)
-	if a.err != nil || len(all) != 1 {
-		return firstOf(a.err, fmt.Errorf("which one?"))
-	}
-	old := all[0]
-	succeed := func() {
-		w.change(func() {
-			p := w.add(fmt.Sprintf("%s'", old.name), old.zone, old.core, false)
-			w.seeds = slices.Clone(w.seeds)
-			for i, s := range w.seeds {
-				if s == old.addr {
-					w.seeds[i] = p.addr
-				}
-			}
-			p.boot()
-			w.hit(p)
-			if p.core && old.gone {
-				w.watchSeat(p)
-			}
-		})
-		w.reseed()
-	}
-	remove := func() { w.change(func() { old.end(); old.gone = true }) }
-	switch {
-	case first:
-		d := a.parse(ahead)
-		succeed()
-		w.after(d, func() { w.term(old, remove) })
-	case planned:
-		w.term(old, func() { remove(); succeed() })
-	default:
-		remove()
-		succeed()
-	}
-	return a.err
-}
-
-// reseed has all processes read their settings anew, within a second.
-func (w *world) reseed() {
-	for _, p := range w.procs {
-		life := p.life
-		w.after(w.upTo(time.Second), func() {
-			if p.up && p.life == life {
-				p.input(func() controlplane.Output { p.k.SetSeeds(p.clock(), w.seeds); return controlplane.Output{} })
-			}
-		})
-	}
-}
-
-func (w *world) doSeeds(a *args) error {
-	all := w.who(a)
-	if a.err != nil || len(all) == 0 {
-		return a.err
-	}
-	w.seeds = nil
-	for _, p := range all {
-		w.seeds = append(w.seeds, p.addr)
-	}
-	w.reseed()
-	return nil
-}
-
-func (w *world) servant(a *args, do func(*server)) error {
-	for len(a.words) > 0 {
-		name := a.next()
-		s := w.byID[name]
-		if s == nil {
-			return fmt.Errorf("no server %q", name)
-		}
-		do(s)
-	}
-	return a.err
-}
-
-// doReuse ends a server, and gives its address to one of another service.
-func (w *world) doReuse(a *args) error {
-	s, service := w.byID[a.next()], a.next()
-	if s == nil {
-		return fmt.Errorf("no such server")
-	}
-	if !s.up || s.leaving {
-		return a.err
-	}
-	s.leave()
-	var again func()
-	again = func() {
-		if s.up || w.now-s.ended < reuseIn {
-			w.after(100*ms, again)
-			return
-		}
-		w.serve(service, s.addr)
-	}
-	again()
-	return a.err
-}
-
-// doRelease replaces the servers of a service one after the other.
-func (w *world) doRelease(a *args) error {
-	service, gap := a.next(), a.time()
-	at := time.Duration(0)
-	for _, s := range slices.Clone(w.servers) {
-		if s.service != service || !s.up || s.leaving {
-			continue
-		}
-		w.after(at, func() { w.serve(service, "") })
-		w.after(at+gap/2, s.leave)
-		at += gap
-	}
-	return a.err
-}
-
 func (w *world) doExpect(a *args) error {
 	within := time.Duration(0)
 	if s, ok := a.after("within"); ok {
