--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -97,7 +97,8 @@
 //   - past.go: the history of epochs
 //   - format.go: the format on disk
 //
-// The model checker uses the same code: explore.go visits all states of a small cluster, resume.go
+// The model checker uses the same code: explore.go visits all states of a small cluster
+// (explorechecks.go has what is checked, explorestore.go how they are kept), resume.go
 // checks that it makes progress from them, cell.go holds one machine, code.go finds out which
 // states are equivalent, and walk.go runs random schedules of larger clusters.
 package consensus
--- a/internal/systemsim/doc.go
+++ b/internal/systemsim/doc.go
@@ -3,7 +3,7 @@
 // that call by the protocol, clients of tenants. Troubles come from a script, or from
 // a seed that draws one, and the rules are judged all the while.
 //
-// A script has one command a line; script.go lists them. The same script with the same
+// A script has one command a line; script.go and its neighbours list them. The same script with the same
 // seed is the same day, event for event.
 package systemsim
 
