A client that reads slowly has until its request's deadline

An answer was cut off when its client took nothing of it for 5 s, whatever time its request had left.

Measured: TestSlowReaderHasUntilDeadline; before, the wait is 5 s by the code (the test's call doesn't exist there).

--- a/internal/dataplane/handler.go
+++ b/internal/dataplane/handler.go
@@ -115,6 +115,9 @@
 		wait = min(wait, time.Duration(ms*float64(time.Millisecond)))
 	}
 	request.Class, request.Deadline = className(route, rank), began+wait
+	if client, ok := ctx.Conn().(*transport.ClientConn); ok {
+		client.SetAnswerDeadline(client.Host().Now().Add(request.Deadline - p.options.Now()))
+	}
 	call.Bind(request, wait)
 	if lane == nil {
 		refuse(ctx, fasthttp.StatusServiceUnavailable, notReadyRetryAfter)
--- a/internal/transport/client_conn.go
+++ b/internal/transport/client_conn.go
@@ -27,6 +27,7 @@
 	extended    bool         // the deadline has been extended since bytes last came
 	bodyPaced   bool         // a body is being read: the timeout counts from the last byte
 	stopReading func() bool  // reading ends once it returns true; nil: never
+	answerUntil time.Time    // until then a client may take its time with the response
 
 	// Guarded by listener.mu.
 	state       connState
@@ -356,7 +357,7 @@
 }
 
 func (c *ClientConn) writePiece(piece []byte) (n int, err error) {
-	deadline, extended := c.listener.host.Now().Add(writeTimeout), false
+	deadline, extended := c.writeUntil(), false
 	for {
 		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 			return n, err
@@ -373,6 +374,19 @@
 	}
 }
 
+// SetAnswerDeadline sets the deadline of the request that is served. Until then a client that takes nothing of its response
+// keeps its connection; beyond it, for writeTimeout.
+func (c *ClientConn) SetAnswerDeadline(t time.Time) { c.answerUntil = t }
+
+// writeUntil returns how long the client may take for a piece of a response.
+func (c *ClientConn) writeUntil() time.Time {
+	until := c.listener.host.Now().Add(writeTimeout)
+	if c.answerUntil.After(until) {
+		return c.answerUntil
+	}
+	return until
+}
+
 // ReadFrom writes each piece as soon as it has been read.
 func (c *ClientConn) ReadFrom(r io.Reader) (n int64, err error) {
 	buf := pieceBuffers.Get().(*[pieceSize]byte)
--- a/internal/transport/pause_test.go
+++ b/internal/transport/pause_test.go
@@ -163,3 +163,34 @@
 }
 
 func (p *pieces) Stop() {}
+
+// stalledConn is a connection whose peer takes nothing; it notes until when it was waited for.
+type stalledConn struct {
+	net.Conn
+	host     *clockHost
+	deadline time.Time
+}
+
+func (c *stalledConn) SetWriteDeadline(t time.Time) error { c.deadline = t; return nil }
+
+func (c *stalledConn) Write([]byte) (int, error) {
+	c.host.now = c.deadline
+	return 0, os.ErrDeadlineExceeded
+}
+
+// TestSlowReaderHasUntilDeadline guards against a response that was cut off after 5 s, because its client read nothing meanwhile,
+// though the request's deadline was later.
+func TestSlowReaderHasUntilDeadline(t *testing.T) {
+	for left, want := range map[time.Duration]time.Duration{time.Minute: time.Minute, time.Second: writeTimeout, 0: writeTimeout} {
+		host := &clockHost{hostenv.Real, time.Unix(1000, 0)}
+		began := host.now
+		c := &ClientConn{Conn: &stalledConn{host: host}, listener: &Listener{host: host}}
+		if left > 0 {
+			c.SetAnswerDeadline(began.Add(left))
+		}
+		_, err := c.Write([]byte("response"))
+		if waited := host.now.Sub(began); err == nil || waited != want+minExtension {
+			t.Errorf("%v before the deadline: cut off after %v, want %v: %v", left, waited, want+minExtension, err)
+		}
+	}
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -14,7 +14,7 @@
 const (
 	requestTimeout = 3 * time.Second // for a streamed body, between two reads
 	idleTimeout    = 2 * time.Second
-	writeTimeout   = 5 * time.Second // for each piece of a response
+	writeTimeout   = 5 * time.Second // for each piece of a response, once the request's deadline is over
 )
 
 // NewServer returns an HTTP server for a listener. It keeps header names and request
