--- a/internal/registry/size_test.go
+++ b/internal/registry/size_test.go
@@ -199,3 +199,25 @@
 		t.Errorf("%+v", st)
 	}
 }
+
+// BenchmarkLeavingWrite measures what a member of the core stores when a server leaves, while a tenth of all servers has left lately.
+func BenchmarkLeavingWrite(b *testing.B) {
+	p := newFixture(b, 490, 5200)
+	p.m.Restore(p.now, Stored{Intact: true})
+	for _, r := range p.rows[:520] {
+		p.m.endServer(r.ID)
+	}
+	var write *LeavingWrite
+	bytes := 0
+	for b.Loop() {
+		p.m.disk.dirty, p.m.disk.writing = true, nil
+		write = p.m.startWrite()
+		data, err := cbor.Marshal(write.Rows)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(data)
+	}
+	b.ReportMetric(float64(bytes), "bytes/write")
+	b.ReportMetric(float64(len(write.Rows)), "rows")
+}
