A server's answer with the status 000 is no answer, and not a 200

With X-Not-Executed: 1 under 000, 600 or 999 loom sent the request again, effectful ones too, which ran twice.

Cause: the HTTP library's StatusCode returns 200 for the number 0, its sign for "not set". Conn.Read asked it for the number, so that its check for statuses below 100 never saw a 0. Nothing checked for statuses above 599.

Ruled out: the front, which writes the status that it gets; two answers on one connection.

Change: internal/responsehead reads the status from the received head and takes 100 to 599 only.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"asterwell/internal/hostenv"
+	"asterwell/internal/responsehead"
 )
 
 // Sockets bounds the number of connections of all peers together.
@@ -176,6 +177,7 @@
 func (c *Conn) Read(resp *fasthttp.Response) (extra bool, err error) {
 	defer c.requestInProgress.Store(false)
 	resp.Header.DisableNormalizing()
+	var status int // as received: the HTTP library takes 000 for 200
 	for interim := 0; ; interim++ {
 		if _, err := c.br.Peek(1); err != nil {
 			return false, err
@@ -183,21 +185,20 @@
 		if c.rejectUnsolicited && !c.requestInProgress.Load() {
 			return false, errUnsolicited
 		}
-		if err := c.awaitHeader(); err != nil {
+		if status, err = c.awaitHeader(); err != nil {
 			return false, err
 		}
 		if err := resp.Header.Read(c.br); err != nil { // the header is buffered completely
 			return false, fmt.Errorf("%w: %w", errInvalidResponse, err)
 		}
-		s := resp.StatusCode()
-		if s >= 200 {
+		if status >= fasthttp.StatusOK {
 			break
 		}
-		if s < 100 || interim >= maxInterimResponses {
+		if interim >= maxInterimResponses {
 			return false, errInvalidResponse
 		}
 	}
-	if s := resp.StatusCode(); c.headRequest.Load() || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+	if c.headRequest.Load() || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		resp.SkipBody = true
 		return c.br.Buffered() > 0, nil
 	}
@@ -230,27 +231,35 @@
 	return fmt.Errorf("%w: %w", errInvalidResponse, err)
 }
 
-// awaitHeader waits for a complete header, and rejects one with two body lengths:
-// the library would silently follow one of them.
-func (c *Conn) awaitHeader() error {
+// awaitHeader waits for a complete header, and returns its status. It rejects one with two body lengths: the library
+// would silently follow one of them.
+func (c *Conn) awaitHeader() (status int, err error) {
 	for n := 1; ; n = c.br.Buffered() + 1 {
 		if _, err := c.br.Peek(n); err != nil {
-			return asInvalidResponse(err)
+			return 0, asInvalidResponse(err)
 		}
 		seen, _ := c.br.Peek(c.br.Buffered())
-		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
-			if HasConflictingLengths(seen[:end]) || c.strict && containsStatusLine(seen[:end]) {
-				return errInvalidResponse
-			}
-			c.closeAnnounced = announcesClose(seen[:end])
-			return nil
+		head, err := responsehead.Find(seen)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", errInvalidResponse, err)
+		}
+		if head.Length > 0 {
+			return head.Status, c.checkHeader(seen[:head.Length])
 		}
 		if bytes.Contains(seen, []byte("\n\n")) {
-			return errInvalidResponse
+			return 0, errInvalidResponse
 		}
 	}
 }
 
+func (c *Conn) checkHeader(header []byte) error {
+	if HasConflictingLengths(header) || c.strict && containsStatusLine(header) {
+		return errInvalidResponse
+	}
+	c.closeAnnounced = announcesClose(header)
+	return nil
+}
+
 // HasConflictingLengths reports whether a header has both Content-Length and
 // Transfer-Encoding: recipients that follow different ones see different messages.
 func HasConflictingLengths(header []byte) bool {
