A head with a blank in a field's name or a lone CR or LF is no answer

The client gets it: "X Note: 1" as it is, "X-Note : 1" without the blank, and behind "\r\n\nX-Note: 1" the rest of the head for a body. With "X-Not-Executed : 1", or a 503 unrun or 421 beside such a line, loom sent effectful requests again. Heads that ended "\n\r\n" were waited for until the deadline (504).

Cause: the HTTP library takes blanks in names, drops those before the colon, ends lines at a lone LF, and the head at an empty line of a lone LF if CRLF CRLF follows; the connection looked for CRLF CRLF alone. Its own checks saw another head than the one passed on: an empty line before the status line hid two body lengths.

Ruled out: control bytes in names other than LF; the library refuses them, and they stand in the tests.

--- a/internal/dataplane/brokenresponse_test.go
+++ b/internal/dataplane/brokenresponse_test.go
@@ -154,3 +154,23 @@
 	}
 	expectUnusable(t, texts...)
 }
+
+// TestFieldNamesThatAreNone guards against an answer whose head has a blank or a control byte in the name of a field: the client got
+// that line, or the rest of the head for a body. Such a head does not prove that the request has not run, either.
+func TestFieldNamesThatAreNone(t *testing.T) {
+	const fields = "X-Attempt-Id: $id\r\nX-Seal: s\r\n"
+	var texts []string
+	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", " X-Note: 1", "\nX-Note: 1", "X: 1\n", "X: 1\nX-Note: 1", "X: 1\r", "X\rNote: 1", "X\x00Note: 1", "X\x7fNote: 1"} {
+		texts = append(texts, "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\n"+line+"\r\n\r\nhello",
+			"HTTP/1.1 200 OK\r\n"+fields+line+"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\n"+fields+line+"\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100000),
+			"HTTP/1.1 204 No Content\r\n"+fields+line+"\r\n\r\n",
+			"HTTP/1.1 503 Busy\r\n"+fields+"X-Not-Executed: 1\r\n"+line+"\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 421 Not Here\r\n"+fields+line+"\r\nContent-Length: 0\r\n\r\n",
+			"HTTP/1.1 103 Early Hints\r\nVia: 1.1 b\r\n"+line+"\r\n\r\n"+properAnswer)
+	}
+	texts = append(texts, "HTTP/1.1 503 Busy\r\n"+fields+"X-Not-Executed : 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id : $id\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\n"+fields+"Content-Length : 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\n\r\nhello", "HTTP/1.1 200 OK\n"+fields+"Content-Length: 5\r\n\r\nhello",
+		"\r\n\r\nHTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	expectUnusable(t, texts...)
+}
--- a/internal/protocol/brokenresponse_test.go
+++ b/internal/protocol/brokenresponse_test.go
@@ -80,3 +80,14 @@
 	expectUnusableProbe(t, response("000", testReport), response("099", testReport), response("600", testReport), response("00", testReport))
 	expectUnusableList(t, response("000", testList), response("099", testList), response("600", testList), response("00", testList))
 }
+
+// TestFieldNamesThatAreNone guards against the same with heads that have a blank or a control byte in the name of a field.
+func TestFieldNamesThatAreNone(t *testing.T) {
+	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", " X-Note: 1", "\nX-Note: 1", "X: 1\n", "X: 1\r", "X\rNote: 1", "X\x00Note: 1"} {
+		response := func(body string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
+		}
+		expectUnusableProbe(t, response(testReport))
+		expectUnusableList(t, response(testList))
+	}
+}
--- a/internal/transport/brokenresponse_test.go
+++ b/internal/transport/brokenresponse_test.go
@@ -58,6 +58,34 @@
 		"HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 }
 
+// TestFieldNames guards against responses with a blank or a control byte in the name of a field. The HTTP library passes them on, and
+// ends a head at a lone LF.
+func TestFieldNames(t *testing.T) {
+	const ok, rest = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "\r\n\r\nhello\r\n\r\n"
+	for _, line := range []string{"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X\tNote: 1", " X-Note: 1", "\tX-Note: 1", " X-Note : 1", ": 1", " : 1", "X-Note", "X-Not-Executed : 1",
+		"Content-Length : 5", "Transfer-Encoding : chunked", "Connection : close", "X Y Z: 1",
+		"\nX-Note: 1", "X\nNote: 1", "X-Note\n: 1", "X: 1\nX-Note: 1", "X: 1\n\nX-Note: 1", "X: 1\n", "\rX-Note: 1", "X\rNote: 1", "X-Note\r: 1", "X: 1\r", "X: a\rb", "X: 1\rX-Note: 1",
+		"X: a\n b", "X\x00Note: 1", "X\x01Note: 1", "X\x0bNote: 1", "X\x0cNote: 1", "X\x1fNote: 1", "X\x7fNote: 1", "X\x00: 1", "\x01X: 1", "X\x85: 1", "X(Note): 1", "X\"Note: 1", "X/Note: 1"} {
+		broken(t, "GET", ok+line+rest, ok+line+"\r\nVia: 1.1 b"+rest, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 5"+rest,
+			"HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+ok+"\r\nhello",
+			"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"+line+"\r\nContent-Length: 5"+rest,
+			"HTTP/1.1 204 No Content\r\n"+line+"\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n"+line+"\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"+line+"\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nConnection: close\r\n"+line+"\r\n\r\nhello")
+		broken(t, "HEAD", ok+line+"\r\n\r\n")
+	}
+}
+
+// TestHeadEnds guards against readers that disagree about where a head ends: each of its lines ends with CRLF, it begins with the status
+// line, and nothing but an empty line ends it.
+func TestHeadEnds(t *testing.T) {
+	broken(t, "GET", "HTTP/1.1 200 OK\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\nContent-Length: 5\n\nhello", "HTTP/1.1 200 OK\r\nContent-Length: 5\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\nhello\r\n\r\n", "HTTP/1.1 200 O\rK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200\rOK\r\nContent-Length: 5\r\n\r\nhello",
+		"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\n X-Note: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\n\tfolded\r\nContent-Length: 5\r\n\r\nhello")
+}
+
 // TestUnusualResponsesPass: what is valid though seldom seen goes through as it is.
 func TestUnusualResponsesPass(t *testing.T) {
 	long := strings.Repeat("x", 100000)
@@ -71,7 +99,7 @@
 		{"GET", "HTTP/1.0 404 Not \xe9 Found\r\nContent-Length:5\r\n\r\nhello", 404, "hello"},
 		{"GET", "HTTP/1.1 599 Last\r\nContent-Length: 5\r\n\r\nhello", 599, "hello"},
 		{"GET", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nX: \r\nY:\r\nZ: \t a b\tc \xff: d \r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
-		{"GET", "HTTP/1.1 200 OK\r\nX: first,\r\n second\r\n\tand third\r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
+		{"GET", "HTTP/1.1 200 OK\r\nX: first,\r\n second\r\n\tand at 12:30\r\n \r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
 		{"GET", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n\n\r\r\n a:", 200, "\n\r\r\n a:"},
 		{"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
 		{"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\nX: a,\r\n b\r\n\r\n", 200, "\n"},
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -246,9 +246,6 @@
 		if head.Length > 0 {
 			return head.Status, c.checkHeader(seen[:head.Length])
 		}
-		if bytes.Contains(seen, []byte("\n\n")) {
-			return 0, errInvalidResponse
-		}
 	}
 }
 
