A chunk or trailer with such names or line ends is no answer, either

Callers saw: an answer in chunks whose trailers had a blank or control byte in a name, or whose chunk lines or trailers ended with a lone LF, as a whole and valid one, with 0 CRLF CRLF behind it where it was streamed.

Discovery's lists in chunks were read by the HTTP library instead, which takes blanks in trailers' names and refuses the blank before a chunk's extension, which RFC 9112 allows.

Ruled out: what follows a chunk's data; it was held to CRLF before.

A streamed answer breaks off at such a line, so that no client takes it for whole.

--- a/internal/dataplane/brokenresponse_test.go
+++ b/internal/dataplane/brokenresponse_test.go
@@ -116,13 +116,16 @@
 	return response, string(data), readErr
 }
 
-// expectUnusable holds a gateway to it that it takes none of the texts for an answer. An effectful request may have run: it is sent
-// once, and its client hears 502 at once, not a 503. A pure one is sent again, and its client gets the proper answer.
-func expectUnusable(t *testing.T, texts ...string) {
+var allMethods = []string{http.MethodPost, http.MethodGet, http.MethodHead}
+
+// expectUnusable holds a gateway to it that it takes none of the texts for an answer. An effectful request, with each of the methods,
+// may have run: it is sent once, and its client hears 502 at once, not a 503. A pure one is sent again, and its client gets the
+// proper answer.
+func expectUnusable(t *testing.T, methods []string, texts ...string) {
 	t.Helper()
 	g, server := brokenGateway(t)
 	for i, text := range texts {
-		for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodHead} {
+		for _, method := range methods {
 			id := fmt.Sprint(method, i)
 			began := time.Now()
 			response, body, _ := g.send(t, server, method, "/x", id, text)
@@ -152,7 +155,7 @@
 			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" OK\r\n"+fields+"Content-Length: 0\r\n\r\n",
 			"HTTP/1.1 "+status+" Early Hints\r\n\r\n"+properAnswer)
 	}
-	expectUnusable(t, texts...)
+	expectUnusable(t, allMethods, texts...)
 }
 
 // TestFieldNamesThatAreNone guards against an answer whose head has a blank or a control byte in the name of a field: the client got
@@ -172,5 +175,32 @@
 	texts = append(texts, "HTTP/1.1 503 Busy\r\n"+fields+"X-Not-Executed : 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id : $id\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 200 OK\r\n"+fields+"Content-Length : 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\n\r\nhello", "HTTP/1.1 200 OK\n"+fields+"Content-Length: 5\r\n\r\nhello",
 		"\r\n\r\nHTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
-	expectUnusable(t, texts...)
+	expectUnusable(t, allMethods, texts...)
+}
+
+// TestChunksAndTrailersThatAreNone guards against an answer whose chunks or trailers have such names or line ends. One that has begun
+// to be passed on breaks off, and is not asked for again.
+func TestChunksAndTrailersThatAreNone(t *testing.T) {
+	const head, hello = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $id\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"
+	ends := []string{"0\r\nX Note: 1\r\n\r\n", "0\r\nX-Note : 1\r\n\r\n", "0\r\nX\x01Note: 1\r\n\r\n", "0\r\nX: 1\n\r\n", "0\r\nX: 1\r\n\n", "0\n\r\n", "1\nx\r\n0\r\n\r\n"}
+	var texts []string
+	for _, end := range ends {
+		texts = append(texts, head+hello+end)
+	}
+	expectUnusable(t, []string{http.MethodPost, http.MethodGet}, texts...) // an answer to a HEAD has no chunks
+	g, server := brokenGateway(t)
+	long := "186a0\r\n" + strings.Repeat("x", 100000) + "\r\n"
+	for i, end := range ends {
+		for _, path := range []string{"/x", "/look"} {
+			id := fmt.Sprint(path, i)
+			response, body, err := g.send(t, server, http.MethodGet, path, id, head+long+end)
+			if n := server.askedFor(id); response.StatusCode != http.StatusOK || err == nil || n != 1 {
+				t.Errorf("%s, %q: %s, %d bytes, %v, asked %d times", path, end, response.Status, len(body), err, n)
+			}
+		}
+	}
+	response, body, err := g.send(t, server, http.MethodGet, "/x", "proper", head+long+"0\r\nX-Sum: 1\r\n\r\n")
+	if response.StatusCode != http.StatusOK || len(body) != 100000 || err != nil {
+		t.Errorf("with a proper trailer: %s, %d bytes, %v", response.Status, len(body), err)
+	}
 }
--- a/internal/transport/brokenresponse_test.go
+++ b/internal/transport/brokenresponse_test.go
@@ -86,6 +86,21 @@
 		"HTTP/1.1 200 OK\r\n\tfolded\r\nContent-Length: 5\r\n\r\nhello")
 }
 
+// TestChunksAndTrailers guards against the same in what ends a chunk, and in trailers, of buffered and of streamed responses.
+func TestChunksAndTrailers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := "186a0\r\n" + strings.Repeat("x", 100000) + "\r\n"
+	for _, end := range []string{"0\r\nX Note: 1\r\n\r\n", "0\r\nX-Note : 1\r\n\r\n", "0\r\nX-Note\r\n\r\n", "0\r\nX\x01Note: 1\r\n\r\n", "0\r\nX: 1\r\n X-Note: 1\r\n\r\n", "0\r\n X-Note: 1\r\n\r\n",
+		"0\r\nX: 1\n\r\n", "0\r\nX: 1\rX-Note: 1\r\n\r\n", "0\r\n\n", "0\r\n\r\r\n", "0\n\r\n", "0\r\r\n\r\n", "0;a\rb\r\n\r\n", "\v0\r\n\r\n", "1\nx\r\n0\r\n\r\n"} {
+		broken(t, "GET", head+"5\r\nhello\r\n"+end, head+end)
+		for _, strict := range []bool{false, true} {
+			if _, body, err := readAll(t, head+long+end, "GET", true, strict); err == nil {
+				t.Errorf("streamed, %q: %d bytes", end, len(body))
+			}
+		}
+	}
+}
+
 // TestUnusualResponsesPass: what is valid though seldom seen goes through as it is.
 func TestUnusualResponsesPass(t *testing.T) {
 	long := strings.Repeat("x", 100000)
@@ -102,6 +117,7 @@
 		{"GET", "HTTP/1.1 200 OK\r\nX: first,\r\n second\r\n\tand at 12:30\r\n \r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
 		{"GET", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n\n\r\r\n a:", 200, "\n\r\r\n a:"},
 		{"GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200, "hello"},
+		{"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3 ; a=\"b c\"\r\nhel\r\n02\r\nlo\r\n0;last\r\nX-Sum: 1 2\r\nY:\r\n\r\n", 200, "hello"},
 		{"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\nX: a,\r\n b\r\n\r\n", 200, "\n"},
 		{"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200, ""},
 		{"GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -203,7 +203,7 @@
 		return c.br.Buffered() > 0, nil
 	}
 	length := resp.Header.ContentLength()
-	if length == -2 && (!c.allowStreams || !c.closeAnnounced || c.strict) { // a truncated one would look complete
+	if length == lengthNone && (!c.allowStreams || !c.closeAnnounced || c.strict) { // a truncated one would look complete
 		return false, fmt.Errorf("%w: body without a length", errInvalidResponse)
 	}
 	if c.allowStreams && (length < 0 || length > MaxBuffered) {
@@ -212,9 +212,10 @@
 		}
 		return !resp.IsBodyStream() && c.br.Buffered() > 0, nil
 	}
-	err = resp.ReadBody(c.br, MaxResponseBody)
-	if err == nil && length == -1 {
-		err = resp.Header.ReadTrailer(c.br)
+	if length == lengthChunked {
+		err = c.readChunkedBody(resp, MaxResponseBody)
+	} else {
+		err = resp.ReadBody(c.br, MaxResponseBody)
 	}
 	if err != nil {
 		return false, asInvalidResponse(err)
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -1,12 +1,8 @@
 package transport
 
 import (
-	"bufio"
-	"bytes"
-	"cmp"
 	"errors"
 	"io"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -94,42 +90,6 @@
 	return n, err
 }
 
-// readChunkHeader reads the header of a chunk, and the trailers behind the last one.
-func (b *streamedBody) readChunkHeader() error {
-	line, err := b.conn.br.ReadSlice('\n')
-	if err != nil {
-		return unexpectedEOF(err)
-	}
-	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
-	if err != nil {
-		return errInvalidResponse
-	}
-	if b.remaining = int64(n); n > 0 {
-		return nil
-	}
-	for limit := maxHeaderBytes; ; { // trailers are discarded
-		line, err := b.conn.br.ReadSlice('\n')
-		if limit -= len(line); err != nil || limit < 0 {
-			return unexpectedEOF(cmp.Or(err, errInvalidResponse))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return io.EOF
-		}
-	}
-}
-
-func expectCRLF(br *bufio.Reader) error {
-	for _, want := range []byte("\r\n") {
-		if c, err := br.ReadByte(); err != nil {
-			return unexpectedEOF(err)
-		} else if c != want {
-			return errInvalidResponse
-		}
-	}
-	return nil
-}
-
 // unexpectedEOF keeps a premature end from being taken for the end of the body.
 func unexpectedEOF(err error) error {
 	if err == io.EOF {
@@ -178,6 +138,12 @@
 	return nil
 }
 
+// The HTTP library's signs for bodies whose length the header doesn't tell.
+const (
+	lengthChunked = -1
+	lengthNone    = -2 // the end of the connection ends it
+)
+
 // readLongBody reads a body that may be streamed. One that turns out to be short is buffered.
 func (c *Conn) readLongBody(resp *fasthttp.Response, length int) error {
 	b := &streamedBody{conn: c, remaining: int64(length)}
@@ -185,18 +151,11 @@
 		return errInvalidResponse
 	}
 	if length < 0 {
-		b.remaining, b.chunked, b.untilClose = 0, length == -1, length < -1
-		length = -1
-		for buf := make([]byte, 4096); len(b.prefix) <= MaxBuffered; {
-			n, err := b.read(buf)
-			b.prefix = append(b.prefix, buf[:n]...)
-			if err == io.EOF {
-				resp.SetBody(b.prefix)
-				return nil
-			}
-			if err != nil {
-				return err
-			}
+		b.remaining, b.chunked, b.untilClose = 0, length == lengthChunked, length == lengthNone
+		length = lengthChunked
+		if whole, err := b.buffer(MaxBuffered); err != nil || whole {
+			resp.SetBody(b.prefix)
+			return err
 		}
 		b.received = int64(len(b.prefix))
 	}
@@ -206,6 +165,32 @@
 	return nil
 }
 
+// readChunkedBody reads a whole body in chunks, of at most limit bytes.
+func (c *Conn) readChunkedBody(resp *fasthttp.Response, limit int) error {
+	b := &streamedBody{conn: c, chunked: true}
+	whole, err := b.buffer(limit)
+	if err == nil && !whole {
+		err = errBodyTooLong
+	}
+	resp.SetBody(b.prefix)
+	return err
+}
+
+// buffer reads ahead until there are more than limit bytes, and reports whether the body has ended before.
+func (b *streamedBody) buffer(limit int) (whole bool, err error) {
+	for buf := make([]byte, 4096); len(b.prefix) <= limit; {
+		n, err := b.read(buf)
+		b.prefix = append(b.prefix, buf[:n]...)
+		if err == io.EOF {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
 // Upload is the remainder of a request body, in its wire framing.
 type Upload interface {
 	// Next waits for a piece, which is valid until the next call.
