reed takes no answer whose head is broken for an acknowledgement

Callers saw (in tests; the operators did not report it): reed takes a gateway's 200 for an acknowledgement, and a 400 or 409 for a final refusal, though its head has "X Note: 1", "X-Note : 1" or lines that end with a lone LF. Behind a status from 000 to 099 it said that the call was not sent, though a gateway had read it.

What was neither 2xx, 4xx nor 5xx counted as not sent.

Ruled out: control bytes in names and values other than LF, which net/http refuses.

Change: the client's connections check heads with responsehead.Find before the library reads them, and trailers' names behind the body. A broken answer is an error of that try: the next gateway is called, and without one the call may have been carried out.

Measured: TestStatusThatIsNone (6 lines) and TestFieldNamesThatAreNone of adminclient failed before, and pass; three calls still share one connection. Tests of reed, loom and the example pass with the race detector.

--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -65,7 +65,7 @@
 // *NoAnswerError.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) (*Answer, error) {
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{DisableCompression: true},
+		c.http = &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dialChecked},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	}
 	deadline, backoff, clientErrors := c.Now().Add(c.Timeout), initialBackoff, 0
@@ -149,7 +149,9 @@
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+time.Duration(len(body)>>20)*attemptTimeout)
 	defer cancel()
 	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(got httptrace.GotConnInfo) { got.Conn.(*checkedConn).expectHead() },
+		WroteHeaders: func() { sent.Store(true) }})
 	defer func() { r.sent = sent.Load() }()
 	request, err := http.NewRequestWithContext(ctx, method, to.String(), bytes.NewReader(body))
 	if err != nil {
@@ -172,6 +174,11 @@
 	if r.body, r.err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1)); len(r.body) > maxAnswerBytes {
 		r.err = fmt.Errorf("an answer of more than %d MiB", maxAnswerBytes>>20)
 	}
+	if r.err == nil {
+		if r.err = checkTrailers(response); r.err != nil {
+			return r, nil
+		}
+	}
 	if s, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
 		r.retryAfter = time.Duration(s * float64(time.Second))
 	}
