--- a/internal/adminclient/brokenresponse_test.go
+++ b/internal/adminclient/brokenresponse_test.go
@@ -70,9 +70,9 @@
 
 const properAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntext"
 
-// expectUnusable holds a client to it that it takes none of the texts for an answer: it calls the next gateway, and if there is none
-// it doesn't say that the call was not carried out.
-func expectUnusable(t *testing.T, texts ...string) {
+// expectRejected checks that a client rejects the answers: it calls the next gateway, and if there is none, it does not report that the
+// call was not sent.
+func expectRejected(t *testing.T, texts ...string) {
 	t.Helper()
 	proper, _ := startGateway(t, properAnswer)
 	for _, text := range texts {
@@ -88,25 +88,25 @@
 	}
 }
 
-// TestStatusThatIsNone guards against an answer of a gateway with the status 000: reed said that the call was not sent.
-func TestStatusThatIsNone(t *testing.T) {
+// TestInvalidStatus guards against an answer of a gateway with the status 000: reed said that the call was not sent.
+func TestInvalidStatus(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "600", "999", "00"} {
-		expectUnusable(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}",
+		expectRejected(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\n{}",
 			"HTTP/1.1 "+status+" Continue\r\n\r\n"+properAnswer)
 	}
 }
 
-// TestFieldNamesThatAreNone guards against an answer of a gateway whose head has a blank or a control byte in the name of a field, or a
+// TestInvalidFieldNames guards against an answer of a gateway whose head has a blank or a control byte in the name of a field, or a
 // line that ends with a lone LF.
-func TestFieldNamesThatAreNone(t *testing.T) {
+func TestInvalidFieldNames(t *testing.T) {
 	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", " X-Note: 1", "\nX-Note: 1", "X: 1\n", "X: 1\nX-Note: 1", "X: 1\r", "X\rNote: 1", "X\x00Note: 1", "Content-Length : 2"} {
 		for _, status := range []string{"200 OK", "400 Bad Request", "409 Conflict", "307 Elsewhere", "503 Busy"} {
-			expectUnusable(t, "HTTP/1.1 "+status+"\r\nLocation: http://127.0.0.1:1/\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}")
+			expectRejected(t, "HTTP/1.1 "+status+"\r\nLocation: http://127.0.0.1:1/\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}")
 		}
-		expectUnusable(t, "HTTP/1.1 103 Early Hints\r\nVia: 1.1 b\r\n"+line+"\r\n\r\n"+properAnswer)
+		expectRejected(t, "HTTP/1.1 103 Early Hints\r\nVia: 1.1 b\r\n"+line+"\r\n\r\n"+properAnswer)
 	}
 	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
-	expectUnusable(t, "HTTP/1.1 200 OK\nContent-Length: 2\n\n{}", "\r\n"+properAnswer, chunks+"0\r\nX Note: 1\r\n\r\n", chunks+"0\r\nX-Note : 1\r\n\r\n", chunks+"0\r\nX\x01Note: 1\r\n\r\n")
+	expectRejected(t, "HTTP/1.1 200 OK\nContent-Length: 2\n\n{}", "\r\n"+properAnswer, chunks+"0\r\nX Note: 1\r\n\r\n", chunks+"0\r\nX-Note : 1\r\n\r\n", chunks+"0\r\nX\x01Note: 1\r\n\r\n")
 }
 
 // TestUnusualAnswersPass: what is valid passes, and a connection carries further calls.
--- a/internal/dataplane/brokenresponse_test.go
+++ b/internal/dataplane/brokenresponse_test.go
@@ -118,10 +118,9 @@
 
 var allMethods = []string{http.MethodPost, http.MethodGet, http.MethodHead}
 
-// expectUnusable holds a gateway to it that it takes none of the texts for an answer. An effectful request, with each of the methods,
-// may have run: it is sent once, and its client hears 502 at once, not a 503. A pure one is sent again, and its client gets the
-// proper answer.
-func expectUnusable(t *testing.T, methods []string, texts ...string) {
+// expectRejected checks that a gateway rejects the answers. An effectful request, with each of the methods, may have run: it is sent
+// once, and its client gets 502 at once, not 503. A pure one is sent again, and its client gets the proper answer.
+func expectRejected(t *testing.T, methods []string, texts ...string) {
 	t.Helper()
 	g, server := brokenGateway(t)
 	for i, text := range texts {
@@ -142,9 +141,9 @@
 	}
 }
 
-// TestStatusThatIsNone guards against an answer with the status 000 that reached the client as a 200. Whatever else its head
+// TestInvalidStatus guards against an answer with the status 000 that reached the client as a 200. Whatever else its head
 // says proves nothing: not that the request has not run, either.
-func TestStatusThatIsNone(t *testing.T) {
+func TestInvalidStatus(t *testing.T) {
 	const fields = "X-Attempt-Id: $id\r\nX-Seal: s\r\n"
 	var texts []string
 	for _, status := range []string{"000", "099", "600", "999", "00", "0200"} {
@@ -155,12 +154,12 @@
 			"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" OK\r\n"+fields+"Content-Length: 0\r\n\r\n",
 			"HTTP/1.1 "+status+" Early Hints\r\n\r\n"+properAnswer)
 	}
-	expectUnusable(t, allMethods, texts...)
+	expectRejected(t, allMethods, texts...)
 }
 
-// TestFieldNamesThatAreNone guards against an answer whose head has a blank or a control byte in the name of a field: the client got
+// TestInvalidFieldNames guards against an answer whose head has a blank or a control byte in the name of a field: the client got
 // that line, or the rest of the head for a body. Such a head does not prove that the request has not run, either.
-func TestFieldNamesThatAreNone(t *testing.T) {
+func TestInvalidFieldNames(t *testing.T) {
 	const fields = "X-Attempt-Id: $id\r\nX-Seal: s\r\n"
 	var texts []string
 	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", " X-Note: 1", "\nX-Note: 1", "X: 1\n", "X: 1\nX-Note: 1", "X: 1\r", "X\rNote: 1", "X\x00Note: 1", "X\x7fNote: 1"} {
@@ -175,19 +174,19 @@
 	texts = append(texts, "HTTP/1.1 503 Busy\r\n"+fields+"X-Not-Executed : 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id : $id\r\nContent-Length: 5\r\n\r\nhello",
 		"HTTP/1.1 200 OK\r\n"+fields+"Content-Length : 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\n\r\nhello", "HTTP/1.1 200 OK\n"+fields+"Content-Length: 5\r\n\r\nhello",
 		"\r\n\r\nHTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
-	expectUnusable(t, allMethods, texts...)
+	expectRejected(t, allMethods, texts...)
 }
 
-// TestChunksAndTrailersThatAreNone guards against an answer whose chunks or trailers have such names or line ends. One that has begun
+// TestInvalidChunksAndTrailers guards against an answer with invalid field names or line ends in its chunks or trailers. One that has begun
 // to be passed on breaks off, and is not asked for again.
-func TestChunksAndTrailersThatAreNone(t *testing.T) {
+func TestInvalidChunksAndTrailers(t *testing.T) {
 	const head, hello = "HTTP/1.1 200 OK\r\nX-Attempt-Id: $id\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"
 	ends := []string{"0\r\nX Note: 1\r\n\r\n", "0\r\nX-Note : 1\r\n\r\n", "0\r\nX\x01Note: 1\r\n\r\n", "0\r\nX: 1\n\r\n", "0\r\nX: 1\r\n\n", "0\n\r\n", "1\nx\r\n0\r\n\r\n"}
 	var texts []string
 	for _, end := range ends {
 		texts = append(texts, head+hello+end)
 	}
-	expectUnusable(t, []string{http.MethodPost, http.MethodGet}, texts...) // an answer to a HEAD has no chunks
+	expectRejected(t, []string{http.MethodPost, http.MethodGet}, texts...) // an answer to a HEAD has no chunks
 	g, server := brokenGateway(t)
 	long := "186a0\r\n" + strings.Repeat("x", 100000) + "\r\n"
 	for i, end := range ends {
--- a/internal/protocol/brokenresponse_test.go
+++ b/internal/protocol/brokenresponse_test.go
@@ -13,8 +13,8 @@
 	"asterwell/internal/transport"
 )
 
-// expectUnusableProbe holds a fleet to it that a probe answered with one of the texts proves nothing of its server.
-func expectUnusableProbe(t *testing.T, texts ...string) {
+// expectRejectedProbe checks that a probe with one of these answers proves nothing about its server.
+func expectRejectedProbe(t *testing.T, texts ...string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -41,8 +41,8 @@
 	stage.Play(t, script.String())
 }
 
-// expectUnusableList holds discovery to it that none of the texts is a list of servers.
-func expectUnusableList(t *testing.T, texts ...string) {
+// expectRejectedList checks that discovery takes none of the answers for a list of servers.
+func expectRejectedList(t *testing.T, texts ...string) {
 	t.Helper()
 	for _, text := range texts {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -72,22 +72,22 @@
 	testList   = `{"version":9,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:1","state":"up"}]}`
 )
 
-// TestStatusThatIsNone guards against a probe's answer or a list of servers with the status 000 that was taken for a 200.
-func TestStatusThatIsNone(t *testing.T) {
+// TestInvalidStatus guards against a probe's answer or a list of servers with the status 000 that was taken for a 200.
+func TestInvalidStatus(t *testing.T) {
 	response := func(status, body string) string {
 		return fmt.Sprintf("HTTP/1.1 %s OK\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 	}
-	expectUnusableProbe(t, response("000", testReport), response("099", testReport), response("600", testReport), response("00", testReport))
-	expectUnusableList(t, response("000", testList), response("099", testList), response("600", testList), response("00", testList))
+	expectRejectedProbe(t, response("000", testReport), response("099", testReport), response("600", testReport), response("00", testReport))
+	expectRejectedList(t, response("000", testList), response("099", testList), response("600", testList), response("00", testList))
 }
 
-// TestFieldNamesThatAreNone guards against the same with heads that have a blank or a control byte in the name of a field.
-func TestFieldNamesThatAreNone(t *testing.T) {
+// TestInvalidFieldNames guards against the same with heads that have a blank or a control byte in the name of a field.
+func TestInvalidFieldNames(t *testing.T) {
 	for _, line := range []string{"X Note: 1", "X-Note : 1", "X\tNote: 1", " X-Note: 1", "\nX-Note: 1", "X: 1\n", "X: 1\r", "X\rNote: 1", "X\x00Note: 1"} {
 		response := func(body string) string {
 			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n%s\r\nContent-Length: %d\r\n\r\n%s", line, len(body), body)
 		}
-		expectUnusableProbe(t, response(testReport))
-		expectUnusableList(t, response(testList))
+		expectRejectedProbe(t, response(testReport))
+		expectRejectedList(t, response(testList))
 	}
 }
